--- /dev/null
+++ b/cranberryscale/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for backend servers with gray failures."""
--- /dev/null
+++ b/cranberryscale/process/__init__.py
@@ -0,0 +1,1 @@
+"""Objects that live as long as the process."""
--- /dev/null
+++ b/cranberryscale/request/__init__.py
@@ -0,0 +1,1 @@
+"""Objects that live for one request."""
--- /dev/null
+++ b/cranberryscale/version/__init__.py
@@ -0,0 +1,1 @@
+"""Values that live for one version of what operators publish."""
--- /dev/null
+++ b/cranberryscale/version/settings.py
@@ -0,0 +1,112 @@
+"""The process's own settings, from one TOML file."""
+
+import datetime
+import pathlib
+import tomllib
+from typing import Annotated
+
+import msgspec
+
+from cranberryscale import errors
+
+
+__all__ = ['Settings', 'load_settings', 'parse_settings']
+
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
+Count = Annotated[int, msgspec.Meta(gt=0)]
+
+
+class Addresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the host:port pairs that the instance listens on.
+
+    Callers, peers and operators use separate ports, so that a caller cannot
+    reach the operations of peers.
+    """
+
+    callers: str
+    peers: str
+    operators: str
+
+
+class Platform(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Say where the platform's read-only services are."""
+
+    url: str
+    prefix: str = 'cranberryscale'
+    instance_service: str = 'cranberryscale'
+    watch_s: Seconds = 10.0
+
+
+class Leases(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Set the terms of leases and gossip; equal on all instances."""
+
+    lease_s: Seconds = 8.0
+    suspect_s: Seconds = 5.0
+    gossip_s: Seconds = 0.5
+    drift_ratio: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.01
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bound what one caller may take."""
+
+    header_bytes: Count = 32768
+    body_bytes: Count = 10485760
+    threads: Count = 32
+    queued_connections: Count = 256
+
+
+class Timeouts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bound every wait."""
+
+    sender_s: Seconds = 10.0
+    connect_s: Seconds = 1.0
+    peer_s: Seconds = 0.25
+    confirm_s: Seconds = 4.0
+    grant_s: Seconds = 0.5
+    once_s: Seconds = 600.0
+    answer_lifetime_s: Seconds = 10.0
+    list_lag_s: Seconds = 5.0
+    shutdown_s: Seconds = 60.0
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold the settings of one instance.
+
+    `secret` is shared by the fleet and signs messages between instances.
+    """
+
+    name: str
+    domain: str
+    secret: Annotated[str, msgspec.Meta(min_length=16)]
+    addresses: Addresses
+    platform: Platform
+    leases: Leases = Leases()
+    limits: Limits = Limits()
+    timeouts: Timeouts = Timeouts()
+
+    @property
+    def lease(self) -> datetime.timedelta:
+        """Return the lease time."""
+        return datetime.timedelta(seconds=self.leases.lease_s)
+
+
+def parse_settings(text: str, source: str) -> Settings:
+    """Return the settings in a TOML text, or raise SettingsInvalid."""
+    try:
+        data = tomllib.loads(text)
+        return msgspec.convert(data, Settings)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise errors.make_error(
+            'settings_invalid', f'{source}: {error}'
+        ) from error
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Return the settings in a file, or raise SettingsInvalid."""
+    try:
+        text = path.read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.make_error(
+            'settings_invalid', f'{path}: {error}'
+        ) from error
+    return parse_settings(text, str(path))
--- /dev/null
+++ b/cranberryscale_bench/__init__.py
@@ -0,0 +1,1 @@
+"""The measurement tool."""
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model checking of the lease protocol."""
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,55 @@
+"""Guard the wire form of messages between instances."""
+
+import pytest
+
+from cranberryscale import errors
+from cranberryscale import messages
+from cranberryscale.version import view
+
+
+def make_view(count, domains=3, version=1):
+    """Return a view of `count` members spread over the domains."""
+    return view.View(
+        version,
+        tuple(
+            view.Member(f'i{n:02}', f'd{n % domains}', '', '', '')
+            for n in range(count)
+        ),
+    )
+
+
+def test_every_call_round_trips():
+    """A message that decodes to something else corrupts decisions."""
+    message = messages.TakePermit('events', 'd1', 'r1', 'c1', 2.5, ('s1',))
+    assert messages.decode(messages.encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'\x00', b'\xff\x90', b'\x07\x90', b'\x07', b'\x07\xc1']
+)
+def test_bad_bytes_are_typed_errors(body):
+    """Garbage from a peer must not raise anything but a typed error."""
+    with pytest.raises(errors.PeerError) as caught:
+        messages.decode(body)
+    assert caught.value.code == 'message_undecodable'
+
+
+@pytest.mark.parametrize('size', range(40, 45))
+def test_quorum_survives_a_domain_and_ten_replacements(size):
+    """A quorum must outlive a failure domain and never split in two."""
+    quorum = view.count_quorum(size)
+    assert size - -(-size // 3) >= quorum
+    assert 2 * quorum > size + 10
+
+
+def test_placement_moves_only_the_lost_members_resources():
+    """A change of one member must not interrupt the others' resources."""
+    full = make_view(44)
+    resources = [view.Resource('', 'budget', str(n)) for n in range(500)]
+    before = {r: view.choose_holder(full, r, frozenset()) for r in resources}
+    gone = frozenset(['i07'])
+    moved = [
+        r for r in resources if view.choose_holder(full, r, gone) != before[r]
+    ]
+    assert moved
+    assert {before[r] for r in moved} == gone
