Call peers over gRPC with signed frames

Cause: instances need calls that strangers, replays and other versions cannot affect. Change: frames with protocol, sender, incarnation, target, counter and an HMAC; replay window; typed and counted refusals; a channel that times out twice is replaced, since connections can go silent for good.

--- /dev/null
+++ b/cranberryscale/connection/peers.py
@@ -0,0 +1,220 @@
+"""Calls between instances over gRPC.
+
+Messages are encoded by msgspec and pass through gRPC as bytes, so the
+generic handler of grpcio serves them without generated code.
+"""
+
+from concurrent import futures
+import datetime
+import threading
+from typing import Any
+from typing import Callable
+from typing import NamedTuple
+
+import grpc
+
+from cranberryscale.connection import frames
+from cranberryscale import errors
+from cranberryscale import messages
+
+
+__all__ = ['PeerClient', 'PeerServer', 'Traffic']
+
+SERVICE = 'cranberryscale.Peers'
+METHOD = 'Call'
+# After this many timeouts in a row the connection may have gone silent for
+# good, so it is replaced.
+TIMEOUTS_BEFORE_RECONNECT = 2
+# HTTP/2 and TCP/IP bytes of one call in one direction, measured with a
+# counting relay on loopback, rounded up.
+CALL_OVERHEAD_BYTES = 130
+
+_OPTIONS = (
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.enable_http_proxy', 0),
+    ('grpc.max_receive_message_length', frames.FRAME_LIMIT_BYTES),
+    ('grpc.max_send_message_length', frames.FRAME_LIMIT_BYTES),
+    # Several instances share one address space on a loopback test fleet.
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.so_reuseport', 0),
+)
+
+
+class Traffic(NamedTuple):
+    """Count bytes sent for control, and refused messages by code."""
+
+    control_bytes: int
+    refused: dict[str, int]
+
+
+class _Channel:
+    def __init__(self, address: str):
+        self.address = address
+        self.timeouts = 0
+        self._open()
+
+    def _open(self) -> None:
+        self._channel = grpc.insecure_channel(self.address, _OPTIONS)
+        self.call = self._channel.unary_unary(f'/{SERVICE}/{METHOD}')
+
+    def note_answer(self) -> None:
+        self.timeouts = 0
+
+    def note_timeout(self) -> None:
+        self.timeouts += 1
+        if self.timeouts >= TIMEOUTS_BEFORE_RECONNECT:
+            self.timeouts = 0
+            old = self._channel
+            self._open()
+            old.close()
+
+    def close(self) -> None:
+        self._channel.close()
+
+
+class PeerClient:
+    """Send messages to other instances and wait for their replies."""
+
+    def __init__(self, signer: frames.Signer):
+        self._signer = signer
+        self._lock = threading.Lock()
+        self._channels: dict[str, _Channel] = {}
+        self.control_bytes = 0
+
+    def call(
+        self,
+        target: str,
+        address: str,
+        message: Any,
+        timeout: datetime.timedelta,
+    ) -> Any:
+        """Return the reply; raise PeerError when there is none.
+
+        A Failure reply is raised as the error that it names.
+        """
+        counter, data = self._signer.pack(target, messages.encode(message))
+        channel = self._find_channel(address)
+        try:
+            answer = channel.call(data, timeout=timeout.total_seconds())
+        except grpc.RpcError as error:
+            if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
+                channel.note_timeout()
+            raise errors.make_error('peer_unreachable', target) from error
+        except ValueError as error:
+            # The channel was closed by another thread's reconnect.
+            raise errors.make_error('peer_unreachable', target) from error
+        channel.note_answer()
+        body = self._signer.unpack_reply(answer, target, counter)
+        reply = messages.decode(body)
+        self._count(message, len(data))
+        if isinstance(reply, messages.Failure):
+            raise errors.make_error(reply.code, reply.value)
+        return reply
+
+    def _count(self, message: Any, size: int) -> None:
+        if isinstance(message, messages.CONTROL_CALLS):
+            self.control_bytes += size + CALL_OVERHEAD_BYTES
+
+    def _find_channel(self, address: str) -> _Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            with self._lock:
+                channel = self._channels.get(address)
+                if channel is None:
+                    channel = self._channels[address] = _Channel(address)
+        return channel
+
+    def keep(self, addresses: frozenset[str]) -> None:
+        """Close the channels to all other addresses."""
+        with self._lock:
+            gone = [
+                self._channels.pop(address)
+                for address in self._channels.keys() - addresses
+            ]
+        for channel in gone:
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        self.keep(frozenset())
+
+
+class PeerServer(grpc.GenericRpcHandler):
+    """Receive messages, check their origin and hand them to `answer`.
+
+    `answer(frame, message)` returns the reply message or raises PeerError.
+    """
+
+    def __init__(
+        self,
+        signer: frames.Signer,
+        answer: Callable[[frames.Frame, Any], Any],
+        threads: int = 16,
+    ):
+        self._signer = signer
+        self._answer = answer
+        self._guard = frames.ReplayGuard()
+        self._lock = threading.Lock()
+        self._refused: dict[str, int] = {}
+        self._control_bytes = 0
+        self._handler = grpc.unary_unary_rpc_method_handler(self._serve)
+        self._server = grpc.server(
+            futures.ThreadPoolExecutor(threads, 'peers'), options=_OPTIONS
+        )
+        self._server.add_generic_rpc_handlers((self,))
+
+    def service(self, handler_call_details) -> Any:
+        """Return the handler of the only method."""
+        if handler_call_details.method == f'/{SERVICE}/{METHOD}':
+            return self._handler
+        return None
+
+    def start(self, address: str) -> None:
+        """Listen on host:port; raise SettingsInvalid when that fails."""
+        try:
+            port = self._server.add_insecure_port(address)
+        except RuntimeError as error:
+            raise errors.make_error('settings_invalid', address) from error
+        if not port:
+            raise errors.make_error('settings_invalid', address)
+        self._server.start()
+
+    def stop(self, grace: datetime.timedelta) -> None:
+        """Refuse new calls and wait for the running ones."""
+        self._server.stop(grace.total_seconds()).wait()
+
+    def forget(self, keep: frozenset[str]) -> None:
+        """Drop the replay records of former members."""
+        self._guard.forget(keep)
+
+    @property
+    def traffic(self) -> Traffic:
+        """Return what was counted so far."""
+        with self._lock:
+            return Traffic(self._control_bytes, dict(self._refused))
+
+    def _serve(self, data: bytes, context: grpc.ServicerContext) -> bytes:
+        try:
+            frame = self._signer.unpack(data)
+        except errors.PeerError as error:
+            self._count_refusal(error.code)
+            context.abort(grpc.StatusCode.PERMISSION_DENIED, error.code)
+        try:
+            self._guard.check(frame)
+            message = messages.decode(frame.body)
+            reply = self._answer(frame, message)
+        except errors.FleetError as error:
+            self._count_refusal(error.code)
+            reply = messages.Failure(error.code, str(error.value))
+        packed = self._signer.pack_reply(
+            frame.sender, frame.counter, messages.encode(reply)
+        )
+        if isinstance(reply, messages.CONTROL_REPLIES):
+            with self._lock:
+                self._control_bytes += len(packed) + CALL_OVERHEAD_BYTES
+        return packed
+
+    def _count_refusal(self, code: str) -> None:
+        with self._lock:
+            self._refused[code] = self._refused.get(code, 0) + 1
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -14,6 +14,9 @@
 
 
 __all__ = [
+    'BOOTSTRAP_CALLS',
+    'CONTROL_CALLS',
+    'CONTROL_REPLIES',
     'PROTOCOL_VERSION',
     'Done',
     'Failure',
@@ -42,7 +45,6 @@
     'ViewReply',
     'decode',
     'encode',
-    'list_calls',
 ]
 
 PROTOCOL_VERSION = 1
@@ -299,22 +301,25 @@
 _TAG_OF = {kind: tag for tag, kind in _TAGS.items()}
 _DECODERS = {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TAGS.items()}
 _ENCODER = msgspec.msgpack.Encoder()
-_CALLS = (
+
+# Calls that an instance sends whether or not there are requests.
+CONTROL_CALLS = (
     GossipPull,
     FetchView,
     FetchSubtrees,
-    TakeTokens,
-    ReturnTokens,
-    TakePermit,
-    PermitReports,
     SurveyPool,
     PoolSummary,
 )
-
-
-def list_calls() -> tuple[type, ...]:
-    """Return the messages that one instance may send to another unasked."""
-    return _CALLS
+CONTROL_REPLIES = (
+    GossipReply,
+    ViewReply,
+    SubtreesReply,
+    SurveyReply,
+    PoolSummaryReply,
+)
+# Calls answered to a sender that proves the fleet's secret but is not yet in
+# the receiver's list; they change nothing at the receiver.
+BOOTSTRAP_CALLS = (FetchView, FetchSubtrees)
 
 
 def encode(message: Any) -> bytes:
