Add the operators' client, tables and read-only commands

Cause: operators need to see the fleet as every reachable instance sees it. Conclusion: commands only read, keys come from the environment.

--- a/cranberryscale/commands.py
+++ b/cranberryscale/commands.py
@@ -1,10 +1,21 @@
-"""The command line."""
+"""The command line.
+
+Every sub-command only reads: operators change the fleet by publishing.
+Exit codes: 0 success, 1 the check found faults, 2 wrong usage, 3 settings
+or documents that cannot be read, 4 nobody could be reached.
+"""
 
 import argparse
+import json
+import os
 import pathlib
 import sys
+import time
+from typing import Any
 
+from cranberryscale import console
 from cranberryscale import errors
+from cranberryscale import operators
 from cranberryscale.process import instance
 from cranberryscale.version import settings
 
@@ -12,7 +23,27 @@
 __all__ = ['main']
 
 EXIT_OK = 0
+EXIT_FAULTS = 1
 EXIT_INVALID = 3
+EXIT_UNREACHABLE = 4
+KEY_VARIABLE = 'CRANBERRYSCALE_KEY'
+CLEAR_SCREEN = '\x1b[2J\x1b[H'
+
+
+def _print(text: str) -> None:
+    sys.stdout.write(text if text.endswith('\n') else text + '\n')
+    sys.stdout.flush()
+
+
+def _print_json(value: Any) -> None:
+    _print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def _read_key() -> dict[str, str]:
+    # The key comes from the environment, since arguments show in listings
+    # of processes.
+    key = os.environ.get(KEY_VARIABLE, '')
+    return {'X-Api-Key': key} if key else {}
 
 
 def _serve(options: argparse.Namespace) -> int:
@@ -20,12 +51,142 @@
     return EXIT_OK
 
 
-def _make_parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog='cranberryscale')
-    commands = parser.add_subparsers(required=True)
+def _show_status(options: argparse.Namespace) -> int:
+    client = operators.OperatorClient(options.operators)
+    answers = client.list_statuses()
+    fleet = operators.list_reachable(answers)
+    unreachable = operators.list_unreachable(answers)
+    if options.json:
+        _print_json({'instances': fleet, 'unreachable': unreachable})
+    else:
+        _print(console.render_fleet(fleet, unreachable))
+    return EXIT_OK if fleet else EXIT_UNREACHABLE
+
+
+def _watch(options: argparse.Namespace) -> int:
+    while True:
+        if not options.json:
+            _print(CLEAR_SCREEN)
+        code = _show_status(options)
+        if options.once:
+            return code
+        time.sleep(options.interval_s)
+
+
+def _show_audit(options: argparse.Namespace) -> int:
+    if options.file:
+        lines = options.file.read_text('utf-8').splitlines()
+        answers = (
+            operators.Answer(str(options.file), list(map(json.loads, lines))),
+        )
+    else:
+        client = operators.OperatorClient(options.operators)
+        answers = client.list_audits()
+    if all(answer.error for answer in answers):
+        return EXIT_UNREACHABLE
+    records, faults = operators.merge_audit(answers, options.team)
+    if options.json:
+        _print_json({'records': records, 'faults': faults})
+    else:
+        _print(console.render_audit(records, faults))
+    return EXIT_FAULTS if faults else EXIT_OK
+
+
+def _explain(options: argparse.Namespace) -> int:
+    client = operators.OperatorClient(options.operators)
+    fields = {
+        'path': options.path,
+        'method': options.method,
+        'host': options.host,
+    }
+    _print_json(
+        client.fetch(options.operators[0], '/explain', fields, _read_key())
+    )
+    return EXIT_OK
+
+
+def _which(options: argparse.Namespace) -> int:
+    client = operators.OperatorClient(())
+    path = '/.well-known/cranberryscale/which'
+    fields = {'service': options.service} if options.service else {}
+    _print_json(client.fetch(options.address, path, fields, _read_key()))
+    return EXIT_OK
+
+
+def _show_errors(options: argparse.Namespace) -> int:
+    _print(errors.render_table())
+    return EXIT_OK
+
+
+def _add_fleet_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--operators',
+        action='append',
+        default=[],
+        metavar='HOST:PORT',
+        help='operators\' address of an instance; repeat for more. One that '
+        'answers is enough to find the others',
+    )
+    parser.add_argument('--json', action='store_true', help='print JSON')
+
+
+def _add_serving(commands) -> None:
     serve = commands.add_parser('serve', help='run one entry instance')
     serve.add_argument('--settings', type=pathlib.Path, required=True)
     serve.set_defaults(run=_serve)
+    table = commands.add_parser('errors', help='print the error table')
+    table.set_defaults(run=_show_errors)
+
+
+def _add_watching(commands) -> None:
+    show = commands.add_parser('status', help='show the fleet')
+    _add_fleet_options(show)
+    show.set_defaults(run=_show_status)
+    watch = commands.add_parser('watch', help='show the fleet continuously')
+    _add_fleet_options(watch)
+    watch.add_argument('--interval-s', type=float, default=1.0)
+    watch.add_argument('--once', action='store_true', help='show once')
+    watch.set_defaults(run=_watch)
+    trail = commands.add_parser(
+        'audit', help='show and verify who changed what'
+    )
+    _add_fleet_options(trail)
+    trail.add_argument('--team', default='', help='only this subtree')
+    trail.add_argument(
+        '--file', type=pathlib.Path, help='verify saved audit lines instead'
+    )
+    trail.set_defaults(run=_show_audit)
+
+
+def _add_asking(commands) -> None:
+    explain = commands.add_parser(
+        'explain',
+        help=f'tell what a request with the key in {KEY_VARIABLE} '
+        'would get now, without running it',
+    )
+    _add_fleet_options(explain)
+    explain.add_argument('--path', required=True)
+    explain.add_argument('--method', default='GET')
+    explain.add_argument('--host', default='')
+    explain.set_defaults(run=_explain)
+    which = commands.add_parser(
+        'which', help='tell which instances a caller should use'
+    )
+    which.add_argument('--address', required=True, metavar='HOST:PORT')
+    which.add_argument('--service', default='')
+    which.set_defaults(run=_which)
+
+
+def _make_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='cranberryscale',
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(required=True, metavar='COMMAND')
+    _add_serving(commands)
+    _add_watching(commands)
+    _add_asking(commands)
     return parser
 
 
@@ -37,6 +198,11 @@
     except errors.ConfigurationError as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_INVALID
+    except errors.PeerError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_UNREACHABLE
+    except KeyboardInterrupt:
+        return EXIT_OK
 
 
 if __name__ == '__main__':
--- a/cranberryscale/errors.py
+++ b/cranberryscale/errors.py
@@ -22,6 +22,7 @@
     'RequestError',
     'list_codes',
     'make_error',
+    'render_table',
 ]
 
 NOT_RUN = 'not run'
@@ -327,3 +328,21 @@
 ) -> FleetError:
     """Return the exception with this code, for example from a message."""
     return _CLASSES.get(code, FleetError)(value, retry_after)
+
+
+def render_table() -> str:
+    """Return the error table as the Markdown of docs/errors.md."""
+    head = (
+        '# Errors\n\n'
+        'Made by `python -m cranberryscale.commands errors`; a test keeps it '
+        'current.\n'
+        'Every refusal is JSON with `code`, `reason`, `ran` and '
+        '`request_id`.\n\n'
+        '| code | HTTP status | request | advice | meaning |\n'
+        '|---|---|---|---|---|\n'
+    )
+    return head + ''.join(
+        f'| `{row.code}` | {row.status} | {row.ran} | {row.advice} '
+        f'| {row.meaning} |\n'
+        for row in list_codes()
+    )
--- /dev/null
+++ b/cranberryscale/operators.py
@@ -0,0 +1,120 @@
+"""Questions that operators ask the fleet, over HTTP."""
+
+from concurrent import futures
+import json
+from typing import Any
+from typing import Callable
+from typing import Iterable
+from typing import NamedTuple
+
+import urllib3
+
+from cranberryscale import errors
+from cranberryscale.process import audit
+from cranberryscale.process import status
+
+
+__all__ = ['Answer', 'OperatorClient', 'merge_audit']
+
+TIMEOUT_S = 3.0
+PARALLEL = 32
+
+
+class Answer(NamedTuple):
+    """Hold what one instance answered, or why it did not."""
+
+    address: str
+    value: Any
+    error: str = ''
+
+
+class OperatorClient:
+    """Ask instances, starting from the operators' addresses given."""
+
+    def __init__(self, addresses: Iterable[str]):
+        self._addresses = tuple(addresses)
+        self._pool = urllib3.PoolManager(retries=False, maxsize=PARALLEL)
+
+    def fetch(
+        self,
+        address: str,
+        path: str,
+        fields: dict[str, str] | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Any:
+        """Return one instance's JSON answer, or raise PeerUnreachable."""
+        try:
+            answer = self._pool.request(
+                'GET',
+                f'http://{address}{path}',
+                fields=fields,
+                headers=headers,
+                timeout=TIMEOUT_S,
+            )
+            if answer.status != 200:
+                raise errors.make_error(
+                    'peer_unreachable', f'{address}: status {answer.status}'
+                )
+            return json.loads(answer.data)
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            raise errors.make_error('peer_unreachable', address) from error
+
+    def list_instances(self) -> tuple[str, ...]:
+        """Return the operators' addresses of all known instances."""
+        found = set(self._addresses)
+        for answer in self._ask_each(self._addresses, '/members'):
+            found.update(
+                member['operator_address'] for member in answer.value or ()
+            )
+        return tuple(sorted(found))
+
+    def list_statuses(self) -> tuple[Answer, ...]:
+        """Return the status of every instance, reachable or not."""
+        return tuple(self._ask_each(self.list_instances(), '/status'))
+
+    def list_audits(self) -> tuple[Answer, ...]:
+        """Return the audit records of every instance."""
+        return tuple(self._ask_each(self.list_instances(), '/audit'))
+
+    def _ask(self, address: str, path: str) -> Answer:
+        try:
+            return Answer(address, self.fetch(address, path))
+        except errors.PeerError as error:
+            return Answer(address, None, str(error))
+
+    def _ask_each(
+        self, addresses: Iterable[str], path: str
+    ) -> Iterable[Answer]:
+        with futures.ThreadPoolExecutor(PARALLEL) as executor:
+            ask: Callable[[str], Answer] = lambda a: self._ask(a, path)
+            yield from executor.map(ask, addresses)
+
+
+def merge_audit(
+    answers: Iterable[Answer], team: str = ''
+) -> tuple[list[audit.Record], tuple[audit.Fault, ...]]:
+    """Return all records by time, and the faults found in the chains.
+
+    Chains are checked whole, before the records of one team are chosen.
+    """
+    records = [record for a in answers for record in a.value or ()]
+    faults = audit.check_chain(records)
+    chosen = (
+        record
+        for record in records
+        if not team or record['fields'].get('team') == team
+    )
+    return sorted(chosen, key=lambda record: record['at']), faults
+
+
+def list_unreachable(answers: Iterable[Answer]) -> list[str]:
+    """Return the addresses that did not answer."""
+    return [answer.address for answer in answers if answer.error]
+
+
+def list_reachable(
+    answers: Iterable[Answer],
+) -> list[status.InstanceStatus]:
+    """Return the statuses that arrived, by instance name."""
+    found = (answer.value for answer in answers if not answer.error)
+    return sorted(found, key=lambda value: value['instance'])
