Import the daemon from its new place

Change: import cranberryscale.instance. The daemon composes all layers, so it stands above the package of process-long objects.

--- a/cranberryscale/commands.py
+++ b/cranberryscale/commands.py
@@ -15,8 +15,8 @@
 
 from cranberryscale import console
 from cranberryscale import errors
+from cranberryscale import instance
 from cranberryscale import operators
-from cranberryscale.process import instance
 from cranberryscale.version import settings
 
 
