--- /dev/null
+++ b/cranberryscale/facts.py
@@ -0,0 +1,108 @@
+"""What the request path learns from and asks of the node."""
+
+import datetime
+import threading
+
+from cranberryscale import clock as clocks
+from cranberryscale import driver
+from cranberryscale import errors
+from cranberryscale import node
+from cranberryscale.request import actions
+from cranberryscale.request import routes
+from cranberryscale.version import configuration
+from cranberryscale.version import keys
+
+
+__all__ = ['Facts', 'GatewayFleet']
+
+
+class Facts:
+    """Answer request.actions.Facts from a node."""
+
+    def __init__(
+        self,
+        decisions: node.Node,
+        lock: threading.RLock,
+        clock: clocks.Clock,
+    ):
+        self.routes = routes.RouteBook()
+        self._node = decisions
+        self._lock = lock
+        self._clock = clock
+
+    def get_configuration(self) -> configuration.Configuration:
+        """Return the configuration in force."""
+        return self._node.get_configuration()
+
+    def read_elapsed(self) -> datetime.timedelta:
+        """Return the elapsed time."""
+        return self._clock.read_elapsed()
+
+    def may_serve_keyed(self) -> bool:
+        """Tell whether the configuration is confirmed recently enough."""
+        # Taken again before each effect, so a process that was paused asks
+        # with the time after the pause.
+        with self._lock:
+            return self._node.decide_keyed(self._clock.read_elapsed()).serves
+
+    def find_customer(self, key: str) -> str | None:
+        """Return the customer of a key that is valid now, or None."""
+        try:
+            return keys.find_customer(self.get_configuration(), key).name
+        except errors.RequestError:
+            return None
+
+
+class GatewayFleet:
+    """Do what the gateway needs from other instances."""
+
+    def __init__(self, conversations: driver.Driver, facts: Facts):
+        self.facts = facts
+        self._driver = conversations
+        self._node = conversations.node
+
+    def ask_tokens(
+        self, action: actions.AskTokens, request_id: str
+    ) -> actions.TokensGranted | actions.Denied:
+        """Return a token of the customer's budget, or why not."""
+        return self._driver.run(
+            self._node.plan_tokens(
+                action.customer,
+                action.once_key,
+                request_id,
+                self.facts.read_elapsed(),
+            )
+        )
+
+    def ask_permit(
+        self, action: actions.AskPermit, request_id: str
+    ) -> actions.PermitGranted | actions.Denied:
+        """Return a permit, waiting in the pool's queue if need be."""
+        return self._driver.run(
+            self._node.plan_permit(
+                action, request_id, self.facts.read_elapsed()
+            )
+        )
+
+    def report_permit(self, action: actions.ReportPermit) -> None:
+        """Give a permit back; the report is sent by another thread."""
+        with self._driver.lock:
+            self._node.report_permit(action)
+            plans = self._node.take_reports(self.facts.read_elapsed())
+        self._driver.start(plans)
+
+    def return_tokens(self, customer: str) -> None:
+        """Keep the token of a request that did not run for the next one."""
+        with self._driver.lock:
+            self._node.admission.return_token(
+                customer, self.facts.read_elapsed()
+            )
+
+    def finish_once(
+        self, customer: str, once_key: str, request_id: str, ran: str
+    ) -> None:
+        """Record how the request with an idempotency key ended."""
+        plan = self._node.plan_finish_once(
+            customer, once_key, request_id, ran, self.facts.read_elapsed()
+        )
+        self._driver.start([plan])
--- a/cranberryscale/instance.py
+++ b/cranberryscale/instance.py
@@ -1,72 +1,167 @@
-"""The daemon: threads and servers around the decisions."""
+"""The daemon: servers, threads and timers around a node."""
 
+import datetime
 import random
+import sys
 import threading
+import time
 
 from absl import logging
+from cheroot import wsgi
 import cherrypy
+from cherrypy.process import servers
 
-from cranberryscale.connection import platform
-from cranberryscale import errors
+from cranberryscale import clock as clocks
+from cranberryscale.connection import backends
+from cranberryscale.connection import listeners
+from cranberryscale import driver
+from cranberryscale import facts
+from cranberryscale import logs
+from cranberryscale import node
+from cranberryscale.process import audit
+from cranberryscale.process import metrics
+from cranberryscale.request import actions
 from cranberryscale.request import gateway
-from cranberryscale.version import configuration
-from cranberryscale.version import documents
+from cranberryscale.request import pages
 from cranberryscale.version import settings
+from cranberryscale import watcher
 
 
 __all__ = ['Instance']
 
-RETRY_PAUSE_S = 0.2
+ADVANCE_S = 0.05
+IDLE_S = 5.0
+OPERATOR_THREADS = 4
+
+
+def _write_audit(line: str) -> None:
+    # Instances have no disk: the platform collects standard output.
+    sys.stdout.write(line + '\n')
+    sys.stdout.flush()
 
 
 class Instance:
-    """Run one entry instance until the CherryPy engine stops."""
+    """Run one entry instance until it is told to leave."""
 
-    def __init__(self, options: settings.Settings):
-        self._options = options
-        self._configuration = configuration.Configuration()
-        self._client = platform.PlatformClient(
-            options.platform.url, options.platform.prefix
+    def __init__(
+        self,
+        options: settings.Settings,
+        clock: clocks.Clock | None = None,
+    ):
+        self.options = options
+        self.clock = clock or clocks.SystemClock()
+        now = self.clock.read_elapsed()
+        # A later start gets a higher number, also on another machine.
+        incarnation = int(self.clock.read_wall().timestamp() * 1000)
+        self.node = node.Node(options, incarnation, random.Random(), now)
+        self.driver = driver.Driver(self.node, self.clock, options.secret)
+        self.metrics = metrics.Metrics()
+        self.audit = audit.AuditTrail(options.name, incarnation, _write_audit)
+        self.facts = facts.Facts(self.node, self.driver.lock, self.clock)
+        self.watcher = watcher.Watcher(self)
+        self.gateway = gateway.Gateway(
+            facts.GatewayFleet(self.driver, self.facts),
+            backends.Backends(self.clock),
+            self.clock,
+            self._observe,
         )
         self._stopping = threading.Event()
+        self._leaving = threading.Event()
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT."""
-        threading.Thread(target=self._watch, daemon=True).start()
-        host, port = self._options.addresses.callers.rsplit(':', 1)
+        self.driver.server.start(self.options.addresses.peers)
+        self._mount()
+        for work in (self._keep_time, self.watcher.watch):
+            threading.Thread(target=work, daemon=True).start()
+        cherrypy.engine.start()
+        logs.log_event(
+            'started',
+            name=self.options.name,
+            incarnation=self.node.incarnation,
+        )
+        cherrypy.engine.block()
+        self._stopping.set()
+        self.driver.close()
+        logs.log_event('stopped', name=self.options.name)
+
+    @property
+    def is_stopping(self) -> bool:
+        """Tell whether background work must end."""
+        return self._stopping.is_set()
+
+    def _mount(self) -> None:
         cherrypy.config.update(
-            {
-                'environment': 'production',
-                'server.socket_host': host,
-                'server.socket_port': int(port),
-                'server.thread_pool': self._options.limits.threads,
-                'engine.autoreload.on': False,
-            }
+            {'environment': 'production', 'log.screen': False}
         )
+        cherrypy.tree.graft(self.gateway, '/')
         cherrypy.tree.graft(
-            gateway.Gateway(lambda: self._configuration, random.Random()), '/'
+            pages.WhichPage(self), '/.well-known/cranberryscale'
         )
-        cherrypy.engine.subscribe('stop', self._stopping.set)
-        cherrypy.engine.signals.subscribe()
-        cherrypy.engine.start()
-        logging.info('event=started name=%s', self._options.name)
-        cherrypy.engine.block()
+        listeners.make_server(self.options, self.clock).subscribe()
+        cherrypy.server.unsubscribe()
+        host, port = self.options.addresses.operators.rsplit(':', 1)
+        operators = wsgi.Server(
+            (host, int(port)),
+            cherrypy.Application(pages.OperatorPages(self)),
+            numthreads=OPERATOR_THREADS,
+        )
+        servers.ServerAdapter(
+            cherrypy.engine, operators, (host, int(port))
+        ).subscribe()
+        handler = cherrypy.engine.signal_handler
+        handler.handlers = {'SIGTERM': self.leave, 'SIGINT': self.leave}
+        handler.subscribe()
+
+    def leave(self) -> None:
+        """Stop being given out, finish what runs, then end.
 
-    def _watch(self) -> None:
-        index = 0
-        while not self._stopping.is_set():
-            try:
-                reading = self._client.read_documents(
-                    index, self._options.platform.watch_s
-                )
-            except errors.ConfigurationError as error:
-                logging.warning('event=watch_failed code=%s', error.code)
-                self._stopping.wait(RETRY_PAUSE_S)
-                continue
-            index = reading.index
-            self._configuration = documents.merge_documents(
-                text
-                for path, text in reading.documents.items()
-                if not path.endswith('/manifest.toml')
+        Callers keep earlier answers for their lifetime and the list lags, so
+        the instance serves for that long before it refuses.
+        """
+        if self._leaving.is_set():
+            return
+        self._leaving.set()
+        threading.Thread(target=self._drain).start()
+
+    def _drain(self) -> None:
+        timeouts = self.options.timeouts
+        grace_s = timeouts.answer_lifetime_s + timeouts.list_lag_s
+        grace = datetime.timedelta(seconds=grace_s)
+        limit = datetime.timedelta(seconds=timeouts.shutdown_s)
+        logs.log_event('leaving', name=self.options.name, grace_s=grace_s)
+        self.node.is_leaving = True
+        self.gateway.drain(self.clock.read_elapsed() + grace)
+        time.sleep(grace_s)
+        if not self.gateway.wait_idle(limit):
+            logs.log_event(
+                'drain_incomplete',
+                logging.WARNING,
+                running=self.gateway.running,
             )
-            logging.info('event=configuration_in_force index=%s', index)
+        self.driver.start(self.node.take_errands(self.clock.read_elapsed()))
+        cherrypy.engine.exit()
+
+    def _keep_time(self) -> None:
+        pull_at = idle_at = self.clock.read_elapsed()
+        while not self._stopping.wait(ADVANCE_S):
+            now = self.clock.read_elapsed()
+            plans = []
+            with self.driver.lock:
+                self.node.advance(now)
+                if now >= pull_at:
+                    pull_at = now + self.node.pull_interval
+                    plans.extend(self.node.plan_pulls(now))
+                if now >= idle_at:
+                    idle_at = now + datetime.timedelta(seconds=IDLE_S)
+                    self.node.drop_idle(now)
+                plans.extend(self.node.take_errands(now))
+                self.driver.settle()
+            self.driver.start(plans)
+            self.watcher.record_outcomes()
+
+    def _observe(
+        self, outcome: actions.Outcome, elapsed: datetime.timedelta
+    ) -> None:
+        self.metrics.record('request_seconds', elapsed, route=outcome.route)
+        self.metrics.count('requests', code=outcome.code, ran=outcome.ran)
--- /dev/null
+++ b/cranberryscale/request/pages.py
@@ -0,0 +1,178 @@
+"""Pages for callers and operators."""
+
+import json
+from typing import Any
+from typing import Iterable
+import urllib.parse
+
+import cherrypy
+
+from cranberryscale import errors
+from cranberryscale.request import actions
+from cranberryscale.request import decisions
+from cranberryscale.request import headers
+from cranberryscale.request import routes
+
+
+__all__ = ['OperatorPages', 'WhichPage']
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value, sort_keys=True).encode()
+
+
+def _read_key(environ: dict) -> str:
+    pairs = (
+        ('Authorization', environ.get('HTTP_AUTHORIZATION', '')),
+        ('X-Api-Key', environ.get('HTTP_X_API_KEY', '')),
+    )
+    return headers.read_key(tuple(p for p in pairs if p[1]), '')
+
+
+class WhichPage:
+    """Tell callers which instances to use, as a WSGI callable.
+
+    The customer is found by the key, if one is given; a key that is not
+    valid is treated as none, so the answer tells nothing about keys.
+    """
+
+    def __init__(self, instance: Any):
+        self._instance = instance
+
+    def __call__(self, environ: dict, start_response) -> Iterable[bytes]:
+        """Answer GET .../which?service=S."""
+        if environ.get('PATH_INFO') != '/which':
+            return self._refuse('route_unknown', start_response)
+        if environ['REQUEST_METHOD'] not in ('GET', 'HEAD'):
+            return self._refuse('method_not_allowed', start_response)
+        query = urllib.parse.parse_qs(environ.get('QUERY_STRING', ''))
+        service = query.get('service', [''])[0]
+        try:
+            key = _read_key(environ)
+        except errors.FleetError as error:
+            return self._refuse(error.code, start_response)
+        found = self._choose(key, service)
+        body = _encode(found._asdict())
+        lifetime_s = int(found.lifetime_s)
+        start_response(
+            '200 OK',
+            [
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+                ('Cache-Control', f'private, max-age={lifetime_s}'),
+            ],
+        )
+        return [body]
+
+    def _choose(self, key: str, service: str):
+        instance = self._instance
+        customer = instance.facts.find_customer(key) if key else None
+        with instance.driver.lock:
+            return instance.node.choose_addresses(
+                customer or '', service, instance.clock.read_elapsed()
+            )
+
+    def _refuse(self, code: str, start_response) -> Iterable[bytes]:
+        entry = errors.make_error(code).entry
+        body = _encode(
+            {'code': code, 'reason': entry.meaning, 'ran': entry.ran}
+        )
+        start_response(
+            f'{entry.status} {code}',
+            [
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        return [body]
+
+
+class OperatorPages:
+    """Answer operators; every page only reads."""
+
+    def __init__(self, instance: Any):
+        self._instance = instance
+
+    def _answer(self, value: Any) -> bytes:
+        cherrypy.response.headers['Content-Type'] = 'application/json'
+        return _encode(value)
+
+    @cherrypy.expose
+    def status(self) -> bytes:
+        """Return process.status.InstanceStatus."""
+        instance = self._instance
+        with instance.driver.lock:
+            now = instance.clock.read_elapsed()
+            value = instance.node.report_status(now)
+        value['subtrees'] = instance.watcher.list_in_force()
+        return self._answer(value)
+
+    @cherrypy.expose
+    def members(self) -> bytes:
+        """Return the instance list that this instance follows."""
+        listed = self._instance.node.view
+        return self._answer([member._asdict() for member in listed.members])
+
+    @cherrypy.expose
+    def audit(self, after: str = '0') -> bytes:
+        """Return the audit records with a number above `after`."""
+        if not after.isdigit():
+            raise cherrypy.HTTPError(400, 'after')
+        return self._answer(self._instance.audit.list_records(int(after)))
+
+    @cherrypy.expose
+    def ready(self) -> bytes:
+        """Return 200 if callers may be sent here, else 503 and why."""
+        reason = self._instance.node.not_ready_reason
+        if reason:
+            cherrypy.response.status = 503
+        return self._answer({'ready': not reason, 'reason': reason})
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        cherrypy.response.headers['Content-Type'] = 'text/plain; version=0.0.4'
+        self._instance.record_gauges()
+        return self._instance.metrics.render()
+
+    @cherrypy.expose
+    def explain(self, path: str, method: str = 'GET', host: str = '') -> bytes:
+        """Return what a request would get now, without running it."""
+        instance = self._instance
+        request = actions.Request(
+            'explain',
+            method,
+            host,
+            routes.clean_path(path),
+            _read_key(cherrypy.request.wsgi_environ),
+            instance.clock.read_elapsed(),
+        )
+        decision = decisions.Decision(request, instance.facts)
+        refusal = None
+        try:
+            decision.check()
+        except errors.FleetError as error:
+            refusal = error.code
+        return self._answer(self._explain(decision, refusal))
+
+    def _explain(self, decision: decisions.Decision, refusal: str | None):
+        instance, route = self._instance, decision.route
+        value = {
+            'refused': refusal,
+            'route': route.name if route else None,
+            'service': route.service if route else None,
+            'customer': decision.customer or None,
+            'idempotent': decision.is_repeatable if route else None,
+            'timeout_s': route.timeout.total_seconds() if route else None,
+        }
+        with instance.driver.lock:
+            now = instance.clock.read_elapsed()
+            keyed = instance.node.decide_keyed(now)
+            value['keyed_reason'] = keyed.reason
+            value['budget_holders'] = instance.node.list_budget_holders(
+                decision.customer
+            )
+            value['pool_holders'] = instance.node.list_pool_holders(
+                route.service if route else ''
+            )
+        return value
