--- /dev/null
+++ b/cranberryscale/connection/backends.py
@@ -0,0 +1,289 @@
+"""Connections to backend servers: pooled, checked before reuse, bounded.
+
+Retries are decided by `request.flow` alone, so no urllib3 function that may
+retry or redirect is used.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import datetime
+import http.client
+import re
+import threading
+from typing import NamedTuple
+import urllib.parse
+
+import urllib3
+
+from cranberryscale import clock as clocks
+from cranberryscale.connection import framing
+from cranberryscale.connection import pooling
+from cranberryscale.connection import streams
+from cranberryscale import errors
+
+
+__all__ = ['Answer', 'Backends', 'ForwardFailed', 'Head', 'Terms']
+
+_BAD_VALUE = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
+_LENGTH = re.compile(r'[0-9]{1,15}')
+
+
+class Head(NamedTuple):
+    """Hold what is sent ahead of a body; `framing` describes the body."""
+
+    method: str
+    target: str
+    pairs: framing.Pairs
+    framing: framing.Framing
+    request_id: str
+
+
+class Terms(NamedTuple):
+    """Bound one exchange; `caller` is the caller's file descriptor or -1.
+
+    Nothing is sent from `start_until` on. The first byte of the answer must
+    arrive by `first_byte_until`, the last one by `deadline`.
+    """
+
+    start_until: datetime.timedelta
+    deadline: datetime.timedelta
+    first_byte_until: datetime.timedelta
+    caller: int = -1
+
+
+class ForwardFailed(Exception):  # noqa: N818
+    """Report an exchange without a usable answer.
+
+    `is_sent` is False only if certainly no byte of the request was sent.
+    """
+
+    def __init__(self, error: errors.FleetError, is_sent: bool):
+        super().__init__(str(error))
+        self.error = error
+        self.is_sent = is_sent
+
+
+class Answer:
+    """Hold an answer whose body is still to be read.
+
+    Only the first call of `finish` or `cancel` takes effect.
+    """
+
+    def __init__(self, exchange: '_Exchange', head: pooling.AnswerHead):
+        self._exchange = exchange
+        self._head = head
+        self.status = head.status
+        self.reason = head.reason
+        self.pairs: framing.Pairs = tuple(head.headers.items())
+        self.body = _frame_body(self.pairs, head, exchange.head.method)
+
+    def iterate(self) -> Iterator[bytes]:
+        """Yield the body; raise ForwardFailed unless it is complete."""
+        with self._exchange.translate_errors():
+            yield from iter(self.body.read_some, b'')
+
+    def finish(self) -> None:
+        """Return the connection to its pool if it is clean."""
+        if self._exchange.is_ended:
+            return
+        is_surplus = self._exchange.wire.has_buffered(self._head.fp)
+        is_clean = self.body.finished and not is_surplus
+        self._head.close()
+        self._exchange.end(
+            is_clean and not self._head.will_close and self._head.version == 11
+        )
+
+    def cancel(self) -> None:
+        """Close the connection."""
+        self._exchange.end(False)
+
+
+def _frame_body(
+    pairs: framing.Pairs, head: pooling.AnswerHead, method: str
+) -> framing.EmptyBody:
+    if any(_BAD_VALUE.search(value) for _, value in pairs):
+        raise http.client.HTTPException('control character in a header')
+    lengths = set(framing.find_values(pairs, 'content-length'))
+    codings = framing.find_values(pairs, 'transfer-encoding')
+    if method == 'HEAD' or head.status in (204, 304):
+        return framing.EmptyBody()
+    if codings:
+        if lengths or [c.lower() for c in codings] != ['chunked']:
+            raise http.client.HTTPException('ambiguous length of the answer')
+        return framing.ChunkedBody(head.fp, 2**62, framing.SERVER_CODES)
+    # Without a length a broken connection looks like the end of the body,
+    # so the answer cannot be known to be complete.
+    if len(lengths) != 1 or not _LENGTH.fullmatch(min(lengths)):
+        raise http.client.HTTPException('no single length of the answer')
+    return framing.LengthBody(head.fp, int(min(lengths)), framing.SERVER_CODES)
+
+
+class _Exchange:
+    """Send one request on one connection and read the head of the answer."""
+
+    def __init__(self, pool: pooling.Pool, head: Head, terms: Terms):
+        self.head = head
+        self._pool = pool
+        self._terms = terms
+        self.is_ended = False
+        self._is_body_sent = False
+        self._connection = pool.take()
+        self.wire: streams.Wire = self._connection.sock
+        self.wire.start_exchange(terms.deadline)
+        self.wire.watch(terms.caller)
+
+    def end(self, keep: bool) -> None:
+        """Release the connection once, to be reused only if it is clean."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.wire.stop_watching()
+        if keep and self._is_body_sent:
+            self.wire.is_held = False
+            self._pool.give_back(self._connection)
+        else:
+            self._pool.drop(self._connection, self.wire)
+
+    def _fail(self, code: str, cause: Exception) -> ForwardFailed:
+        is_sent = self.wire.sent_bytes > 0
+        if not is_sent and code == 'backend_broken':
+            code = 'backend_refused'
+        self.end(False)
+        return ForwardFailed(
+            errors.make_error(code, type(cause).__name__), is_sent
+        )
+
+    @contextlib.contextmanager
+    def translate_errors(self):
+        """Turn every failure into ForwardFailed and drop the connection."""
+        try:
+            yield
+        except streams.DeadlinePassed as error:
+            raise self._fail('backend_timeout', error) from error
+        except streams.OtherReady as error:
+            raise self._fail('caller_gone', error) from error
+        except errors.FleetError as error:
+            failure = ForwardFailed(error, self.wire.sent_bytes > 0)
+            self.end(False)
+            raise failure from error
+        except (OSError, ValueError, http.client.HTTPException) as error:
+            raise self._fail('backend_broken', error) from error
+        except BaseException:
+            self.end(False)
+            raise
+
+    def _send_head(self) -> None:
+        connection = self._connection
+        if self._pool.clock.read_elapsed() >= self._terms.start_until:
+            raise errors.make_error('pool_unavailable', 'permit ran out')
+        connection.putrequest(
+            self.head.method,
+            self.head.target,
+            skip_host=True,
+            skip_accept_encoding=True,
+        )
+        for name, value in self.head.pairs:
+            connection.putheader(name, value)
+        if self.head.framing.chunked:
+            connection.putheader('Transfer-Encoding', 'chunked')
+        elif self.head.framing.length or self.head.method in ('POST', 'PUT'):
+            connection.putheader('Content-Length', self.head.framing.length)
+        connection.endheaders()
+
+    def _send_body(self, body: framing.EmptyBody) -> bool:
+        """Return False if an answer arrived before the body was sent."""
+        wire = self.wire
+        is_chunked = self.head.framing.chunked
+        wire.stop_when_readable(True)
+        while data := body.read_some():
+            if wire.is_readable():
+                return False
+            if is_chunked:
+                data = b'%x\r\n%b\r\n' % (len(data), data)
+            wire.sendall(data)
+        if is_chunked:
+            wire.sendall(b'0\r\n\r\n')
+        return True
+
+    def _try_body(self, body: framing.EmptyBody) -> None:
+        body.watch(self.wire.fileno())
+        try:
+            self._is_body_sent = self._send_body(body)
+        except streams.OtherReady:
+            # Either the server answered early or the caller is gone; reading
+            # the answer tells which.
+            return
+        except (ConnectionResetError, BrokenPipeError):
+            # The server may have answered before it closed.
+            if not self.wire.is_readable():
+                raise
+        finally:
+            body.stop_watching()
+
+    def run(self, body: framing.EmptyBody) -> Answer:
+        """Return the answer, or raise ForwardFailed."""
+        with self.translate_errors():
+            self._send_head()
+            self._try_body(body)
+            self.wire.set_deadline(self._terms.first_byte_until)
+            head = self._connection.read_head()
+            self.wire.set_deadline(self._terms.deadline)
+            answer = Answer(self, head)
+            echoed = head.headers.get('X-Request-Id')
+            if echoed is not None and echoed != self.head.request_id:
+                raise errors.make_error('answer_crossed', echoed[:64])
+            return answer
+
+
+class Backends:
+    """Forward requests to backend servers by address ("host:port")."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        connect_timeout: datetime.timedelta,
+        idle_limit: datetime.timedelta = datetime.timedelta(seconds=5),
+        connections: int = 8,
+    ):
+        self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._idle_limit = idle_limit
+        self._connections = connections
+        self._pools: dict[str, pooling.Pool] = {}
+        self._lock = threading.Lock()
+
+    def _find_pool(self, address: str) -> pooling.Pool:
+        if (pool := self._pools.get(address)) is not None:
+            return pool
+        with self._lock:
+            if address not in self._pools:
+                parts = urllib.parse.urlsplit(f'//{address}')
+                self._pools[address] = pooling.Pool(
+                    parts.hostname,
+                    parts.port,
+                    maxsize=self._connections,
+                    timeout=urllib3.Timeout(
+                        connect=self._connect_timeout.total_seconds()
+                    ),
+                    socket_options=pooling.SOCKET_OPTIONS,
+                    clock=self._clock,
+                    idle_limit=self._idle_limit,
+                )
+            return self._pools[address]
+
+    def forward(
+        self, address: str, head: Head, body: framing.EmptyBody, terms: Terms
+    ) -> Answer:
+        """Return the answer once its head arrived, or raise ForwardFailed."""
+        try:
+            exchange = _Exchange(self._find_pool(address), head, terms)
+        except errors.FleetError as error:
+            raise ForwardFailed(error, False) from error
+        return exchange.run(body)
+
+    def retain(self, addresses: frozenset[str]) -> None:
+        """Close the idle connections to servers no longer published."""
+        with self._lock:
+            gone = [a for a in self._pools if a not in addresses]
+            for address in gone:
+                self._pools.pop(address).close()
--- /dev/null
+++ b/cranberryscale/connection/callers.py
@@ -0,0 +1,239 @@
+"""Requests of callers: cheroot with strict parsing and one deadline.
+
+cheroot 11.1.2 lets through: repeated Host and Content-Length (the last one
+counts), signed Content-Length and chunk sizes, Transfer-Encoding in HTTP/1.0
+(ignored), "chunked" twice, folded lines, control characters, chunk trailers
+(left in the connection as the next request) and unread chunked bodies (the
+same). It also bounds each read but not the whole request.
+"""
+
+import contextlib
+import datetime
+import re
+import select
+import urllib.parse
+import uuid
+
+from cheroot import server as cheroot_server
+
+from cranberryscale.connection import answers
+from cranberryscale.connection import framing
+from cranberryscale.connection import streams
+from cranberryscale import errors
+
+
+__all__ = ['CallerBody', 'CallerRequest']
+
+REFUSAL_WAIT = datetime.timedelta(seconds=0.1)
+_TARGET = re.compile(rb'[!-~]+')
+_METHOD = re.compile(rb'[A-Z][A-Z_-]{0,31}')
+_VERSIONS = (b'HTTP/1.0', b'HTTP/1.1')
+# What cheroot's own refusals mean.
+_REFUSALS = {
+    '408': 'request_timeout',
+    '413': 'headers_too_large',
+    '414': 'uri_too_long',
+    '500': 'internal',
+}
+
+
+class _Headers(dict):
+    """Hold cheroot's header dictionary beside the exact header lines."""
+
+    pairs: framing.Pairs = ()
+    framing = framing.Framing(0, False)
+
+
+class _HeaderReader(cheroot_server.HeaderReader):
+    """Read header lines strictly."""
+
+    def __call__(self, rfile, hdict=None) -> _Headers:
+        hdict = _Headers() if hdict is None else hdict
+        hdict.pairs = framing.read_pairs(rfile)
+        for name, value in hdict.pairs:
+            # A gateway variable cannot tell X_A from X-A.
+            if '_' in name:
+                continue
+            key, data = name.title().encode(), value.encode('latin-1')
+            hdict[key] = (
+                b', '.join((hdict[key], data)) if key in hdict else (data)
+            )
+        return hdict
+
+
+class CallerBody(framing.EmptyBody):
+    """Read a request's body, asking for it if the caller waits to be asked.
+
+    Raises RequestError; streams.OtherReady if the watched socket is ready.
+    """
+
+    def __init__(
+        self, request: 'CallerRequest', body: framing.EmptyBody, expects: bool
+    ):
+        self._request = request
+        self._body = body
+        self._expects = expects
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the whole body was read."""
+        return self._body.finished
+
+    def read_some(self) -> bytes:
+        """Return the next bytes, b'' at the end."""
+        try:
+            if self._expects and not self.finished:
+                self._expects = False
+                self._request.conn.wfile.write(
+                    b'HTTP/1.1 100 Continue\r\n\r\n'
+                )
+                self._request.conn.wfile.flush()
+            return self._body.read_some()
+        except streams.DeadlinePassed as error:
+            raise errors.make_error('request_timeout') from error
+        except streams.OtherReady:
+            raise
+        except OSError as error:
+            raise errors.make_error('caller_gone') from error
+
+    def watch(self, other: int) -> None:
+        """Stop reading once the other socket is readable."""
+        self._request.conn.wire.watch(other, select.POLLIN)
+
+    def stop_watching(self) -> None:
+        """Watch no other socket."""
+        self._request.conn.wire.stop_watching()
+
+    def read(self, size: int = -1) -> bytes:
+        """Return the whole body, or up to `size` bytes, as wsgi.input."""
+        if size >= 0:
+            return self.read_some() if size else b''
+        return b''.join(iter(self.read_some, b''))
+
+
+class CallerRequest(cheroot_server.HTTPRequest):
+    """Parse one request strictly and answer it."""
+
+    header_reader = _HeaderReader()
+
+    def __init__(self, server, conn):
+        super().__init__(server, conn, proxy_mode=True, strict_mode=True)
+        self.inheaders = _Headers()
+        self.request_id = uuid.uuid4().hex
+        self.request_protocol = b'HTTP/1.1'
+        self.received = server.clock.read_elapsed()
+
+    @property
+    def pairs(self) -> framing.Pairs:
+        """Return the header lines as received."""
+        return self.inheaders.pairs
+
+    def parse_request(self) -> None:
+        """Parse up to the body, or answer with a typed error."""
+        deadline = self.received + self.server.sender_timeout
+        self.conn.wire.start_exchange(deadline)
+        try:
+            super().parse_request()
+        except errors.FleetError as error:
+            self.refuse(error)
+        except streams.DeadlinePassed:
+            if self.conn.wire.received_bytes:
+                self.refuse(errors.make_error('request_timeout'))
+        except OSError:
+            pass
+
+    def read_request_line(self) -> bool:
+        """Parse the request line; refuse what cheroot only tolerates."""
+        if not super().read_request_line():
+            return False
+        if self.request_protocol not in _VERSIONS:
+            raise errors.make_error('bad_request', 'protocol version')
+        if not _METHOD.fullmatch(self.method) or self.method == b'CONNECT':
+            raise errors.make_error('bad_request', 'method')
+        if not _TARGET.fullmatch(self.uri) or self.uri == b'*':
+            raise errors.make_error('bad_request', 'request target')
+        return True
+
+    def read_request_headers(self) -> bool:
+        """Read the headers and check where the body ends."""
+        is_11 = self.request_protocol == b'HTTP/1.1'
+        self.header_reader(self.rfile, self.inheaders)
+        self.inheaders.framing = framing.check_request_framing(
+            self.pairs, is_11
+        )
+        self.chunked_read = self.inheaders.framing.chunked
+        if not self.uri.startswith(b'/'):
+            self._check_absolute_form()
+        words = self.inheaders.get(b'Connection', b'').lower()
+        words = {word.strip() for word in words.split(b',')}
+        self.close_connection = b'close' in words or (
+            not is_11 and b'keep-alive' not in words
+        )
+        return True
+
+    def _check_absolute_form(self) -> None:
+        parts = urllib.parse.urlsplit(self.uri)
+        hosts = framing.find_values(self.pairs, 'host')
+        named = parts.netloc.decode('latin-1').lower()
+        if parts.scheme != b'http' or [h.lower() for h in hosts] != [named]:
+            raise errors.make_error(
+                'bad_request', 'the request target differs from Host'
+            )
+        path = parts.path or b'/'
+        self.uri = path + (b'?' + parts.query if parts.query else b'')
+        self.path = urllib.parse.unquote_to_bytes(path)
+
+    def _open_body(self) -> CallerBody:
+        where = self.inheaders.framing
+        codes = framing.CALLER_CODES
+        expects = self.inheaders.get(b'Expect', b'').lower() == b'100-continue'
+        if where.chunked:
+            limit = self.server.body_limit_bytes
+            body = framing.ChunkedBody(self.conn.rfile, limit, codes)
+        elif where.length:
+            body = framing.LengthBody(self.conn.rfile, where.length, codes)
+        else:
+            body = framing.EmptyBody()
+        return CallerBody(self, body, expects)
+
+    def respond(self) -> None:
+        """Call the gateway and write its answer."""
+        self.rfile = self._open_body()
+        try:
+            self.server.gateway(self).respond()
+            self.ensure_headers_sent()
+            if self.chunked_write:
+                self.conn.wfile.write(b'0\r\n\r\n')
+            self.conn.wfile.flush()
+        except OSError:
+            # The caller is gone, or the answer was cut off on purpose.
+            self.close_connection = True
+        self.conn.is_unread = not self.rfile.finished
+
+    def send_headers(self) -> None:
+        """Write status and headers.
+
+        After an unread body the next request's start is unknown.
+        """
+        if not self.rfile.finished:
+            self.close_connection = True
+        super().send_headers()
+
+    def refuse(self, error: errors.FleetError) -> None:
+        """Answer with a typed error and let the connection close."""
+        reply = answers.make_reply(error, self.request_id)
+        lines = [f'HTTP/1.1 {reply.status}', 'Connection: close']
+        lines += [f'{name}: {value}' for name, value in reply.headers]
+        head = '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
+        wire = self.conn.wire
+        wire.set_deadline(self.server.clock.read_elapsed() + REFUSAL_WAIT)
+        self.conn.is_unread = True
+        self.close_connection = self.sent_headers = True
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(head + reply.body)
+            self.conn.wfile.flush()
+
+    def simple_response(self, status, msg='') -> None:
+        """Answer cheroot's own refusals with a typed error."""
+        code = _REFUSALS.get(str(status)[:3], 'bad_request')
+        self.refuse(errors.make_error(code))
--- /dev/null
+++ b/cranberryscale/connection/framing.py
@@ -0,0 +1,266 @@
+"""Strict header lines and body framing of HTTP/1.1, for both directions.
+
+Two parsers that disagree on where a message ends let a caller hide a request
+in a body, so every doubtful form is refused here and never interpreted.
+"""
+
+from collections.abc import Iterable
+import re
+import sys
+from typing import Any
+from typing import NamedTuple
+
+from cranberryscale import errors
+
+
+__all__ = [
+    'CALLER_CODES',
+    'SERVER_CODES',
+    'BodyCodes',
+    'ChunkedBody',
+    'EmptyBody',
+    'Framing',
+    'LengthBody',
+    'Pairs',
+    'ReplayBody',
+    'check_request_framing',
+    'find_values',
+    'parse_header_line',
+    'read_pairs',
+]
+
+Pairs = tuple[tuple[str, str], ...]
+
+BLOCK_BYTES = 65536
+CHUNK_LINE_BYTES = 256
+TRAILER_BYTES = 8192
+# A body up to this size is kept, so that the request can be sent again.
+REPLAY_BYTES = 65536
+
+_TOKEN = re.compile(rb'[!#$%&\'*+\-.^_`|~0-9A-Za-z]+')
+_CONTROL = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
+_LENGTH = re.compile(r'[0-9]{1,15}')
+_CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,12})[ \t]*(;[^\r\n\x00]*)?\r\n')
+_HOST = re.compile(r'(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9._-]+)(:[0-9]{1,5})?')
+
+
+class BodyCodes(NamedTuple):
+    """Name the errors of a body that ends early or is malformed."""
+
+    truncated: str
+    malformed: str
+
+
+CALLER_CODES = BodyCodes('caller_gone', 'bad_request')
+SERVER_CODES = BodyCodes('answer_truncated', 'answer_truncated')
+
+
+class Framing(NamedTuple):
+    """Describe a request's body: chunked, or `length` bytes long."""
+
+    length: int
+    chunked: bool
+
+
+class EmptyBody:
+    """Be a body without bytes."""
+
+    finished = True
+    received_bytes = 0
+
+    def read_some(self) -> bytes:
+        """Return b''."""
+        return b''
+
+    def watch(self, other: int) -> None:
+        """Let reading raise OtherReady once the other socket is readable."""
+
+    def stop_watching(self) -> None:
+        """Watch no other socket."""
+
+
+class LengthBody(EmptyBody):
+    """Read a body of known length from a buffered stream."""
+
+    def __init__(self, stream: Any, length: int, codes: BodyCodes):
+        self._stream = stream
+        self._remaining = length
+        self._codes = codes
+        self.received_bytes = 0
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the whole body was read."""
+        return self._remaining == 0
+
+    def read_some(self) -> bytes:
+        """Return the next bytes, b'' at the end, or raise if cut short."""
+        if self._remaining == 0:
+            return b''
+        data = self._stream.read1(min(self._remaining, BLOCK_BYTES))
+        if not data:
+            raise errors.make_error(
+                self._codes.truncated, f'{self._remaining} bytes missing'
+            )
+        self._remaining -= len(data)
+        self.received_bytes += len(data)
+        return data
+
+
+class ChunkedBody(EmptyBody):
+    """Decode a chunked body from a buffered stream, trailers dropped."""
+
+    def __init__(self, stream: Any, limit_bytes: int, codes: BodyCodes):
+        self._stream = stream
+        self._limit_bytes = limit_bytes
+        self._codes = codes
+        self._in_chunk = 0
+        self.received_bytes = 0
+        self.finished = False
+
+    def _read_line(self) -> bytes:
+        line = self._stream.readline(CHUNK_LINE_BYTES)
+        if not line:
+            raise errors.make_error(self._codes.truncated, 'chunk missing')
+        return line
+
+    def _read_trailers(self) -> None:
+        size = 0
+        while (line := self._stream.readline(TRAILER_BYTES)) != b'\r\n':
+            size += len(line)
+            if not line:
+                raise errors.make_error(self._codes.truncated, 'trailers')
+            if size > TRAILER_BYTES or not line.endswith(b'\r\n'):
+                raise errors.make_error(self._codes.malformed, 'trailers')
+            parse_header_line(line, self._codes.malformed)
+        self.finished = True
+
+    def _start_chunk(self) -> None:
+        match = _CHUNK_SIZE.fullmatch(self._read_line())
+        if match is None:
+            raise errors.make_error(self._codes.malformed, 'chunk size')
+        self._in_chunk = int(match[1], 16)
+        if self.received_bytes + self._in_chunk > self._limit_bytes:
+            raise errors.make_error('body_too_large', self._limit_bytes)
+        if self._in_chunk == 0:
+            self._read_trailers()
+
+    def read_some(self) -> bytes:
+        """Return the next bytes, b'' at the end, or raise if cut short."""
+        if not self.finished and self._in_chunk == 0:
+            self._start_chunk()
+        if self.finished:
+            return b''
+        data = self._stream.read1(min(self._in_chunk, BLOCK_BYTES))
+        if not data:
+            raise errors.make_error(self._codes.truncated, 'chunk cut short')
+        self._in_chunk -= len(data)
+        self.received_bytes += len(data)
+        if self._in_chunk == 0 and self._read_line() != b'\r\n':
+            raise errors.make_error(self._codes.malformed, 'chunk end')
+        return data
+
+
+class ReplayBody(EmptyBody):
+    """Read a body, and again from its start while it is small."""
+
+    def __init__(self, body: EmptyBody):
+        self._body = body
+        self._kept: list[bytes] = []
+        self._position = 0
+        self._total_bytes = 0
+        self.limit_bytes = sys.maxsize
+
+    @property
+    def can_resend(self) -> bool:
+        """Tell whether everything read so far can be read again."""
+        return self._total_bytes <= REPLAY_BYTES
+
+    def rewind(self) -> None:
+        """Start again from the first byte."""
+        self._position = 0
+
+    def watch(self, other: int) -> None:
+        """Stop reading once the other socket is readable."""
+        self._body.watch(other)
+
+    def stop_watching(self) -> None:
+        """Watch no other socket."""
+        self._body.stop_watching()
+
+    def read_some(self) -> bytes:
+        """Return the next bytes, b'' at the end."""
+        if self._position < len(self._kept):
+            self._position += 1
+            return self._kept[self._position - 1]
+        data = self._body.read_some()
+        self._total_bytes += len(data)
+        if self._total_bytes > self.limit_bytes:
+            raise errors.make_error('body_too_large', self.limit_bytes)
+        if not self.can_resend:
+            self._kept.clear()
+            self._position = 0
+        elif data:
+            self._kept.append(data)
+            self._position += 1
+        return data
+
+
+def parse_header_line(
+    line: bytes, code: str = 'bad_request'
+) -> tuple[str, str]:
+    """Return name and value, or raise; errors never show the line.
+
+    The line may hold a key, so the error says only what is wrong with it.
+    """
+    if line[:1] in (b' ', b'\t'):
+        raise errors.make_error(code, 'folded header line')
+    if not line.endswith(b'\r\n'):
+        raise errors.make_error(code, 'header line without CRLF')
+    name, colon, value = line[:-2].partition(b':')
+    if not colon or not _TOKEN.fullmatch(name):
+        raise errors.make_error(code, 'header name')
+    if _CONTROL.search(value):
+        raise errors.make_error(code, 'control character in a header')
+    return name.decode('ascii'), value.strip(b' \t').decode('latin-1')
+
+
+def read_pairs(stream: Any) -> Pairs:
+    """Read header lines up to the empty line, or raise BadRequest."""
+    pairs = []
+    while (line := stream.readline()) != b'\r\n':
+        if not line:
+            raise errors.make_error('bad_request', 'headers cut short')
+        pairs.append(parse_header_line(line))
+    return tuple(pairs)
+
+
+def find_values(pairs: Iterable[tuple[str, str]], name: str) -> list[str]:
+    """Return the values of the headers of this lower-case name."""
+    return [value for key, value in pairs if key.lower() == name]
+
+
+def _check_host(pairs: Pairs, is_http_11: bool) -> None:
+    hosts = find_values(pairs, 'host')
+    if len(hosts) > 1 or (is_http_11 and not hosts):
+        raise errors.make_error('bad_request', f'{len(hosts)} Host headers')
+    if hosts and not _HOST.fullmatch(hosts[0]):
+        raise errors.make_error('bad_request', 'Host')
+
+
+def check_request_framing(pairs: Pairs, is_http_11: bool) -> Framing:
+    """Return where the body ends, or raise AmbiguousLength or BadRequest."""
+    _check_host(pairs, is_http_11)
+    lengths = find_values(pairs, 'content-length')
+    codings = find_values(pairs, 'transfer-encoding')
+    if len(lengths) + len(codings) > 1:
+        raise errors.make_error(
+            'ambiguous_length', 'several Content-Length or Transfer-Encoding'
+        )
+    if codings:
+        if not is_http_11 or codings[0].lower() != 'chunked':
+            raise errors.make_error('ambiguous_length', 'Transfer-Encoding')
+        return Framing(0, True)
+    if lengths and not _LENGTH.fullmatch(lengths[0]):
+        raise errors.make_error('ambiguous_length', 'Content-Length')
+    return Framing(int(lengths[0]) if lengths else 0, False)
--- /dev/null
+++ b/cranberryscale/connection/pooling.py
@@ -0,0 +1,127 @@
+"""Pools of connections to one backend server, checked before reuse.
+
+urllib3 keeps the pool and connects; http.client writes and parses heads.
+"""
+
+import datetime
+import http.client
+import socket
+
+import urllib3
+import urllib3.connection
+import urllib3.exceptions
+
+from cranberryscale import clock as clocks
+from cranberryscale.connection import streams
+from cranberryscale import errors
+
+
+__all__ = ['AnswerHead', 'Connection', 'Pool']
+
+INTERIM_LIMIT = 16
+KEEPALIVE_IDLE_S = 15
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MS = 10_000
+POOL_WAIT_S = 0.05
+
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
+
+
+class AnswerHead(http.client.HTTPResponse):
+    """Parse the head of an answer, interim (1xx) answers passed over."""
+
+    def _read_status(self) -> tuple[str, int, str]:
+        for _ in range(INTERIM_LIMIT):
+            version, status, reason = super()._read_status()
+            if status >= 200:
+                return version, status, reason
+            if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                break
+            http.client.parse_headers(self.fp)
+        raise http.client.HTTPException('unusable interim answers')
+
+
+class Connection(urllib3.connection.HTTPConnection):
+    """Connect with a wire, whose deadline and counters cover all I/O."""
+
+    response_class = AnswerHead
+    clock: clocks.Clock
+    idle_limit: datetime.timedelta
+    idle_since: datetime.timedelta | None = None
+
+    def connect(self) -> None:
+        super().connect()
+        self.sock = streams.Wire(self.sock, self.clock)
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether the connection may be reused.
+
+        A readable socket holds an end, an error or a late answer.
+        """
+        if self.sock is None or self.idle_since is None:
+            return False
+        age = self.clock.read_elapsed() - self.idle_since
+        return age < self.idle_limit and not self.sock.is_readable()
+
+    def read_head(self) -> AnswerHead:
+        """Return the parsed head, as http.client does.
+
+        urllib3's own response object would decode and retry.
+        """
+        self.sock.is_held = True
+        return http.client.HTTPConnection.getresponse(self)
+
+
+class Pool(urllib3.HTTPConnectionPool):
+    """Keep at most `maxsize` connections to one backend server."""
+
+    ConnectionCls = Connection
+
+    def __init__(self, *args, clock, idle_limit, **kwargs):
+        super().__init__(*args, block=True, retries=False, **kwargs)
+        self.clock = clock
+        self._idle_limit = idle_limit
+
+    def _new_conn(self) -> Connection:
+        connection = super()._new_conn()
+        connection.clock = self.clock
+        connection.idle_limit = self._idle_limit
+        return connection
+
+    def take(self) -> Connection:
+        """Return a connected connection, or raise BackendRefused."""
+        try:
+            connection = self._get_conn(timeout=POOL_WAIT_S)
+        except urllib3.exceptions.EmptyPoolError as error:
+            raise errors.make_error(
+                'backend_refused', 'all connections in use'
+            ) from error
+        try:
+            if connection.sock is None:
+                connection.connect()
+        except (OSError, urllib3.exceptions.HTTPError) as error:
+            self._put_conn(None)
+            raise errors.make_error(
+                'backend_refused', type(error).__name__
+            ) from error
+        return connection
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep the connection for the next request."""
+        connection.idle_since = self.clock.read_elapsed()
+        self._put_conn(connection)
+
+    def drop(self, connection: Connection, wire: streams.Wire) -> None:
+        """Close the connection, which cancels a request that runs on it."""
+        wire.abort()
+        connection.close()
+        self._put_conn(None)
--- /dev/null
+++ b/cranberryscale/connection/streams.py
@@ -0,0 +1,162 @@
+"""Sockets with one deadline for all operations, which watch a second one.
+
+A timeout for each operation lets a sender that drips bytes hold a thread for
+ever, so every wait ends at the deadline of the whole exchange. While it waits
+for one side, a proxy must notice that the other side is gone.
+"""
+
+import datetime
+import io
+import math
+import select
+import socket
+
+from cranberryscale import clock as clocks
+
+
+__all__ = ['DeadlinePassed', 'OtherReady', 'RawReader', 'Wire']
+
+BUFFER_BYTES = 8192
+
+
+class DeadlinePassed(TimeoutError):
+    """Report that the deadline of the exchange passed."""
+
+
+class OtherReady(ConnectionError):
+    """Report that the watched socket has something to say."""
+
+
+class RawReader(io.RawIOBase):
+    """Let io.BufferedReader read a wire."""
+
+    def __init__(self, wire: 'Wire'):
+        self._wire = wire
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer) -> int | None:
+        return self._wire.receive_into(buffer)
+
+
+class Wire:
+    """Wrap a connected socket; offers what http.client needs of a socket.
+
+    `sent_bytes` and `received_bytes` count since `start_exchange`.
+    """
+
+    def __init__(self, sock: socket.socket, clock: clocks.Clock):
+        sock.settimeout(0)
+        self.sock = sock
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.is_held = False
+        self._stops_when_readable = False
+        self._clock = clock
+        self._deadline = datetime.timedelta.max
+        self._is_paused = False
+        self._other = -1
+        self._reading = select.poll()
+        self._reading.register(sock, select.POLLIN)
+        self._writing = select.poll()
+        self._writing.register(sock, select.POLLOUT)
+
+    def start_exchange(self, deadline: datetime.timedelta) -> None:
+        """Reset the counters and set the deadline."""
+        self.sent_bytes = self.received_bytes = 0
+        self.stop_when_readable(False)
+        self._deadline = deadline
+
+    def set_deadline(self, deadline: datetime.timedelta) -> None:
+        """Let every wait end at this elapsed time."""
+        self._deadline = deadline
+
+    def stop_when_readable(self, stops: bool) -> None:
+        """Let sendall raise OtherReady once an answer arrives early."""
+        self._stops_when_readable = stops
+        events = select.POLLOUT | (select.POLLIN if stops else 0)
+        self._writing.modify(self.sock, events)
+
+    def watch(self, other: int, events: int = select.POLLRDHUP) -> None:
+        """Raise OtherReady while waiting once the other socket is ready."""
+        self.stop_watching()
+        self._other = other
+        if other >= 0:
+            self._reading.register(other, events)
+            self._writing.register(other, events)
+
+    def stop_watching(self) -> None:
+        """Watch no other socket."""
+        if self._other >= 0:
+            self._reading.unregister(self._other)
+            self._writing.unregister(self._other)
+            self._other = -1
+
+    def _wait(self, poll) -> int:
+        remaining = self._deadline - self._clock.read_elapsed()
+        wait_ms = remaining.total_seconds() * 1000
+        if wait_ms <= 0:
+            raise DeadlinePassed(self._deadline)
+        ready = dict(poll.poll(min(math.ceil(wait_ms), 2**30)))
+        if not ready:
+            raise DeadlinePassed(self._deadline)
+        if self._other in ready:
+            raise OtherReady(self._other)
+        return ready[self.sock.fileno()]
+
+    def receive_into(self, buffer) -> int | None:
+        """Wait for bytes; 0 at the end, None while paused."""
+        if self._is_paused:
+            return None
+        self._wait(self._reading)
+        count = self.sock.recv_into(buffer)
+        self.received_bytes += count
+        return count
+
+    def sendall(self, data) -> None:
+        """Send everything before the deadline."""
+        view = memoryview(data)
+        while view:
+            try:
+                count = self.sock.send(view)
+            except BlockingIOError:
+                if self._stops_when_readable and self.is_readable():
+                    raise OtherReady(self.sock.fileno()) from None
+                self._wait(self._writing)
+            else:
+                self.sent_bytes += count
+                view = view[count:]
+
+    def is_readable(self) -> bool:
+        """Tell whether bytes, an end or an error are waiting."""
+        return self.fileno() in dict(self._reading.poll(0))
+
+    def has_buffered(self, stream: io.BufferedReader) -> bool:
+        """Tell whether the stream holds bytes, without reading more."""
+        self._is_paused = True
+        try:
+            return bool(stream.peek(1))
+        finally:
+            self._is_paused = False
+
+    def makefile(self, mode: str = 'rb', *_args) -> io.BufferedReader:
+        """Return a buffered reader."""
+        return io.BufferedReader(RawReader(self), BUFFER_BYTES)
+
+    def fileno(self) -> int:
+        """Return the file descriptor."""
+        return self.sock.fileno()
+
+    def settimeout(self, _timeout) -> None:
+        """Keep the deadline instead of a timeout for each operation."""
+
+    def close(self) -> None:
+        """Close, unless an answer is still being read."""
+        if not self.is_held:
+            self.sock.close()
+
+    def abort(self) -> None:
+        """Close now, whatever was read."""
+        self.is_held = False
+        self.sock.close()
--- a/cranberryscale/errors.py
+++ b/cranberryscale/errors.py
@@ -217,6 +217,12 @@
         RETRY_NOW,
         'the instance is shutting down',
     ),
+    (
+        'instance_busy',
+        _S.SERVICE_UNAVAILABLE,
+        RETRY_NOW,
+        'the instance runs as many requests as it may',
+    ),
     (
         'backend_refused',
         _S.BAD_GATEWAY,
--- /dev/null
+++ b/cranberryscale/request/decisions.py
@@ -0,0 +1,159 @@
+"""What is known about one request and what follows from it."""
+
+import datetime
+
+from cranberryscale import errors
+from cranberryscale.request import actions
+from cranberryscale.version import configuration
+
+
+__all__ = ['PERMIT_LATE', 'REPORTS', 'Decision']
+
+ATTEMPT_LIMIT = 3
+# Raised when the permit or token ran out before the first byte was sent.
+PERMIT_LATE = 'pool_unavailable'
+
+# What each failure says about the backend server.
+REPORTS = {
+    'backend_timeout': 'silent',
+    'backend_refused': 'refused',
+    'backend_broken': 'error',
+    'answer_truncated': 'truncated',
+    'answer_crossed': 'crossed',
+}
+
+
+class Decision:
+    """Hold what was decided on one request so far."""
+
+    def __init__(self, request: actions.Request, facts: actions.Facts):
+        self.request = request
+        self.facts = facts
+        self.route: configuration.Route | None = None
+        self.customer = ''
+        self.server = ''
+        self.attempts = 0
+        self.permits = 0
+        self.excluded: tuple[str, ...] = ()
+        self.tokens_until: datetime.timedelta | None = None
+        self.has_once = False
+        self.may_have_run = False
+        self.failure: errors.FleetError | None = None
+
+    def check(self) -> None:
+        """Check key and route against the configuration in force now."""
+        request, facts = self.request, self.facts
+        self.route = facts.routes.find_route(
+            facts.get_configuration(),
+            request.host,
+            request.path,
+            request.method,
+        )
+        if self.route.open_to_all:
+            self.customer = ''
+            return
+        if not request.key:
+            raise errors.make_error('key_missing')
+        if not facts.may_serve_keyed():
+            raise errors.make_error('configuration_unconfirmed')
+        customer = facts.find_customer(request.key)
+        if customer is None or customer != (self.customer or customer):
+            raise errors.make_error('key_unknown')
+        if self.route.customers and customer not in self.route.customers:
+            raise errors.make_error('customer_forbidden', self.route.name)
+        self.customer = customer
+
+    @property
+    def deadline(self) -> datetime.timedelta:
+        """Return when the request must have ended."""
+        limit = self.request.received + self.route.timeout
+        asked = self.request.deadline
+        return limit if asked is None else min(limit, asked)
+
+    @property
+    def remaining(self) -> datetime.timedelta:
+        """Return the time left, or raise DeadlineTooShort."""
+        remaining = self.deadline - self.facts.read_elapsed()
+        if remaining <= datetime.timedelta(0):
+            raise errors.make_error('deadline_too_short')
+        return remaining
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return self.route.is_idempotent(self.request.method)
+
+    @property
+    def has_valid_tokens(self) -> bool:
+        """Tell whether no token is needed or one is held."""
+        return not self.customer or (
+            self.tokens_until is not None
+            and self.facts.read_elapsed() < self.tokens_until
+        )
+
+    def find_server(
+        self, permit: actions.PermitGranted
+    ) -> configuration.BackendServer | None:
+        """Return the permit's server if the permit may be used now."""
+        current = self.facts.get_configuration()
+        server = current.servers.get(permit.server)
+        if server is None or server.service != self.route.service:
+            return None
+        if current.is_server_out(server):
+            return None
+        in_time = self.facts.read_elapsed() < permit.start_until
+        return server if in_time else None
+
+    def may_retry(self, event: actions.Answered | actions.Failed) -> bool:
+        """Tell whether to send the request once more."""
+        match event:
+            case actions.Answered(not_run=not_run):
+                allowed = not_run
+            case actions.Failed(error=error, is_sent=is_sent):
+                # A caller that left or failed to send needs no answer.
+                by_server = error.code in REPORTS
+                late = error.code == PERMIT_LATE
+                allowed = (by_server or late) and (
+                    not is_sent or self.is_repeatable
+                )
+        return (
+            allowed
+            and event.can_resend
+            and self.attempts < ATTEMPT_LIMIT
+            and self.facts.read_elapsed() < self.deadline
+            and self.facts.routes.take_retry(self.route)
+        )
+
+    def limit_first_byte(self) -> datetime.timedelta:
+        """Return when to give up on a silent server.
+
+        Half of the time is kept for a second attempt where one is allowed.
+        """
+        if self.is_repeatable and self.attempts < ATTEMPT_LIMIT:
+            return self.deadline - self.remaining / 2
+        return self.deadline
+
+    def judge(self, event: actions.Failed) -> str:
+        """Return what a failure says about the server."""
+        if event.error.code not in REPORTS:
+            return 'cancelled' if event.is_sent else 'unused'
+        limit = self.request.received + self.route.timeout
+        if event.error.code == 'backend_timeout' and self.deadline < limit:
+            # The caller allowed less time than the route does.
+            return 'cancelled'
+        return REPORTS[event.error.code]
+
+    def end(self, code: str, ran: str, status: int = 0) -> actions.Outcome:
+        """Return the outcome."""
+        unspent = not self.may_have_run and self.tokens_until is not None
+        return actions.Outcome(
+            code,
+            ran,
+            status,
+            self.route.name if self.route else '',
+            self.customer,
+            self.server,
+            self.attempts,
+            self.has_once,
+            unspent,
+        )
--- /dev/null
+++ b/cranberryscale/request/flow.py
@@ -0,0 +1,199 @@
+"""The decisions on one request, without I/O.
+
+`decide_request` yields actions and is sent the event that each one led to;
+whoever drives it does the work. It refuses as "not run" only what certainly
+did not run, and repeats only what may be repeated.
+"""
+
+from collections.abc import Generator
+import datetime
+
+from cranberryscale import errors
+from cranberryscale.request import actions
+from cranberryscale.request import decisions
+from cranberryscale.version import configuration
+
+
+__all__ = ['decide_request']
+
+# Permits that came too late or for a server that left; each costs a round
+# trip to a holder.
+PERMIT_LIMIT = 4
+
+
+_Steps = Generator[actions.Action, actions.Event, actions.Outcome]
+
+
+def _ask_tokens(
+    state: decisions.Decision,
+) -> Generator[actions.Action, actions.Event, None]:
+    # The first question already recorded the idempotency key.
+    once_key = '' if state.has_once else state.request.once_key
+    match (yield actions.AskTokens(state.customer, once_key)):
+        case actions.TokensGranted(valid_until=until):
+            state.tokens_until = until
+            state.has_once = state.has_once or bool(once_key)
+        case actions.Denied(code=code, retry_after=retry_after):
+            raise errors.make_error(code, state.customer, retry_after)
+
+
+def _ask_permit(
+    state: decisions.Decision,
+) -> Generator[actions.Action, actions.Event, actions.PermitGranted]:
+    action = actions.AskPermit(
+        state.route.service,
+        state.customer,
+        state.remaining,
+        state.excluded,
+        state.is_repeatable,
+    )
+    match (yield action):
+        case actions.PermitGranted() as permit:
+            return permit
+        case actions.Denied(code=code, retry_after=retry_after):
+            raise errors.make_error(code, action.service, retry_after)
+
+
+def _report(
+    state: decisions.Decision,
+    permit: actions.PermitGranted,
+    outcome: str,
+    since: datetime.timedelta | None = None,
+    cold: bool = False,
+) -> actions.ReportPermit:
+    now = state.facts.read_elapsed()
+    return actions.ReportPermit(
+        state.route.service,
+        permit.server,
+        permit.permit_id,
+        outcome,
+        now - (now if since is None else since),
+        cold,
+    )
+
+
+def _prepare(
+    state: decisions.Decision,
+) -> Generator[
+    actions.Action,
+    actions.Event,
+    tuple[actions.PermitGranted, configuration.BackendServer],
+]:
+    """Get what a forward needs and check all of it again afterwards."""
+    while state.permits < PERMIT_LIMIT:
+        state.permits += 1
+        if not state.has_valid_tokens:
+            yield from _ask_tokens(state)
+        service = state.route.service
+        permit = yield from _ask_permit(state)
+        unused = _report(state, permit, 'unused')
+        try:
+            state.check()
+            remaining = state.remaining
+        except errors.FleetError:
+            yield unused
+            raise
+        server = state.find_server(permit)
+        if server and state.has_valid_tokens and remaining:
+            return permit, server
+        yield unused
+        if server is None and state.route.service == service:
+            state.excluded += (permit.server,)
+    raise errors.make_error('pool_unavailable', state.route.service)
+
+
+def _deliver(
+    state: decisions.Decision,
+    permit: actions.PermitGranted,
+    event: actions.Answered,
+    since,
+) -> Generator[actions.Action, actions.Event, actions.Outcome]:
+    head_at = state.facts.read_elapsed()
+    delivered = yield actions.Deliver()
+    outcome = 'error' if event.status >= 500 else 'ok'
+    if delivered.error is not None:
+        outcome = decisions.REPORTS.get(delivered.error.code, 'cancelled')
+    report = _report(state, permit, outcome, since, event.cold)
+    yield report._replace(latency=head_at - since)
+    state.may_have_run = True
+    if delivered.error is None:
+        return state.end('ok', errors.RAN, event.status)
+    return state.end(
+        delivered.error.code, delivered.error.entry.ran, event.status
+    )
+
+
+def _forward(
+    state: decisions.Decision,
+) -> Generator[actions.Action, actions.Event, actions.Outcome | None]:
+    """Return the outcome, or None to try once more."""
+    try:
+        permit, server = yield from _prepare(state)
+    except errors.FleetError:
+        # Without a second attempt the first one's failure stands.
+        if state.failure is not None:
+            raise state.failure from None
+        raise
+    state.server = server.name
+    state.attempts += 1
+    since = state.facts.read_elapsed()
+    event = yield actions.Forward(
+        server,
+        permit.permit_id,
+        min(permit.start_until, state.tokens_until or permit.start_until),
+        state.deadline,
+        state.limit_first_byte(),
+        state.route.body_limit_bytes,
+    )
+    if isinstance(event, actions.Answered) and not event.not_run:
+        return (yield from _deliver(state, permit, event, since))
+    if isinstance(event, actions.Answered):
+        yield _report(state, permit, 'shed', since, event.cold)
+        error = errors.make_error('backend_refused', server.name)
+        ran = errors.NOT_RUN
+    else:
+        yield _report(state, permit, state.judge(event), since)
+        error = event.error
+        ran = errors.UNKNOWN if event.is_sent else errors.NOT_RUN
+    if ran != errors.NOT_RUN:
+        # It may have run, so its token is spent.
+        state.may_have_run = True
+        state.tokens_until = None
+    if not state.may_retry(event):
+        raise error
+    state.failure = error
+    state.excluded += (server.name,)
+    return None
+
+
+def _run(state: decisions.Decision) -> _Steps:
+    state.check()
+    state.facts.routes.count_request(state.route)
+    if state.request.body_bytes > state.route.body_limit_bytes:
+        raise errors.make_error('body_too_large', state.route.body_limit_bytes)
+    while True:
+        outcome = yield from _forward(state)
+        if outcome is not None:
+            return outcome
+
+
+def _find_ran(state: decisions.Decision, error: errors.FleetError) -> str:
+    if state.may_have_run:
+        return errors.UNKNOWN
+    if error.code == 'duplicate_finished':
+        return errors.RAN
+    return errors.NOT_RUN
+
+
+def decide_request(request: actions.Request, facts: actions.Facts) -> _Steps:
+    """Yield the actions for one request and return its outcome.
+
+    Send the event of each action; ReportPermit and Refuse take None.
+    """
+    state = decisions.Decision(request, facts)
+    try:
+        return (yield from _run(state))
+    except errors.FleetError as error:
+        ran = _find_ran(state, error)
+        yield actions.Refuse(error, ran)
+        return state.end(error.code, ran, error.entry.status)
--- /dev/null
+++ b/cranberryscale/request/gateway.py
@@ -0,0 +1,164 @@
+"""The WSGI callable that serves callers, grafted on CherryPy's tree."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import datetime
+import threading
+from typing import Protocol
+
+from absl import logging
+
+from cranberryscale import clock as clocks
+from cranberryscale.connection import backends as backend_connections
+from cranberryscale import errors
+from cranberryscale import logs
+from cranberryscale.request import actions
+from cranberryscale.request import transfers
+
+
+__all__ = ['Fleet', 'Gateway']
+
+Observer = Callable[[actions.Outcome, datetime.timedelta], None]
+
+
+class Fleet(Protocol):
+    """Do what needs other instances; called by several threads."""
+
+    facts: actions.Facts
+
+    def ask_tokens(
+        self, action: actions.AskTokens, request_id: str
+    ) -> actions.TokensGranted | actions.Denied:
+        """Return a token of the customer's budget, or why not."""
+
+    def ask_permit(
+        self, action: actions.AskPermit, request_id: str
+    ) -> actions.PermitGranted | actions.Denied:
+        """Return a permit, waiting in the pool's queue if need be."""
+
+    def report_permit(self, action: actions.ReportPermit) -> None:
+        """Give a permit back; must not block."""
+
+    def return_tokens(self, customer: str) -> None:
+        """Give back the token of a request that did not run."""
+
+    def finish_once(self, customer: str, once_key: str, ran: str) -> None:
+        """Record how the request with an idempotency key ended."""
+
+
+class Gateway:
+    """Serve callers; `observe` is called with each outcome."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        backends: backend_connections.Backends,
+        clock: clocks.Clock,
+        observe: Observer | None = None,
+    ):
+        self.fleet = fleet
+        self.backends = backends
+        self.clock = clock
+        self._observe = observe
+        self._leave_at: datetime.timedelta | None = None
+        self._running = 0
+        self._changed = threading.Condition()
+
+    def __call__(self, environ: dict, start_response) -> Iterable[bytes]:
+        """Serve one request."""
+        transfer = transfers.Transfer(
+            self, environ['cranberryscale.request'], start_response
+        )
+        self._count(transfer, True)
+        try:
+            return transfer.start()
+        except Exception as error:
+            # Any fault must end as a typed answer and a log line.
+            return transfer.fail(error)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return self._running
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether `drain` was called."""
+        return self._leave_at is not None
+
+    def check_open(self) -> None:
+        """Raise ShuttingDown if new requests are refused now."""
+        leave_at = self._leave_at
+        if leave_at is not None and self.clock.read_elapsed() >= leave_at:
+            raise errors.make_error('shutting_down')
+
+    def drain(self, until: datetime.timedelta) -> None:
+        """Refuse new requests from this elapsed time on.
+
+        Until then answers ask callers to close their connections.
+        """
+        self._leave_at = until
+
+    def wait_idle(self, timeout: datetime.timedelta) -> bool:
+        """Wait until no request runs; return False after the timeout."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._running == 0, timeout.total_seconds()
+            )
+
+    def _count(self, transfer: transfers.Transfer, is_running: bool) -> None:
+        with self._changed:
+            if transfer.is_counted != is_running:
+                transfer.is_counted = is_running
+                self._running += 1 if is_running else -1
+                self._changed.notify_all()
+
+    def _settle(
+        self, transfer: transfers.Transfer, outcome: actions.Outcome
+    ) -> None:
+        if outcome.has_once:
+            self.fleet.finish_once(
+                outcome.customer, transfer.once_key, outcome.ran
+            )
+        if outcome.has_unspent:
+            self.fleet.return_tokens(outcome.customer)
+
+    def finish(
+        self, transfer: transfers.Transfer, outcome: actions.Outcome
+    ) -> None:
+        """Record the end of a request."""
+        elapsed = self.clock.read_elapsed() - transfer.received
+        try:
+            self._settle(transfer, outcome)
+            if self._observe is not None:
+                self._observe(outcome, elapsed)
+        except Exception as error:
+            # The answer is decided; a fault here must not replace it.
+            self.log_fault(transfer.request_id, type(error).__name__, 'finish')
+        self._count(transfer, False)
+        logs.log_event(
+            'request',
+            request_id=transfer.request_id,
+            method=transfer.method,
+            route=outcome.route,
+            customer=outcome.customer,
+            server=outcome.server,
+            status=outcome.status,
+            code=outcome.code,
+            ran=outcome.ran,
+            attempts=outcome.attempts,
+            duration_ms=round(elapsed.total_seconds() * 1000, 1),
+        )
+
+    def log_fault(self, request_id: str, kind: str, where: str) -> None:
+        """Log an unexpected exception, without its text.
+
+        The text may hold a part of the request, and so a key.
+        """
+        logs.log_event(
+            'request_fault',
+            logging.ERROR,
+            request_id=request_id,
+            kind=kind,
+            where=where,
+        )
--- /dev/null
+++ b/cranberryscale/request/headers.py
@@ -0,0 +1,277 @@
+"""Headers in both directions: keys removed, forwarding headers added."""
+
+import base64
+import binascii
+from collections.abc import Iterable
+import datetime
+import re
+from typing import NamedTuple
+import urllib.parse
+
+from cranberryscale.connection import framing
+from cranberryscale import errors
+
+
+__all__ = [
+    'Origin',
+    'choose_request_id',
+    'make_request_pairs',
+    'filter_answer',
+    'read_deadline',
+    'read_key',
+    'remove_key',
+]
+
+VIA = '1.1 cranberryscale'
+# A shorter key cannot be told from ordinary text in other headers.
+SWEEP_LENGTH = 4
+
+_HOP_BY_HOP = frozenset(
+    'connection http2-settings keep-alive proxy-authenticate '
+    'proxy-authentication-info proxy-authorization proxy-connection te '
+    'trailer trailers transfer-encoding upgrade'.split()
+)
+# Set anew for the backend server, or never passed on.
+_REPLACED = frozenset(
+    'authorization content-length expect forwarded host traceparent '
+    'tracestate via x-api-key x-deadline-ms x-forwarded-for '
+    'x-forwarded-host x-forwarded-proto x-request-id'.split()
+)
+_REQUEST_ID = re.compile(r'[A-Za-z0-9._~+/=-]{1,128}')
+_TRACE = re.compile(
+    r'(?!ff)[0-9a-f]{2}-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-'
+    r'[0-9a-f]{2}'
+)
+_DEADLINE = re.compile(r'[0-9]{1,9}')
+_SEPARATOR = re.compile(r'([&;])')
+
+
+class Origin(NamedTuple):
+    """Describe where a request came from and what it is called."""
+
+    address: str
+    host: str
+    request_id: str
+
+
+def _normalize(name: str) -> str:
+    # Many servers treat X_Api_Key and X-Api-Key as the same header.
+    return name.lower().replace('_', '-')
+
+
+def _is_key_name(name: str) -> bool:
+    plain = urllib.parse.unquote_plus(name).strip().lower()
+    return plain.replace('-', '_') == 'api_key'
+
+
+def _split_query(query: str) -> Iterable[tuple[str, str, str]]:
+    """Yield separator, name and value of each parameter, undecoded."""
+    pieces = ['', *_SEPARATOR.split(query)]
+    for separator, piece in zip(pieces[::2], pieces[1::2], strict=True):
+        name, _, value = piece.partition('=')
+        yield separator, name, value
+
+
+def _strip_query(query: str, key: str) -> str:
+    kept = [
+        (separator, name, value)
+        for separator, name, value in _split_query(query)
+        if not _is_key_name(name) and not _holds(f'{name}={value}', key)
+    ]
+    text = ''.join(
+        separator + (f'{name}={value}' if value else name)
+        for separator, name, value in kept
+    )
+    return text.lstrip('&;')
+
+
+def _split_cookies(value: str) -> Iterable[tuple[str, str]]:
+    for part in value.split(';'):
+        name, _, content = part.strip().partition('=')
+        if name:
+            yield name.strip(), content.strip()
+
+
+def _strip_cookies(value: str, key: str) -> str:
+    return '; '.join(
+        f'{name}={content}'
+        for name, content in _split_cookies(value)
+        if not _is_key_name(name) and not _holds(content, key)
+    )
+
+
+def _holds(text: str, key: str) -> bool:
+    if len(key) < SWEEP_LENGTH:
+        return False
+    return key in text or key in urllib.parse.unquote_plus(text)
+
+
+def _read_authorization(value: str) -> str:
+    scheme, _, rest = value.strip().partition(' ')
+    rest = rest.strip()
+    match scheme.lower():
+        case 'bearer':
+            return rest
+        case 'basic':
+            try:
+                text = base64.b64decode(rest, validate=True).decode()
+            except (binascii.Error, UnicodeDecodeError) as error:
+                raise errors.make_error(
+                    'bad_request', 'Authorization: Basic'
+                ) from error
+            user, _, password = text.partition(':')
+            return password or user
+    return ''
+
+
+def _list_keys(pairs: framing.Pairs, query: str) -> Iterable[str]:
+    for name, value in pairs:
+        match _normalize(name):
+            case 'authorization':
+                yield _read_authorization(value)
+            case 'x-api-key':
+                yield value
+            case 'cookie':
+                for cookie, content in _split_cookies(value):
+                    if _is_key_name(cookie):
+                        yield content.strip('"')
+    for _, name, value in _split_query(query):
+        if _is_key_name(name):
+            yield urllib.parse.unquote_plus(value)
+
+
+def read_key(pairs: framing.Pairs, query: str) -> str:
+    """Return the caller's key, '' for none, or raise AmbiguousKey.
+
+    A key may stand in `Authorization` (Bearer, or Basic as the password or,
+    without one, the user name), `X-Api-Key`, the query parameter `api_key`
+    and the cookie `api_key`; repetitions must be equal.
+    """
+    keys = {key for key in _list_keys(pairs, query) if key}
+    if len(keys) > 1:
+        raise errors.make_error('ambiguous_key', f'{len(keys)} keys')
+    return keys.pop() if keys else ''
+
+
+def remove_key(target: str, key: str) -> str:
+    """Return the request target without the key, or raise BadRequest."""
+    path, mark, query = target.partition('?')
+    if _holds(path, key):
+        raise errors.make_error('bad_request', 'the key is in the path')
+    stripped = _strip_query(query, key)
+    # An empty query that the caller sent stays as it was.
+    return path + mark + stripped if stripped or not query else path
+
+
+def choose_request_id(pairs: framing.Pairs, key: str, new_id: str) -> str:
+    """Return the caller's request id if well-formed, or the new one."""
+    found = framing.find_values(pairs, 'x-request-id')
+    if len(found) == 1 and _REQUEST_ID.fullmatch(found[0]):
+        return new_id if _holds(found[0], key) else found[0]
+    return new_id
+
+
+def read_deadline(pairs: framing.Pairs) -> datetime.timedelta | None:
+    """Return what `X-Deadline-Ms` leaves, None without it."""
+    found = framing.find_values(pairs, 'x-deadline-ms')
+    if not found:
+        return None
+    if len(found) > 1 or not _DEADLINE.fullmatch(found[0]):
+        raise errors.make_error('bad_request', 'X-Deadline-Ms')
+    return datetime.timedelta(milliseconds=int(found[0]))
+
+
+def _list_dropped(pairs: framing.Pairs) -> frozenset[str]:
+    named = (
+        _normalize(word.strip())
+        for value in framing.find_values(pairs, 'connection')
+        for word in value.split(',')
+    )
+    return _HOP_BY_HOP | frozenset(named)
+
+
+def _strip_referer(value: str, key: str) -> str:
+    front, mark, rest = value.partition('?')
+    query, _, _ = rest.partition('#')
+    stripped = _strip_query(query, key)
+    cleaned = front + mark + stripped if stripped else front
+    return '' if _holds(cleaned, key) else cleaned
+
+
+def _append(pairs: framing.Pairs, name: str, addition: str) -> str:
+    return ', '.join((*framing.find_values(pairs, name.lower()), addition))
+
+
+def _list_kept(pairs: framing.Pairs, key: str) -> Iterable[tuple[str, str]]:
+    dropped = _list_dropped(pairs)
+    for name, value in pairs:
+        normal = _normalize(name)
+        if normal in dropped:
+            continue
+        match normal:
+            case 'cookie':
+                value = _strip_cookies(value, key)
+            case 'referer':
+                value = _strip_referer(value, key)
+            case _ if normal in _REPLACED:
+                continue
+        if value and not _holds(value, key):
+            yield name, value
+
+
+def _list_trace(pairs: framing.Pairs) -> Iterable[tuple[str, str]]:
+    found = framing.find_values(pairs, 'traceparent')
+    if len(found) == 1 and _TRACE.fullmatch(found[0]):
+        yield 'traceparent', found[0]
+        for value in framing.find_values(pairs, 'tracestate'):
+            yield 'tracestate', value
+
+
+def _format_forwarded(origin: Origin) -> str:
+    address = origin.address
+    node = f'"[{address}]"' if ':' in address else address
+    return f'for={node};host="{origin.host}";proto=http'
+
+
+def make_request_pairs(
+    pairs: framing.Pairs,
+    key: str,
+    origin: Origin,
+    remaining: datetime.timedelta,
+) -> framing.Pairs:
+    """Return the headers for the backend server, without body framing."""
+    remaining_ms = max(0, int(remaining.total_seconds() * 1000))
+    added = (
+        ('X-Request-Id', origin.request_id),
+        ('X-Deadline-Ms', str(remaining_ms)),
+        *_list_trace(pairs),
+        (
+            'X-Forwarded-For',
+            _append(pairs, 'X-Forwarded-For', origin.address),
+        ),
+        ('X-Forwarded-Host', origin.host),
+        ('X-Forwarded-Proto', 'http'),
+        ('Forwarded', _append(pairs, 'Forwarded', _format_forwarded(origin))),
+        ('Via', _append(pairs, 'Via', VIA)),
+    )
+    clean = ((n, v) for n, v in added if not _holds(v, key))
+    return (('Host', origin.host), *_list_kept(pairs, key), *clean)
+
+
+def filter_answer(
+    pairs: framing.Pairs, request_id: str, has_body: bool
+) -> framing.Pairs:
+    """Return the headers for the caller; framing is passed on by value.
+
+    A 204 answer must not carry a length, a HEAD or 304 answer may.
+    """
+    dropped = _list_dropped(pairs) | {'x-request-id'}
+    if not has_body:
+        dropped |= {'content-length'}
+    kept = ((n, v) for n, v in pairs if _normalize(n) not in dropped)
+    via = _append(pairs, 'Via', VIA)
+    return (
+        *((n, v) for n, v in kept if n.lower() != 'via'),
+        ('Via', via),
+        ('X-Request-Id', request_id),
+    )
--- /dev/null
+++ b/cranberryscale/request/routes.py
@@ -0,0 +1,112 @@
+"""Routes by host and path, and the retry budget of each route."""
+
+import threading
+from typing import NamedTuple
+import urllib.parse
+
+from cranberryscale import errors
+from cranberryscale.version import configuration
+
+
+__all__ = ['RouteBook', 'clean_path']
+
+RETRY_BURST = 10.0
+# A route without recent requests may still retry once.
+RETRY_START = 1.0
+
+
+class _Index(NamedTuple):
+    """Hold the routes of one configuration, by host, then by prefix."""
+
+    routes: tuple[configuration.Route, ...]
+    by_host: dict[str, dict[str, list[configuration.Route]]]
+
+
+def _clean_prefix(prefix: str) -> str:
+    return '/' + prefix.strip('/')
+
+
+def _build_index(routes: tuple[configuration.Route, ...]) -> _Index:
+    by_host: dict[str, dict[str, list[configuration.Route]]] = {}
+    for route in routes:
+        prefixes = by_host.setdefault(route.host.lower(), {})
+        prefixes.setdefault(_clean_prefix(route.prefix), []).append(route)
+    return _Index(routes, by_host)
+
+
+def _list_prefixes(path: str):
+    while path:
+        yield path
+        path = path.rpartition('/')[0]
+    yield '/'
+
+
+def clean_path(path: str) -> str:
+    """Return the decoded path that routes are matched against.
+
+    Raises BadRequest for dot segments: a backend server would resolve them
+    and serve another path than the one that was matched and authorized.
+    """
+    decoded = urllib.parse.unquote(path, errors='replace').replace('\\', '/')
+    parts = [part for part in decoded.split('/') if part]
+    for part in parts:
+        if part.partition(';')[0] in ('.', '..'):
+            raise errors.make_error('bad_request', 'dot segment in the path')
+    if any(c < ' ' or c == '\x7f' for c in decoded):
+        raise errors.make_error('bad_request', 'control character in the path')
+    return '/' + '/'.join(parts)
+
+
+class RouteBook:
+    """Find routes and bound their retries; used by several threads."""
+
+    def __init__(self) -> None:
+        self._index = _Index((), {})
+        self._budgets: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    def _find_routes(self, host: str, path: str) -> list[configuration.Route]:
+        for name in (host, ''):
+            prefixes = self._index.by_host.get(name)
+            if prefixes is None:
+                continue
+            for prefix in _list_prefixes(path.rstrip('/')):
+                if prefix in prefixes:
+                    return prefixes[prefix]
+        raise errors.make_error('route_unknown', path[:200])
+
+    def find_route(
+        self,
+        current: configuration.Configuration,
+        host: str,
+        path: str,
+        method: str,
+    ) -> configuration.Route:
+        """Return the route with the longest prefix of whole segments.
+
+        Routes with the request's host go before those for any host. Raises
+        RouteUnknown or MethodNotAllowed.
+        """
+        if self._index.routes is not current.routes:
+            self._index = _build_index(current.routes)
+        for route in self._find_routes(host, path):
+            if not route.methods or method in route.methods:
+                return route
+        raise errors.make_error('method_not_allowed', method)
+
+    def count_request(self, route: configuration.Route) -> None:
+        """Add a request's part to the route's retry budget."""
+        with self._lock:
+            budget = self._budgets.get(route.name, RETRY_START)
+            self._budgets[route.name] = min(
+                budget + route.retry_ratio, RETRY_BURST
+            )
+
+    def take_retry(self, route: configuration.Route) -> bool:
+        """Take one retry out of the route's budget, or return False."""
+        with self._lock:
+            budget = self._budgets.get(route.name, RETRY_START)
+            if budget < 1:
+                return False
+            self._budgets[route.name] = budget - 1
+            return True
--- /dev/null
+++ b/cranberryscale/request/transfers.py
@@ -0,0 +1,270 @@
+"""One request's way through the gateway: drive the decision, stream bytes."""
+
+from collections.abc import Iterator
+import datetime
+import errno
+import hashlib
+import re
+import traceback
+
+from cranberryscale.connection import answers
+from cranberryscale.connection import backends
+from cranberryscale.connection import callers
+from cranberryscale.connection import framing
+from cranberryscale import errors
+from cranberryscale.request import actions
+from cranberryscale.request import flow
+from cranberryscale.request import headers
+from cranberryscale.request import routes
+
+
+__all__ = ['Transfer']
+
+_PORT = re.compile(r':[0-9]*$')
+
+
+def _digest_once_key(pairs: framing.Pairs) -> str:
+    found = framing.find_values(pairs, 'idempotency-key')
+    if len(found) > 1:
+        raise errors.make_error('bad_request', 'several Idempotency-Key')
+    if not found or not found[0]:
+        return ''
+    return hashlib.sha256(found[0].encode('latin-1')).hexdigest()
+
+
+class Transfer:
+    """Serve one request; iterating it yields the body of the answer."""
+
+    def __init__(self, gateway, call: callers.CallerRequest, start_response):
+        self._gateway = gateway
+        self._call = call
+        self._start_response = start_response
+        self._body = framing.ReplayBody(call.rfile)
+        self._steps = None
+        self._forward: actions.Forward | None = None
+        self._answer: backends.Answer | None = None
+        self._refusal: actions.Refuse | None = None
+        self._is_ended = False
+        self.is_counted = False
+        self.received = call.received
+        self.request_id = call.request_id
+        self.method = call.method.decode('ascii')
+        self.key = ''
+        self.once_key = ''
+
+    def _read_request(self) -> actions.Request:
+        call = self._call
+        path, _, query = call.uri.decode('ascii').partition('?')
+        self.key = headers.read_key(call.pairs, query)
+        self.request_id = headers.choose_request_id(
+            call.pairs, self.key, call.request_id
+        )
+        self.once_key = _digest_once_key(call.pairs)
+        left = headers.read_deadline(call.pairs)
+        return actions.Request(
+            self.request_id,
+            self.method,
+            _PORT.sub('', self._host),
+            routes.clean_path(path),
+            self.key,
+            call.received,
+            None if left is None else call.received + left,
+            self.once_key,
+            call.inheaders.framing.length,
+        )
+
+    @property
+    def _host(self) -> str:
+        found = framing.find_values(self._call.pairs, 'host')
+        return found[0].lower() if found else ''
+
+    def start(self) -> Iterator[bytes]:
+        """Decide, and return the iterable of the answer's body."""
+        try:
+            self._gateway.check_open()
+            request = self._read_request()
+        except errors.FleetError as error:
+            return self._refuse(
+                actions.Refuse(error, errors.NOT_RUN),
+                actions.Outcome(
+                    error.code, errors.NOT_RUN, error.entry.status
+                ),
+            )
+        self._steps = flow.decide_request(request, self._gateway.fleet.facts)
+        outcome = self._advance(None)
+        if outcome is None:
+            return self._begin_delivery()
+        return self._refuse(self._refusal, outcome)
+
+    def _advance(self, event) -> actions.Outcome | None:
+        """Work until the answer can be delivered (None) or all is over."""
+        try:
+            while True:
+                action = self._steps.send(event)
+                if isinstance(action, actions.Deliver):
+                    return None
+                event = self._work(action)
+        except StopIteration as stop:
+            return stop.value
+
+    def _work(self, action: actions.Action) -> actions.Event | None:
+        fleet = self._gateway.fleet
+        match action:
+            case actions.AskTokens():
+                return fleet.ask_tokens(action, self.request_id)
+            case actions.AskPermit():
+                return fleet.ask_permit(action, self.request_id)
+            case actions.Forward():
+                self._forward = action
+                return self._send(action)
+            case actions.ReportPermit():
+                self._forward = None
+                fleet.report_permit(action)
+            case actions.Refuse():
+                self._refusal = action
+        return None
+
+    def _make_head(self, action: actions.Forward) -> backends.Head:
+        call = self._call
+        address = call.conn.remote_addr or ''
+        host = self._host or action.server.address
+        remaining = action.deadline - self._gateway.clock.read_elapsed()
+        return backends.Head(
+            self.method,
+            headers.remove_key(call.uri.decode('ascii'), self.key),
+            headers.make_request_pairs(
+                call.pairs,
+                self.key,
+                headers.Origin(address, host, self.request_id),
+                remaining,
+            ),
+            call.inheaders.framing,
+            self.request_id,
+        )
+
+    def _send(self, action: actions.Forward) -> actions.Event:
+        self._call.conn.wire.set_deadline(action.deadline)
+        self._body.limit_bytes = action.body_limit_bytes
+        self._body.rewind()
+        terms = backends.Terms(
+            action.start_until,
+            action.deadline,
+            action.first_byte_until,
+            self._call.conn.socket.fileno(),
+        )
+        try:
+            answer = self._gateway.backends.forward(
+                action.server.address,
+                self._make_head(action),
+                self._body,
+                terms,
+            )
+        except backends.ForwardFailed as failure:
+            return actions.Failed(
+                failure.error, failure.is_sent, self._body.can_resend
+            )
+        except errors.FleetError as error:
+            return actions.Failed(error, False, self._body.can_resend)
+        return self._take_answer(answer)
+
+    def _take_answer(self, answer: backends.Answer) -> actions.Answered:
+        says = {name.lower(): value.lower() for name, value in answer.pairs}
+        not_run = answer.status == 503 and says.get('x-not-run') == 'true'
+        self._answer = answer
+        if not_run:
+            answer.cancel()
+        return actions.Answered(
+            answer.status,
+            not_run,
+            self._body.can_resend,
+            says.get('x-cold-start') == 'true',
+        )
+
+    def _refuse(
+        self, refusal: actions.Refuse, outcome: actions.Outcome
+    ) -> list[bytes]:
+        """Answer with a typed error."""
+        self._is_ended = True
+        reply = answers.make_reply(refusal.error, self.request_id, refusal.ran)
+        if refusal.error.code == 'caller_gone':
+            self._call.conn.abort()
+        if refusal.error.code == 'shutting_down':
+            self._call.close_connection = True
+        self._start_response(reply.status, reply.headers)
+        self._gateway.finish(self, outcome)
+        return [] if self.method == 'HEAD' else [reply.body]
+
+    def _begin_delivery(self) -> 'Transfer':
+        answer = self._answer
+        kept = headers.filter_answer(
+            answer.pairs, self.request_id, answer.status != 204
+        )
+        if self._gateway.is_leaving:
+            self._call.close_connection = True
+        self._start_response(f'{answer.status} {answer.reason}', list(kept))
+        return self
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the answer's body; break the connection if it is cut."""
+        writer = self._call.conn.wfile
+        try:
+            for data in self._answer.iterate():
+                yield data
+                if not self._answer.body.finished:
+                    writer.flush()
+            self._call.ensure_headers_sent()
+            writer.flush()
+        except backends.ForwardFailed as failure:
+            self._end(failure.error)
+            self._call.conn.abort()
+            raise ConnectionAbortedError(
+                errno.ECONNABORTED, failure.error.code
+            ) from failure
+        self._end(None)
+
+    def close(self) -> None:
+        """End a delivery that the caller did not wait for."""
+        if not self._is_ended:
+            self._call.conn.abort()
+            self._end(errors.make_error('caller_gone'))
+
+    def _end(self, error: errors.FleetError | None) -> None:
+        self._is_ended = True
+        if error is None:
+            self._answer.finish()
+        else:
+            self._answer.cancel()
+        try:
+            outcome = self._advance(actions.Delivered(error))
+        except Exception as fault:
+            outcome = self._log_fault(fault)
+        self._gateway.finish(self, outcome)
+
+    def fail(self, error: Exception) -> list[bytes]:
+        """Answer an unexpected fault as a typed error; free what is held."""
+        is_sent = self._forward is not None
+        if self._answer is not None:
+            self._answer.cancel()
+        if is_sent:
+            self._gateway.fleet.report_permit(
+                actions.ReportPermit(
+                    self._forward.server.service,
+                    self._forward.server.name,
+                    self._forward.permit_id,
+                    'cancelled',
+                    datetime.timedelta(0),
+                )
+            )
+        outcome = self._log_fault(error)
+        if not is_sent:
+            outcome = outcome._replace(ran=errors.NOT_RUN)
+        return self._refuse(
+            actions.Refuse(errors.FleetError(), outcome.ran), outcome
+        )
+
+    def _log_fault(self, error: Exception) -> actions.Outcome:
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        where = f'{frame.name}:{frame.lineno}'
+        self._gateway.log_fault(self.request_id, type(error).__name__, where)
+        fault = errors.FleetError()
+        return actions.Outcome(fault.code, errors.UNKNOWN, fault.entry.status)
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,224 @@
+"""Small fakes: a backend server on a raw socket, a fleet and a caller."""
+
+import contextlib
+import datetime
+import hashlib
+import socket
+import threading
+
+from cranberryscale import clock
+from cranberryscale.connection import backends
+from cranberryscale.connection import listeners
+from cranberryscale.request import actions
+from cranberryscale.request import gateway
+from cranberryscale.request import routes
+from cranberryscale.version import configuration
+from cranberryscale.version import settings
+
+KEY = 'secret-key-1234'
+SECOND = datetime.timedelta(seconds=1)
+CLOCK = clock.SystemClock()
+
+
+def make_configuration(address='127.0.0.1:1', **route_fields):
+    """Return a configuration with two servers at one address."""
+    fields = {'timeout': 2 * SECOND, **route_fields}
+    return configuration.Configuration(
+        customers={'c1': configuration.Customer('c1', 100, 100)},
+        routes=(
+            configuration.Route('r1', '/r', 's1', **fields),
+            configuration.Route('open', '/open', 's1', open_to_all=True),
+        ),
+        servers={
+            name: configuration.BackendServer(name, 's1', 'd1', address, 6)
+            for name in ('b1', 'b2')
+        },
+        domains={'d1': configuration.FailureDomain('d1')},
+    )
+
+
+class FakeFacts:
+    """Give the decision fixed facts that a test may change."""
+
+    def __init__(self, current, read_elapsed=CLOCK.read_elapsed):
+        self.current = current
+        self.read_elapsed = read_elapsed
+        self.keys = {KEY: 'c1'}
+        self.confirmed = True
+        self.routes = routes.RouteBook()
+
+    def get_configuration(self):
+        return self.current
+
+    def may_serve_keyed(self):
+        return self.confirmed
+
+    def find_customer(self, key):
+        return self.keys.get(key)
+
+
+class FakeFleet:
+    """Grant everything and remember what was reported."""
+
+    def __init__(self, facts):
+        self.facts = facts
+        self.reports = []
+        self.finished = []
+        self.returned = []
+
+    def ask_tokens(self, action, request_id):
+        return actions.TokensGranted(self.facts.read_elapsed() + SECOND)
+
+    def ask_permit(self, action, request_id):
+        server = next(n for n in ('b1', 'b2') if n not in action.excluded)
+        start_until = self.facts.read_elapsed() + SECOND
+        return actions.PermitGranted('p1', server, start_until)
+
+    def report_permit(self, action):
+        self.reports.append(action.outcome)
+
+    def return_tokens(self, customer):
+        self.returned.append(customer)
+
+    def finish_once(self, customer, once_key, ran):
+        self.finished.append(ran)
+
+
+class FakeServer:
+    """Run `serve(sock, number)` for each connection; keep bytes received."""
+
+    def __init__(self, serve):
+        self.received = bytearray()
+        self.connections = 0
+        self._serve = serve
+        self._socket = socket.create_server(('127.0.0.1', 0))
+        self.address = '127.0.0.1:%d' % self._socket.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._socket.accept()
+                self.connections += 1
+                threading.Thread(
+                    target=self._run,
+                    args=(sock, self.connections),
+                    daemon=True,
+                ).start()
+
+    def _run(self, sock, number):
+        with contextlib.suppress(OSError), sock:
+            sock.settimeout(5)
+            self._serve(self, sock, number)
+
+    def read_head(self, sock):
+        """Return one request head, b'' at the end."""
+        head = b''
+        while not head.endswith(b'\r\n\r\n'):
+            byte = sock.recv(1)
+            if not byte:
+                return b''
+            head += byte
+            self.received += byte
+        return head
+
+    def close(self):
+        self._socket.close()
+
+
+def answer_ok(server, sock, number):
+    """Answer each request with "hello"."""
+    while server.read_head(sock):
+        sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello')
+
+
+def answer_once(*parts, reset=False):
+    """Return a serve function that sends these bytes and closes."""
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        for part in parts:
+            sock.sendall(part)
+        if reset:
+            sock.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                b'\x01\x00\x00\x00\x00\x00\x00\x00',
+            )
+
+    return serve
+
+
+class Stack:
+    """Run a gateway in front of a fake backend server."""
+
+    def __init__(self, serve, sender_s=1.0, threads=4, **route_fields):
+        self.server = FakeServer(serve)
+        self.facts = FakeFacts(
+            make_configuration(self.server.address, **route_fields)
+        )
+        self.fleet = FakeFleet(self.facts)
+        self.backends = backends.Backends(CLOCK, SECOND, connections=4)
+        self.outcomes = []
+        self.gateway = gateway.Gateway(
+            self.fleet,
+            self.backends,
+            CLOCK,
+            lambda outcome, _elapsed: self.outcomes.append(outcome),
+        )
+        options = settings.parse_settings(SETTINGS % (threads, sender_s), '')
+        adapter = listeners.make_server(options, CLOCK, self.gateway)
+        self.listener = adapter.instance
+        self.listener.prepare()
+        self.port = self.listener.socket.getsockname()[1]
+        threading.Thread(target=self.listener.serve, daemon=True).start()
+
+    def connect(self):
+        sock = socket.create_connection(('127.0.0.1', self.port))
+        sock.settimeout(5)
+        return sock
+
+    def ask(self, data, head=True):
+        """Send raw bytes and return everything up to the end."""
+        if head:
+            data = b'%b\r\nHost: h\r\nX-Api-Key: %b\r\nConnection: close' % (
+                data,
+                KEY.encode(),
+            )
+            data += b'\r\n\r\n'
+        with self.connect() as sock:
+            sock.sendall(data)
+            return read_all(sock)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.server.close()
+        self.listener.stop()
+
+
+def read_all(sock):
+    """Return everything up to the end; a reset adds b'<reset>'."""
+    data = b''
+    try:
+        while part := sock.recv(65536):
+            data += part
+    except ConnectionResetError:
+        data += b'<reset>'
+    return data
+
+
+def digest(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+SETTINGS = """
+name = "i1"
+domain = "d1"
+secret = "0123456789abcdef"
+addresses = { callers = "127.0.0.1:0", peers = "p:1", operators = "o:1" }
+platform = { url = "http://127.0.0.1:1" }
+limits = { threads = %d, header_bytes = 4096, body_bytes = 200000 }
+timeouts = { sender_s = %s, shutdown_s = 1.0 }
+"""
--- /dev/null
+++ b/tests/test_flow.py
@@ -0,0 +1,304 @@
+"""Guard the decisions on a request: what runs, what repeats, what is said."""
+
+import datetime
+
+import harness
+import pytest
+
+from cranberryscale import clock
+from cranberryscale import errors
+from cranberryscale.request import actions
+from cranberryscale.request import flow
+from cranberryscale.version import configuration
+
+SECOND = datetime.timedelta(seconds=1)
+START = 1000 * SECOND
+
+
+class Script:
+    """Drive a decision with a manual clock and a list of forward events."""
+
+    def __init__(self, *events, method='GET', once_key='', **route_fields):
+        wall = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+        self.clock = clock.ManualClock(wall, START)
+        self.facts = harness.FakeFacts(
+            harness.make_configuration(**route_fields),
+            self.clock.read_elapsed,
+        )
+        self.facts.routes.count_request = lambda route: None
+        self.events = list(events)
+        self.seen = []
+        self.before = {}
+        self.replies = {}
+        self.request = actions.Request(
+            'id', method, 'h', '/r/x', harness.KEY, START, None, once_key
+        )
+
+    def reply(self, action):
+        kind = type(action).__name__
+        self.before.get(kind, lambda: None)()
+        if self.replies.get(kind):
+            return self.replies[kind].pop(0)
+        now = self.clock.read_elapsed()
+        match action:
+            case actions.AskTokens():
+                return actions.TokensGranted(now + SECOND)
+            case actions.AskPermit():
+                left = [n for n in ('b1', 'b2') if n not in action.excluded]
+                if not left:
+                    return actions.Denied('no_backend_server')
+                return actions.PermitGranted('p', left[0], now + SECOND)
+            case actions.Forward():
+                return self.events.pop(0)
+            case actions.Deliver():
+                return actions.Delivered()
+
+    def run(self):
+        steps = flow.decide_request(self.request, self.facts)
+        event = None
+        try:
+            while True:
+                action = steps.send(event)
+                self.seen.append(action)
+                event = self.reply(action)
+        except StopIteration as stop:
+            return stop.value
+
+    def count(self, kind):
+        return sum(isinstance(action, kind) for action in self.seen)
+
+    def list_reports(self):
+        return [
+            a.outcome for a in self.seen if isinstance(a, actions.ReportPermit)
+        ]
+
+
+def failed(code, is_sent, can_resend=True):
+    return actions.Failed(errors.make_error(code), is_sent, can_resend)
+
+
+OK = actions.Answered(200)
+SHED = actions.Answered(503, not_run=True)
+
+# First event; forwards for GET and POST when a second attempt would succeed;
+# what a request that may not be repeated is told; what the holder is told.
+TABLE = [
+    (OK, 1, 1, errors.RAN, 'ok'),
+    (actions.Answered(500), 1, 1, errors.RAN, 'error'),
+    (actions.Answered(503), 1, 1, errors.RAN, 'error'),
+    (SHED, 2, 2, errors.NOT_RUN, 'shed'),
+    (SHED._replace(can_resend=False), 1, 1, errors.NOT_RUN, 'shed'),
+    (failed('backend_refused', False), 2, 2, errors.NOT_RUN, 'refused'),
+    (failed('backend_timeout', False), 2, 2, errors.NOT_RUN, 'silent'),
+    (failed('pool_unavailable', False), 2, 2, errors.NOT_RUN, 'unused'),
+    (failed('backend_broken', True), 2, 1, errors.UNKNOWN, 'error'),
+    (failed('backend_timeout', True), 2, 1, errors.UNKNOWN, 'silent'),
+    (failed('answer_truncated', True), 2, 1, errors.UNKNOWN, 'truncated'),
+    (failed('answer_crossed', True), 2, 1, errors.UNKNOWN, 'crossed'),
+    (failed('backend_broken', True, False), 1, 1, errors.UNKNOWN, 'error'),
+    (failed('backend_refused', False, False), 1, 1, errors.NOT_RUN, 'refused'),
+    (failed('caller_gone', True), 1, 1, errors.UNKNOWN, 'cancelled'),
+    (failed('caller_gone', False), 1, 1, errors.NOT_RUN, 'unused'),
+    (failed('request_timeout', True), 1, 1, errors.UNKNOWN, 'cancelled'),
+    (failed('body_too_large', True), 1, 1, errors.UNKNOWN, 'cancelled'),
+    (failed('bad_request', True), 1, 1, errors.UNKNOWN, 'cancelled'),
+]
+
+
+@pytest.mark.parametrize('event,gets,posts,ran,report', TABLE)
+def test_failure_point_decides_retry_and_ran(event, gets, posts, ran, report):
+    """A wrong retry runs a request twice; a wrong "not run" makes it so."""
+    for method, forwards in (('GET', gets), ('POST', posts)):
+        script = Script(event, OK, method=method)
+        outcome = script.run()
+        assert script.count(actions.Forward) == forwards
+        assert outcome.ran == (errors.RAN if forwards == 2 else ran)
+        assert script.list_reports()[0] == report
+    script = Script(event, retry_ratio=0.0)
+    script.facts.routes.take_retry = lambda route: False
+    assert script.run().ran == ran, 'without retry budget'
+    assert script.count(actions.Forward) == 1
+
+
+def test_unknown_stays_unknown_after_a_refused_second_attempt():
+    """The first attempt may have run, whatever happens to the second."""
+    script = Script(
+        failed('backend_broken', True), failed('backend_refused', False)
+    )
+    script.facts.routes.take_retry = lambda route: True
+    outcome = script.run()
+    assert (outcome.code, outcome.ran) == ('backend_refused', errors.UNKNOWN)
+    assert not outcome.has_unspent
+
+
+def test_attempt_that_may_have_run_spends_its_token():
+    """Two runs on one token would exceed the customer's rate."""
+    script = Script(failed('backend_broken', True), OK)
+    script.run()
+    assert script.count(actions.AskTokens) == 2
+    script = Script(SHED, OK)
+    script.run()
+    assert script.count(actions.AskTokens) == 1
+
+
+def test_first_failure_stands_when_no_second_permit_comes():
+    """A retry that got no token must not hide what happened first."""
+    script = Script(failed('backend_timeout', True))
+    script.replies['AskTokens'] = [
+        actions.TokensGranted(START + SECOND),
+        actions.Denied('rate_exceeded'),
+    ]
+    outcome = script.run()
+    assert (outcome.code, outcome.ran) == ('backend_timeout', errors.UNKNOWN)
+
+
+def test_retry_budget_is_a_part_of_the_requests():
+    """Retries without a bound multiply the load of a failing service."""
+    script = Script()
+    book = type(script.facts.routes)()
+    route = script.facts.current.routes[0]
+    for _ in range(100):
+        book.count_request(route)
+    assert sum(book.take_retry(route) for _ in range(100)) == 10
+
+
+def withdraw_key(script):
+    script.facts.keys.clear()
+
+
+def unconfirm(script):
+    script.facts.confirmed = False
+
+
+def replace_current(script, **fields):
+    script.facts.current = script.facts.current._replace(**fields)
+
+
+def take_route_out(script):
+    replace_current(script, routes=())
+
+
+def take_domain_out(script):
+    out = configuration.FailureDomain('d1', 'out')
+    replace_current(script, domains={'d1': out})
+
+
+def take_servers_out(script):
+    replace_current(script, servers={})
+
+
+def pass_time(script):
+    script.clock.advance(SECOND)
+
+
+@pytest.mark.parametrize(
+    'change,code',
+    [
+        (withdraw_key, 'key_unknown'),
+        (unconfirm, 'configuration_unconfirmed'),
+        (take_route_out, 'route_unknown'),
+        (take_domain_out, 'pool_busy'),
+        (take_servers_out, 'pool_busy'),
+        (lambda s: s.clock.advance(3 * SECOND), 'deadline_too_short'),
+    ],
+)
+def test_what_changed_while_waiting_stops_the_forward(change, code):
+    """A permit waited for must not outlive key, route, domain or time."""
+    script = Script()
+    granted = [actions.PermitGranted('p', 'b1', START + 9 * SECOND)]
+    script.replies['AskPermit'] = granted + [actions.Denied('pool_busy')]
+    script.before['AskPermit'] = lambda: change(script)
+    outcome = script.run()
+    assert (outcome.code, outcome.ran) == (code, errors.NOT_RUN)
+    assert script.count(actions.Forward) == 0
+    assert set(script.list_reports()) == {'unused'}
+
+
+def test_late_permit_and_token_are_asked_for_again():
+    """A process that was paused must not use what it held before."""
+    script = Script(OK, once_key='k')
+    waits = [lambda: pass_time(script), lambda: None]
+    script.before['AskPermit'] = lambda: waits.pop(0)()
+    script.replies['AskPermit'] = [
+        actions.PermitGranted('p', 'b1', START + SECOND)
+    ]
+    assert script.run().code == 'ok'
+    assert script.list_reports() == ['unused', 'ok']
+    tokens = [a for a in script.seen if isinstance(a, actions.AskTokens)]
+    assert [a.once_key for a in tokens] == ['k', '']
+
+
+@pytest.mark.parametrize(
+    'code,ran',
+    [
+        ('rate_exceeded', errors.NOT_RUN),
+        ('duplicate_running', errors.NOT_RUN),
+        ('duplicate_finished', errors.RAN),
+        ('budget_unavailable', errors.NOT_RUN),
+    ],
+)
+def test_denied_token_ends_the_request(code, ran):
+    """A refusal before the forward must say what is certain."""
+    script = Script()
+    script.replies['AskTokens'] = [actions.Denied(code, SECOND)]
+    outcome = script.run()
+    assert (outcome.code, outcome.ran) == (code, ran)
+    refusal = script.seen[-1]
+    assert refusal.error.retry_after == SECOND
+
+
+@pytest.mark.parametrize(
+    'change,code',
+    [
+        ({'key': ''}, 'key_missing'),
+        ({'key': 'x'}, 'key_unknown'),
+        ({'path': '/rx'}, 'route_unknown'),
+        ({'method': 'PUT'}, 'method_not_allowed'),
+        ({'body_bytes': 11}, 'body_too_large'),
+        ({'deadline': START}, 'deadline_too_short'),
+    ],
+)
+def test_checks_come_before_tokens(change, code):
+    """A request that is refused anyway must not cost budget or a permit."""
+    script = Script(methods=frozenset(('GET', 'POST')), body_limit_bytes=10)
+    script.request = script.request._replace(**change)
+    outcome = script.run()
+    assert outcome.code == code
+    assert script.count(actions.AskPermit) == 0
+    assert not outcome.has_unspent or code == 'deadline_too_short'
+
+
+def test_open_route_needs_neither_key_nor_token():
+    """Routes open to all must serve while nothing can be confirmed."""
+    script = Script(OK)
+    script.facts.confirmed = False
+    script.request = script.request._replace(key='', path='/open')
+    assert script.run().code == 'ok'
+    assert script.count(actions.AskTokens) == 0
+
+
+def test_forward_is_bounded_and_leaves_time_for_a_retry():
+    """A silent server must not use up the time of a second attempt."""
+    for method, first_byte in (('GET', 1), ('POST', 2)):
+        script = Script(OK, method=method)
+        script.run()
+        sent = next(a for a in script.seen if isinstance(a, actions.Forward))
+        assert sent.deadline == START + 2 * SECOND
+        assert sent.first_byte_until == START + first_byte * SECOND
+        assert sent.start_until == START + SECOND
+
+
+def test_short_deadline_of_a_caller_is_no_evidence_against_a_server():
+    """Impatient callers must not get healthy servers ejected."""
+    script = Script(failed('backend_timeout', True), method='POST')
+    script.request = script.request._replace(deadline=START + SECOND / 10)
+    script.run()
+    assert script.list_reports() == ['cancelled']
+
+
+def test_path_that_a_server_would_resolve_differently_is_refused():
+    """A dot segment could lead from an open route to a protected one."""
+    for path in ('/open/../r', '/open/%2e%2E/r', '/open/..%2fr', '/a/..;x/r'):
+        with pytest.raises(errors.RequestError):
+            harness.routes.clean_path(path)
+    assert harness.routes.clean_path('/%72/%2Fx//y') == '/r/x/y'
