Test the request path over real sockets

Header and chunk parsing is fuzzed for typed errors only. Found and fixed: a target //a/b was forwarded, which a server may read as the authority a.

--- a/cranberryscale/connection/callers.py
+++ b/cranberryscale/connection/callers.py
@@ -150,7 +150,9 @@
             raise errors.make_error('bad_request', 'protocol version')
         if not _METHOD.fullmatch(self.method) or self.method == b'CONNECT':
             raise errors.make_error('bad_request', 'method')
-        if not _TARGET.fullmatch(self.uri) or self.uri == b'*':
+        # A server may read //a/b as the authority a and the path /b.
+        is_odd = self.uri == b'*' or self.uri.startswith(b'//')
+        if is_odd or not _TARGET.fullmatch(self.uri):
             raise errors.make_error('bad_request', 'request target')
         return True
 
--- a/cranberryscale/request/headers.py
+++ b/cranberryscale/request/headers.py
@@ -65,24 +65,19 @@
 
 
 def _split_query(query: str) -> Iterable[tuple[str, str, str]]:
-    """Yield separator, name and value of each parameter, undecoded."""
+    """Yield separator, parameter and name of each, undecoded."""
     pieces = ['', *_SEPARATOR.split(query)]
     for separator, piece in zip(pieces[::2], pieces[1::2], strict=True):
-        name, _, value = piece.partition('=')
-        yield separator, name, value
+        yield separator, piece, piece.partition('=')[0]
 
 
 def _strip_query(query: str, key: str) -> str:
-    kept = [
-        (separator, name, value)
-        for separator, name, value in _split_query(query)
-        if not _is_key_name(name) and not _holds(f'{name}={value}', key)
-    ]
-    text = ''.join(
-        separator + (f'{name}={value}' if value else name)
-        for separator, name, value in kept
+    kept = (
+        separator + piece
+        for separator, piece, name in _split_query(query)
+        if not _is_key_name(name) and not _holds(piece, key)
     )
-    return text.lstrip('&;')
+    return ''.join(kept).lstrip('&;')
 
 
 def _split_cookies(value: str) -> Iterable[tuple[str, str]]:
@@ -135,9 +130,9 @@
                 for cookie, content in _split_cookies(value):
                     if _is_key_name(cookie):
                         yield content.strip('"')
-    for _, name, value in _split_query(query):
+    for _, piece, name in _split_query(query):
         if _is_key_name(name):
-            yield urllib.parse.unquote_plus(value)
+            yield urllib.parse.unquote_plus(piece.partition('=')[2])
 
 
 def read_key(pairs: framing.Pairs, query: str) -> str:
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,299 @@
+"""Guard connections to backend servers: ambiguity, reuse, bounds."""
+
+import datetime
+import socket
+import threading
+import time
+
+import harness
+import pytest
+
+from cranberryscale.connection import backends
+from cranberryscale.connection import framing
+
+SECOND = datetime.timedelta(seconds=1)
+HELLO = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
+
+
+class Chunks(framing.EmptyBody):
+    """Give these blocks as a body."""
+
+    def __init__(self, *blocks):
+        self.blocks = list(blocks)
+
+    def read_some(self):
+        return self.blocks.pop(0) if self.blocks else b''
+
+
+def make_pools(connections=2, idle=SECOND):
+    return backends.Backends(harness.CLOCK, SECOND / 2, idle, connections)
+
+
+def forward(
+    pools, address, method='GET', body=None, seconds=0.6, start=1.0, caller=-1
+):
+    now = harness.CLOCK.read_elapsed()
+    where = framing.Framing(0, body is not None)
+    head = backends.Head(method, '/x', (('Host', 'h'),), where, 'id-1')
+    until = now + seconds * SECOND
+    terms = backends.Terms(now + start * SECOND, until, until, caller)
+    return pools.forward(address, head, body or framing.EmptyBody(), terms)
+
+
+def fetch(pools, address, **options):
+    answer = forward(pools, address, **options)
+    data = b''.join(answer.iterate())
+    answer.finish()
+    return data
+
+
+def serve_silence(server, sock, number):
+    server.read_head(sock)
+    sock.recv(1)
+
+
+def reset_at_once(server, sock, number):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0')
+
+
+def drip(server, sock, number):
+    server.read_head(sock)
+    for byte in HELLO:
+        sock.sendall(bytes((byte,)))
+        time.sleep(0.05)
+
+
+CRLF2 = b'\r\n\r\n'
+HEAD = b'HTTP/1.1 200 OK\r\n'
+
+
+@pytest.mark.parametrize(
+    'serve,code',
+    [
+        (serve_silence, 'backend_timeout'),
+        (drip, 'backend_timeout'),
+        (reset_at_once, 'backend_broken'),
+        (harness.answer_once(), 'backend_broken'),
+        (harness.answer_once(reset=True), 'backend_broken'),
+        (harness.answer_once(b'HTTP/1.1 2'), 'backend_broken'),
+        (harness.answer_once(HEAD + b'Conte'), 'backend_broken'),
+        (harness.answer_once(b'SSH-2.0-x\r\n'), 'backend_broken'),
+        (harness.answer_once(HEAD + b'X: a' + CRLF2), 'backend_broken'),
+        (
+            harness.answer_once(HEAD + b'Content-Length: -1' + CRLF2),
+            'backend_broken',
+        ),
+        (
+            harness.answer_once(
+                HEAD + b'Content-Length: 1\r\nContent-Length: 2' + CRLF2
+            ),
+            'backend_broken',
+        ),
+        (
+            harness.answer_once(
+                HEAD + b'Transfer-Encoding: gzip, chunked' + CRLF2
+            ),
+            'backend_broken',
+        ),
+        (
+            harness.answer_once(b'HTTP/1.1 100 Continue\r\n\r\n' * 20),
+            'backend_broken',
+        ),
+        (
+            harness.answer_once(b'HTTP/1.1 101 Switching\r\n\r\n'),
+            'backend_broken',
+        ),
+        (harness.answer_once(HELLO[:-1]), 'answer_truncated'),
+        (harness.answer_once(HELLO[:-1], reset=True), 'backend_broken'),
+        (
+            harness.answer_once(
+                HEAD + b'Transfer-Encoding: chunked' + CRLF2 + b'5\r\nhello'
+            ),
+            'answer_truncated',
+        ),
+        (
+            harness.answer_once(
+                HEAD
+                + b'Transfer-Encoding: chunked'
+                + CRLF2
+                + b'5\r\nhello\r\n-1\r\n'
+            ),
+            'answer_truncated',
+        ),
+        (
+            harness.answer_once(HEAD + b'X-Request-Id: id-2' + CRLF2),
+            'backend_broken',
+        ),
+        (
+            harness.answer_once(
+                HELLO.replace(b'Content', b'X-Request-Id: id-2\r\nContent')
+            ),
+            'answer_crossed',
+        ),
+    ],
+)
+def test_broken_answer_is_an_error_and_ambiguous(serve, code):
+    """After a byte was sent, nothing but a whole answer proves anything."""
+    server = harness.FakeServer(serve)
+    with pytest.raises(backends.ForwardFailed) as caught:
+        fetch(make_pools(), server.address)
+    assert caught.value.error.code == code
+    assert caught.value.is_sent
+    server.close()
+
+
+def test_refused_connection_is_certainly_not_sent():
+    """Only what was certainly not sent may be repeated for any method."""
+    with socket.create_server(('127.0.0.1', 0)) as free:
+        address = '127.0.0.1:%d' % free.getsockname()[1]
+    with pytest.raises(backends.ForwardFailed) as caught:
+        fetch(make_pools(), address)
+    assert caught.value.error.code == 'backend_refused'
+    assert not caught.value.is_sent
+
+
+def test_permit_that_ran_out_sends_nothing():
+    """A process that was paused must not start what others now run."""
+    server = harness.FakeServer(harness.answer_ok)
+    with pytest.raises(backends.ForwardFailed) as caught:
+        fetch(make_pools(), server.address, start=0.0)
+    assert not caught.value.is_sent
+    assert not server.received
+    server.close()
+
+
+def test_interim_answers_are_passed_over():
+    """A 103 taken for the answer would leave the real one to the next."""
+    server = harness.FakeServer(
+        harness.answer_once(
+            b'HTTP/1.1 100 Continue\r\n\r\n',
+            b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n' + HELLO,
+        )
+    )
+    assert fetch(make_pools(), server.address) == b'hello'
+    server.close()
+
+
+def test_clean_connection_is_reused_and_an_idle_one_is_not():
+    """Each new connection costs 1 ms; an old one may be half closed."""
+    server = harness.FakeServer(harness.answer_ok)
+    pools = make_pools(idle=SECOND / 5)
+    for _ in range(3):
+        assert fetch(pools, server.address) == b'hello'
+    assert server.connections == 1
+    time.sleep(0.25)
+    fetch(pools, server.address)
+    assert server.connections == 2
+    server.close()
+
+
+@pytest.mark.parametrize('pause', [0, 0.1])
+def test_surplus_bytes_never_answer_the_next_request(pause):
+    """A late or doubled answer must not reach the wrong caller."""
+
+    def serve(server, sock, number):
+        while server.read_head(sock):
+            sock.sendall(HELLO)
+            time.sleep(pause)
+            sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil')
+
+    server = harness.FakeServer(serve)
+    pools = make_pools()
+    for _ in range(3):
+        assert fetch(pools, server.address) == b'hello'
+        time.sleep(2 * pause)
+    assert server.connections == 3
+    server.close()
+
+
+def test_reused_connection_that_closes_is_ambiguous():
+    """The server may have run the request before it closed."""
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        sock.sendall(HELLO)
+        server.read_head(sock)
+
+    server = harness.FakeServer(serve)
+    pools = make_pools()
+    fetch(pools, server.address)
+    with pytest.raises(backends.ForwardFailed) as caught:
+        fetch(pools, server.address)
+    assert caught.value.is_sent
+    server.close()
+
+
+def test_connections_to_one_server_are_bounded():
+    """A server takes about 400 connections from the whole fleet."""
+    server = harness.FakeServer(harness.answer_ok)
+    pools = make_pools(connections=2)
+    held = [forward(pools, server.address) for _ in range(2)]
+    with pytest.raises(backends.ForwardFailed) as caught:
+        forward(pools, server.address)
+    assert not caught.value.is_sent
+    held[0].cancel()
+    held[0].cancel()
+    assert fetch(pools, server.address) == b'hello'
+    with pytest.raises(backends.ForwardFailed):
+        keep = [forward(pools, server.address) for _ in range(2)]
+        del keep
+    server.close()
+
+
+def test_caller_that_leaves_cancels_the_request():
+    """Work for a caller that left takes slots from others."""
+    ended = threading.Event()
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        if not sock.recv(1):
+            ended.set()
+
+    server = harness.FakeServer(serve)
+    near, far = socket.socketpair()
+    threading.Timer(0.1, far.close).start()
+    with pytest.raises(backends.ForwardFailed) as caught:
+        forward(make_pools(), server.address, seconds=3, caller=near.fileno())
+    assert caught.value.error.code == 'caller_gone'
+    assert ended.wait(2)
+    server.close()
+
+
+def test_early_answer_ends_the_upload():
+    """A server that answered need not take the rest of the body."""
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        sock.sendall(HELLO.replace(b'200 OK', b'413 No'))
+        sock.recv(1)
+        time.sleep(0.5)
+
+    server = harness.FakeServer(serve)
+    pools = make_pools()
+    body = Chunks(*[b'x' * 65536] * 500)
+    answer = forward(pools, server.address, 'POST', body, seconds=3)
+    assert answer.status == 413
+    assert b''.join(answer.iterate()) == b'hello'
+    answer.finish()
+    assert body.blocks, 'the whole body was sent'
+    forward(pools, server.address)
+    assert server.connections == 2, 'reused with an unfinished request'
+    server.close()
+
+
+def test_chunked_body_arrives_whole():
+    """Framing errors in an upload corrupt what the server stores."""
+    seen = []
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        stream = sock.makefile('rb')
+        body = framing.ChunkedBody(stream, 10**6, framing.CALLER_CODES)
+        seen.append(b''.join(iter(body.read_some, b'')))
+        sock.sendall(HELLO)
+
+    server = harness.FakeServer(serve)
+    body = Chunks(b'a' * 70000, b'b')
+    assert fetch(make_pools(), server.address, method='POST', body=body)
+    assert seen == [b'a' * 70000 + b'b']
+    server.close()
--- /dev/null
+++ b/tests/test_headers.py
@@ -0,0 +1,206 @@
+"""Guard the parsing of headers and the removal of keys."""
+
+import base64
+import datetime
+import io
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberryscale.connection import framing
+from cranberryscale import errors
+from cranberryscale import logs
+from cranberryscale.request import headers
+
+KEY = 'secret-key-1234'
+ORIGIN = headers.Origin('10.0.0.1', 'h', 'id-1')
+SECOND = datetime.timedelta(seconds=1)
+BASIC = base64.b64encode(f'user:{KEY}'.encode()).decode()
+PLACES = [
+    ((('Authorization', f'Bearer {KEY}'),), ''),
+    ((('authorization', f'bEaReR  {KEY}'),), ''),
+    ((('Authorization', f'Basic {BASIC}'),), ''),
+    ((('x-aPi-kEy', KEY), ('X-API-KEY', KEY)), ''),
+    ((('X_Api_Key', KEY),), ''),
+    ((('Cookie', f'a=1; api_key={KEY}; b=2'),), ''),
+    ((('Cookie', f'API_KEY="{KEY}"'), ('Cookie', f'api_key={KEY}')), ''),
+    ((), f'api_key={KEY}'),
+    ((), f'a=1&%61pi%5Fkey={KEY}&api_key={KEY}&b=2'),
+    ((), f'a=1;api_key={KEY}'),
+    ((), 'api_key=' + ''.join(f'%{ord(c):02x}' for c in KEY)),
+]
+
+
+def run_quick(test):
+    settings = hypothesis.settings(
+        derandomize=True, max_examples=150, deadline=None
+    )
+    return settings(test)
+
+
+def make_pairs(pairs, key=KEY):
+    return headers.make_request_pairs(pairs, key, ORIGIN, SECOND)
+
+
+@pytest.mark.parametrize('pairs,query', PLACES)
+def test_key_is_found_and_removed_everywhere(pairs, query):
+    """A backend server that sees a key can act as the customer."""
+    assert headers.read_key(pairs, query) == KEY
+    referer = ('Referer', f'http://h/p?api_key={KEY}&z=1')
+    extra = (referer, ('X-Copy', KEY), ('X-Other', f'a {KEY} b'))
+    sent = make_pairs((*pairs, *extra))
+    target = headers.remove_key(f'/p?{query}' if query else '/p', KEY)
+    text = repr(sent) + target
+    assert KEY not in text
+    assert KEY not in headers.urllib.parse.unquote(text)
+    assert BASIC not in text
+    assert ('Referer', 'http://h/p?z=1') in sent
+
+
+def test_other_parameters_and_cookies_stay():
+    """Removing the key must not change what the caller asked for."""
+    target = headers.remove_key(f'/p?a=%20&api_key={KEY}&b&c=', KEY)
+    assert target == '/p?a=%20&b&c='
+    sent = make_pairs((('Cookie', f'a=1; api_key={KEY}; b="2"'),))
+    assert ('Cookie', 'a=1; b="2"') in sent
+
+
+def test_differing_keys_are_refused():
+    """Which of two keys counts must not depend on their order."""
+    with pytest.raises(errors.RequestError) as caught:
+        headers.read_key((('X-Api-Key', KEY),), 'api_key=other')
+    assert caught.value.code == 'ambiguous_key'
+    assert KEY not in str(caught.value)
+
+
+def test_hop_by_hop_headers_stay_on_their_hop():
+    """Passing them on lets a caller steer the next connection."""
+    pairs = (
+        ('Connection', 'close, X-Secret'),
+        ('X-Secret', '1'),
+        ('Transfer-Encoding', 'chunked'),
+        ('Upgrade', 'h2c'),
+        ('TE', 'trailers'),
+        ('Keep-Alive', '5'),
+        ('Proxy-Authorization', 'x'),
+        ('Accept', '*/*'),
+    )
+    names = {name for name, _ in make_pairs(pairs)}
+    assert 'Accept' in names
+    assert not names & {name for name, _ in pairs[:-1]}
+    back = headers.filter_answer(pairs, 'id-1', True)
+    assert {name for name, _ in back} == {'Accept', 'Via', 'X-Request-Id'}
+
+
+def test_forwarding_and_tracing_headers():
+    """Servers need the caller's address and one trace over all hops."""
+    trace = f'00-{"a" * 32}-{"b" * 16}-01'
+    sent = dict(
+        make_pairs(
+            (
+                ('X-Forwarded-For', '1.2.3.4'),
+                ('X-Forwarded-Proto', 'https'),
+                ('traceparent', trace),
+                ('Via', '1.0 x'),
+            )
+        )
+    )
+    assert sent['X-Forwarded-For'] == '1.2.3.4, 10.0.0.1'
+    assert sent['X-Forwarded-Proto'] == 'http'
+    assert sent['Forwarded'] == 'for=10.0.0.1;host="h";proto=http'
+    assert sent['Via'] == '1.0 x, 1.1 cranberryscale'
+    assert sent['traceparent'] == trace
+    assert sent['X-Deadline-Ms'] == '1000'
+    assert 'traceparent' not in dict(make_pairs((('traceparent', 'x'),)))
+
+
+@pytest.mark.parametrize('given', ['a b', 'x' * 129, '', KEY, 'a\x7f'])
+def test_malformed_request_id_is_replaced(given):
+    """An id with odd characters could forge a log line."""
+    pairs = (('X-Request-Id', given),)
+    assert headers.choose_request_id(pairs, KEY, 'new') == 'new'
+    assert headers.choose_request_id((('X-Request-Id', 'a'),), KEY, 'n') == 'a'
+
+
+@run_quick
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                'Authorization Cookie X-Api-Key Referer X-Deadline-Ms '
+                'Connection Content-Length Transfer-Encoding Host'.split()
+            ),
+            strategies.text(
+                strategies.characters(max_codepoint=255), max_size=30
+            ),
+        ),
+        max_size=6,
+    ),
+    strategies.text(max_size=40),
+)
+def test_any_headers_give_typed_errors_only(pairs, query):
+    """An unforeseen exception would end as an internal fault."""
+    pairs = tuple(pairs)
+    steps = (
+        lambda: framing.check_request_framing(pairs, True),
+        lambda: headers.read_deadline(pairs),
+        lambda: make_pairs(pairs, headers.read_key(pairs, query)),
+        lambda: headers.remove_key(f'/?{query}', KEY),
+        lambda: headers.filter_answer(pairs, 'id', True),
+    )
+    for step in steps:
+        try:
+            step()
+        except errors.RequestError:
+            pass
+
+
+@run_quick
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_give_typed_errors_only(data):
+    """Header lines and chunks come from anyone who can connect."""
+    for read in (
+        framing.read_pairs,
+        lambda stream: list(
+            iter(
+                framing.ChunkedBody(
+                    stream, 100, framing.CALLER_CODES
+                ).read_some,
+                b'',
+            )
+        ),
+    ):
+        try:
+            read(io.BufferedReader(io.BytesIO(data)))
+        except errors.RequestError as error:
+            assert error.code in (
+                'bad_request',
+                'caller_gone',
+                'body_too_large',
+            )
+
+
+@run_quick
+@hypothesis.given(
+    strategies.lists(strategies.binary(min_size=1, max_size=50), max_size=5)
+)
+def test_chunks_decode_to_what_was_encoded(blocks):
+    """A body must arrive as it was sent, and end where it ends."""
+    wire = b''.join(b'%X;x=1\r\n%b\r\n' % (len(b), b) for b in blocks)
+    stream = io.BufferedReader(io.BytesIO(wire + b'0\r\nT: 1\r\n\r\nnext'))
+    body = framing.ChunkedBody(stream, 1000, framing.CALLER_CODES)
+    replay = framing.ReplayBody(body)
+    for _ in range(2):
+        replay.rewind()
+        assert b''.join(iter(replay.read_some, b'')) == b''.join(blocks)
+    assert stream.read() == b'next'
+
+
+@run_quick
+@hypothesis.given(strategies.text())
+def test_log_line_stays_one_line(text):
+    """A value of a caller must not forge a second event."""
+    line = logs.format_event('request', value=text, other=1)
+    assert len(line.splitlines()) == 1
+    assert line.endswith(' other=1')
