--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -1,106 +1,164 @@
-"""The WSGI callable that serves callers."""
+"""The WSGI callable that serves callers, grafted on CherryPy's tree."""
 
-import hashlib
-import hmac
-import json
-import random
-from typing import Callable
-from typing import Iterable
+from collections.abc import Callable
+from collections.abc import Iterable
+import datetime
+import threading
+from typing import Protocol
 
-import urllib3
+from absl import logging
 
+from cranberryscale import clock as clocks
+from cranberryscale.connection import backends as backend_connections
 from cranberryscale import errors
-from cranberryscale.version import configuration
+from cranberryscale import logs
+from cranberryscale.request import actions
+from cranberryscale.request import transfers
 
 
-__all__ = ['Gateway']
+__all__ = ['Fleet', 'Gateway']
 
-_KEY_HEADER = 'HTTP_X_API_KEY'
-_UNFORWARDED = frozenset(
-    ('HTTP_X_API_KEY', 'HTTP_AUTHORIZATION', 'HTTP_CONNECTION', 'HTTP_HOST')
-)
+Observer = Callable[[actions.Outcome, datetime.timedelta], None]
 
 
-def _forward_headers(environ: dict) -> dict[str, str]:
-    return {
-        name[len('HTTP_') :].replace('_', '-').title(): value
-        for name, value in environ.items()
-        if name.startswith('HTTP_') and name not in _UNFORWARDED
-    }
+class Fleet(Protocol):
+    """Do what needs other instances; called by several threads."""
+
+    facts: actions.Facts
+
+    def ask_tokens(
+        self, action: actions.AskTokens, request_id: str
+    ) -> actions.TokensGranted | actions.Denied:
+        """Return a token of the customer's budget, or why not."""
+
+    def ask_permit(
+        self, action: actions.AskPermit, request_id: str
+    ) -> actions.PermitGranted | actions.Denied:
+        """Return a permit, waiting in the pool's queue if need be."""
+
+    def report_permit(self, action: actions.ReportPermit) -> None:
+        """Give a permit back; must not block."""
+
+    def return_tokens(self, customer: str) -> None:
+        """Give back the token of a request that did not run."""
+
+    def finish_once(self, customer: str, once_key: str, ran: str) -> None:
+        """Record how the request with an idempotency key ended."""
 
 
 class Gateway:
-    """Check key and route, choose a backend server and return its answer."""
+    """Serve callers; `observe` is called with each outcome."""
 
     def __init__(
         self,
-        read_configuration: Callable[[], configuration.Configuration],
-        rng: random.Random,
+        fleet: Fleet,
+        backends: backend_connections.Backends,
+        clock: clocks.Clock,
+        observe: Observer | None = None,
     ):
-        self._read_configuration = read_configuration
-        self._rng = rng
-        self._pool = urllib3.PoolManager(retries=False)
+        self.fleet = fleet
+        self.backends = backends
+        self.clock = clock
+        self._observe = observe
+        self._leave_at: datetime.timedelta | None = None
+        self._running = 0
+        self._changed = threading.Condition()
 
     def __call__(self, environ: dict, start_response) -> Iterable[bytes]:
         """Serve one request."""
+        transfer = transfers.Transfer(
+            self, environ['cranberryscale.request'], start_response
+        )
+        self._count(transfer, True)
         try:
-            status, headers, body = self._serve(environ)
-        except errors.FleetError as error:
-            status = f'{error.entry.status} {error.code}'
-            body = json.dumps(
-                {'code': error.code, 'ran': error.entry.ran}
-            ).encode()
-            headers = [('Content-Type', 'application/json')]
-        headers.append(('Content-Length', str(len(body))))
-        start_response(status, headers)
-        return [body]
-
-    def _serve(self, environ: dict) -> tuple[str, list, bytes]:
-        current = self._read_configuration()
-        route = self._find_route(current, environ['PATH_INFO'])
-        if not route.open_to_all:
-            self._check_key(current, environ.get(_KEY_HEADER, ''))
-        server = self._choose_server(current, route.service)
-        return self._forward(environ, route, server)
-
-    def _find_route(self, current, path) -> configuration.Route:
-        for route in current.routes:
-            if path.startswith(route.prefix):
-                return route
-        raise errors.make_error('route_unknown', path)
-
-    def _check_key(self, current, key: str) -> None:
-        if not key:
-            raise errors.make_error('key_missing')
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        found = current.keys.get(digest)
-        if found is None or not hmac.compare_digest(found.digest, digest):
-            raise errors.make_error('key_unknown')
-
-    def _choose_server(self, current, service: str):
-        servers = [
-            server
-            for server in current.servers.values()
-            if server.service == service and not current.is_server_out(server)
-        ]
-        if not servers:
-            raise errors.make_error('no_backend_server', service)
-        return self._rng.choice(servers)
-
-    def _forward(self, environ, route, server) -> tuple[str, list, bytes]:
-        length = int(environ.get('CONTENT_LENGTH') or 0)
-        url = f'http://{server.address}{environ["PATH_INFO"]}'
-        try:
-            answer = self._pool.request(
-                environ['REQUEST_METHOD'],
-                url,
-                body=environ['wsgi.input'].read(length) or None,
-                headers=_forward_headers(environ),
-                timeout=route.timeout.total_seconds(),
+            return transfer.start()
+        except Exception as error:
+            # Any fault must end as a typed answer and a log line.
+            return transfer.fail(error)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return self._running
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether `drain` was called."""
+        return self._leave_at is not None
+
+    def check_open(self) -> None:
+        """Raise ShuttingDown if new requests are refused now."""
+        leave_at = self._leave_at
+        if leave_at is not None and self.clock.read_elapsed() >= leave_at:
+            raise errors.make_error('shutting_down')
+
+    def drain(self, until: datetime.timedelta) -> None:
+        """Refuse new requests from this elapsed time on.
+
+        Until then answers ask callers to close their connections.
+        """
+        self._leave_at = until
+
+    def wait_idle(self, timeout: datetime.timedelta) -> bool:
+        """Wait until no request runs; return False after the timeout."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._running == 0, timeout.total_seconds()
             )
-        except urllib3.exceptions.NewConnectionError as error:
-            raise errors.make_error('backend_refused', server.name) from error
-        except urllib3.exceptions.HTTPError as error:
-            raise errors.make_error('backend_broken', server.name) from error
-        headers = [('Content-Type', answer.headers.get('Content-Type', ''))]
-        return f'{answer.status} {answer.reason}', headers, answer.data
+
+    def _count(self, transfer: transfers.Transfer, is_running: bool) -> None:
+        with self._changed:
+            if transfer.is_counted != is_running:
+                transfer.is_counted = is_running
+                self._running += 1 if is_running else -1
+                self._changed.notify_all()
+
+    def _settle(
+        self, transfer: transfers.Transfer, outcome: actions.Outcome
+    ) -> None:
+        if outcome.has_once:
+            self.fleet.finish_once(
+                outcome.customer, transfer.once_key, outcome.ran
+            )
+        if outcome.has_unspent:
+            self.fleet.return_tokens(outcome.customer)
+
+    def finish(
+        self, transfer: transfers.Transfer, outcome: actions.Outcome
+    ) -> None:
+        """Record the end of a request."""
+        elapsed = self.clock.read_elapsed() - transfer.received
+        try:
+            self._settle(transfer, outcome)
+            if self._observe is not None:
+                self._observe(outcome, elapsed)
+        except Exception as error:
+            # The answer is decided; a fault here must not replace it.
+            self.log_fault(transfer.request_id, type(error).__name__, 'finish')
+        self._count(transfer, False)
+        logs.log_event(
+            'request',
+            request_id=transfer.request_id,
+            method=transfer.method,
+            route=outcome.route,
+            customer=outcome.customer,
+            server=outcome.server,
+            status=outcome.status,
+            code=outcome.code,
+            ran=outcome.ran,
+            attempts=outcome.attempts,
+            duration_ms=round(elapsed.total_seconds() * 1000, 1),
+        )
+
+    def log_fault(self, request_id: str, kind: str, where: str) -> None:
+        """Log an unexpected exception, without its text.
+
+        The text may hold a part of the request, and so a key.
+        """
+        logs.log_event(
+            'request_fault',
+            logging.ERROR,
+            request_id=request_id,
+            kind=kind,
+            where=where,
+        )
