Check published documents and accept subtrees whole

Operators' documents had a schema but no reader. All faults of all documents are found in one run, with the line of the key or table header. A subtree is accepted whole or not at all, its version never goes back, and of two subtrees that conflict the newer one is refused. Peers get deltas.

--- /dev/null
+++ b/cranberryscale/version/subtrees.py
@@ -0,0 +1,208 @@
+"""Subtrees: one team's documents with their manifest.
+
+A subtree is either complete and valid or it is refused with all faults.
+"""
+
+import hashlib
+import json
+import pathlib
+import tomllib
+from typing import Annotated
+from typing import Iterator
+from typing import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from cranberryscale import errors
+from cranberryscale.version import documents
+from cranberryscale.version import tables
+
+
+__all__ = [
+    'MANIFEST',
+    'Manifest',
+    'Offer',
+    'Subtree',
+    'load_directory',
+    'make_manifest',
+    'parse_subtree',
+    'read_manifest',
+]
+
+MANIFEST = 'manifest.toml'
+
+DocumentName = Annotated[
+    str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*\.toml\Z')
+]
+Digest = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-f]{64}\Z')]
+Person = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+
+
+class Manifest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Hold a subtree's version, who answers for it and its digests."""
+
+    version: Annotated[int, msgspec.Meta(ge=1, lt=1 << 62)]
+    owner: Person
+    changed_by: Person
+    documents: dict[DocumentName, Digest]
+
+
+class Offer(NamedTuple):
+    """Hold a subtree as read from the platform or a peer, unchecked.
+
+    `order` is the manifest's ModifyIndex, 0 if unknown: of two subtrees that
+    conflict, the one with the higher order is refused.
+    """
+
+    team: str
+    documents: dict[str, str]
+    order: int = 0
+
+
+class Subtree(NamedTuple):
+    """Hold a checked subtree; `documents` includes the manifest."""
+
+    team: str
+    manifest: Manifest
+    documents: dict[str, str]
+    items: tuple[documents.Item, ...]
+    order: int = 0
+
+    @property
+    def version(self) -> int:
+        """Return the subtree's version."""
+        return self.manifest.version
+
+    @property
+    def names(self) -> frozenset[tuple[str, str]]:
+        """Return what the subtree defines, as (table, name)."""
+        return frozenset((item.table, item.name) for item in self.items)
+
+
+def _digest(text: str) -> str:
+    return hashlib.sha256(text.encode('utf-8', 'surrogatepass')).hexdigest()
+
+
+def _check_digests(
+    manifest: Manifest, offer: Offer
+) -> Iterator[documents.Fault]:
+    path = f'{offer.team}/{MANIFEST}'
+    for name, digest in sorted(manifest.documents.items()):
+        if name == MANIFEST:
+            reason = 'the manifest cannot list itself'
+        elif name not in offer.documents:
+            reason = f'document {name!r} is missing'
+        elif _digest(offer.documents[name]) != digest:
+            reason = f'document {name!r} does not have the listed digest'
+        else:
+            continue
+        yield documents.Fault(path, 1, reason, 'subtree_incomplete')
+    for name in sorted(offer.documents.keys() - manifest.documents.keys()):
+        if name != MANIFEST:
+            reason = f'document {name!r} is not in the manifest'
+            yield documents.Fault(path, 1, reason, 'subtree_incomplete')
+
+
+def _claim(item: documents.Item, team: str) -> documents.Item:
+    # A customer remembers its team, so that status pages can name an owner.
+    if item.table == 'customers':
+        return item._replace(value=item.value._replace(team=team))
+    return item
+
+
+def _find_repeats(items: list[documents.Item]) -> Iterator[documents.Fault]:
+    seen: dict[tuple[str, str], documents.Item] = {}
+    for item in items:
+        first = seen.setdefault((item.table, item.name), item)
+        if first is not item:
+            yield documents.Fault(
+                item.path,
+                item.line,
+                f'{item.table} {item.name!r} is already defined in '
+                f'{first.path} line {first.line}',
+            )
+
+
+def read_manifest(offer: Offer) -> Manifest | documents.Fault:
+    """Return the offered manifest, or what is wrong with it."""
+    path = f'{offer.team}/{MANIFEST}'
+    if MANIFEST not in offer.documents:
+        reason = 'the manifest is missing'
+        return documents.Fault(path, 1, reason, 'subtree_incomplete')
+    try:
+        msgspec.convert(offer.team, tables.Name)
+        data = tomllib.loads(offer.documents[MANIFEST])
+        return msgspec.convert(data, Manifest)
+    except (ValueError, RecursionError) as error:
+        return documents.Fault(path, 1, str(error))
+
+
+def parse_subtree(offer: Offer) -> Subtree | tuple[documents.Fault, ...]:
+    """Return the checked subtree, or all its faults."""
+    manifest = read_manifest(offer)
+    if isinstance(manifest, documents.Fault):
+        return (manifest,)
+    faults = list(_check_digests(manifest, offer))
+    items = []
+    for name in sorted(offer.documents.keys() - {MANIFEST}):
+        path = f'{offer.team}/{name}'
+        for part in documents.parse_document(path, offer.documents[name]):
+            match part:
+                case documents.Item():
+                    items.append(_claim(part, offer.team))
+                case fault:
+                    faults.append(fault)
+    faults.extend(_find_repeats(items))
+    if faults:
+        return tuple(faults)
+    return Subtree(
+        offer.team,
+        manifest,
+        dict(offer.documents),
+        tuple(items),
+        offer.order,
+    )
+
+
+def make_manifest(
+    directory: pathlib.Path, version: int, owner: str, changed_by: str
+) -> str:
+    """Return the manifest text for the documents in a directory."""
+    digests: Mapping[str, str] = {
+        path.name: _digest(path.read_text('utf-8'))
+        for path in sorted(directory.glob('*.toml'))
+        if path.name != MANIFEST
+    }
+    lines = (
+        f'version = {version}',
+        f'owner = {json.dumps(owner, ensure_ascii=False)}',
+        f'changed_by = {json.dumps(changed_by, ensure_ascii=False)}',
+        '',
+        '[documents]',
+        *(f'"{name}" = "{digest}"' for name, digest in digests.items()),
+    )
+    return '\n'.join(lines) + '\n'
+
+
+def load_directory(path: pathlib.Path) -> tuple[Offer, ...]:
+    """Return the subtrees in a directory, one subdirectory a team.
+
+    Raise DocumentInvalid if the directory cannot be read.
+    """
+    try:
+        return tuple(
+            Offer(
+                team.name,
+                {
+                    file.name: file.read_text('utf-8')
+                    for file in sorted(team.glob('*.toml'))
+                },
+            )
+            for team in sorted(path.iterdir())
+            if team.is_dir()
+        )
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.make_error(
+            'document_invalid', f'{path}: {error}'
+        ) from error
--- /dev/null
+++ b/tests/test_tree.py
@@ -0,0 +1,184 @@
+"""Guard the acceptance of subtrees."""
+
+import hashlib
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cranberryscale import messages
+from cranberryscale.version import subtrees
+from cranberryscale.version import tree
+
+
+DOMAINS = '[[domains]]\nname = "d"\n'
+SERVICES = '[[services]]\nname = "s"\n'
+ROUTES = '[[routes]]\nname = "r"\nprefix = "/"\nservice = "s"\n'
+
+
+def make_texts(version, **texts):
+    """Return a subtree's documents with a matching manifest."""
+    texts = {f'{name}.toml': text for name, text in texts.items()}
+    digests = (
+        f'"{name}" = "{hashlib.sha256(text.encode()).hexdigest()}"\n'
+        for name, text in texts.items()
+    )
+    head = f'version = {version}\nowner = "o"\nchanged_by = "w"\n'
+    manifest = f'{head}[documents]\n{"".join(digests)}'
+    return {**texts, 'manifest.toml': manifest}
+
+
+def make_offer(team, version, order=0, **texts):
+    """Return an offer of a subtree with a matching manifest."""
+    return subtrees.Offer(team, make_texts(version, **texts), order)
+
+
+def make_tree(*offers):
+    """Return a tree that has accepted the offers."""
+    made = tree.Tree()
+    for outcome in made.offer(offers):
+        assert isinstance(outcome, tree.Acceptance)
+    return made
+
+
+def test_acceptance_names_owner_and_versions():
+    """An auditor must be able to trace a change to its owner."""
+    made = make_tree(make_offer('net', 3, domains=DOMAINS))
+    outcomes = made.offer([make_offer('net', 5, domains='')])
+    assert outcomes == (tree.Acceptance('net', 'o', 'w', 3, 5),)
+    assert made.versions == {'net': 5}
+    assert made.configuration.domains == {}
+
+
+@pytest.mark.parametrize('version', [1, 2, 3])
+def test_version_never_goes_back(version):
+    """A stale reader must not put an old or other version in force."""
+    made = make_tree(make_offer('net', 3, domains=DOMAINS))
+    before = made.configuration
+    (refusal,) = made.offer([make_offer('net', version, domains='')])
+    assert refusal.code == 'subtree_stale'
+    assert made.configuration is before
+    assert made.offer([make_offer('net', version, domains='')]) == ()
+
+
+def test_partial_subtree_changes_nothing():
+    """Half of a change must not come into force."""
+    made = make_tree(make_offer('net', 1, a=DOMAINS, b=SERVICES))
+    before = made.configuration
+    offer = make_offer('net', 2, a='', b='')
+    partial = {n: t for n, t in offer.documents.items() if n != 'b.toml'}
+    mixed = {**offer.documents, 'b.toml': SERVICES}
+    for texts in (partial, mixed, {'a.toml': ''}):
+        (refusal,) = made.offer([subtrees.Offer('net', texts)])
+        assert refusal.code == 'subtree_incomplete'
+        assert made.configuration is before
+    assert made.offer([subtrees.Offer('net', {})]) == ()  # reported before
+    assert made.configuration is before
+    assert isinstance(made.offer([offer])[0], tree.Acceptance)
+
+
+def test_subtree_missing_from_an_answer_stays():
+    """A partial answer of the platform must not remove customers."""
+    made = make_tree(make_offer('net', 1, a=DOMAINS))
+    assert made.offer([]) == ()
+    assert made.configuration.domains
+    assert not made.covers({}) and made.covers({'net': 1})
+
+
+def test_teams_that_need_each_other_come_into_force_together():
+    """A first start must not depend on the order of teams."""
+    make_tree(
+        make_offer('a', 1, routes=ROUTES), make_offer('b', 1, s=SERVICES)
+    )
+
+
+def test_only_the_newer_subtree_is_refused():
+    """One team's mistake must not undo another team's settings."""
+    made = make_tree(
+        make_offer('a', 1, routes=ROUTES), make_offer('b', 1, s=SERVICES)
+    )
+    removal, unrelated = make_offer('b', 2), make_offer('c', 1, d=DOMAINS)
+    refusal, accepted = made.offer([removal, unrelated])
+    assert (refusal.team, accepted.team) == ('b', 'c')
+    assert "'s' was removed but is used in a/routes.toml" in str(refusal)
+    duplicate = make_offer('z', 1, d=DOMAINS)
+    assert made.offer([duplicate])[0].faults[0].path == 'z/d.toml'
+    outcomes = made.offer([make_offer('a', 2), removal])
+    assert [type(o) for o in outcomes] == [tree.Acceptance] * 2
+
+
+@pytest.mark.parametrize(('order', 'blamed'), [(9, 'a'), (1, 'b')])
+def test_later_write_is_refused_when_both_are_new(order, blamed):
+    """A new instance must decide a conflict as older ones did."""
+    made = tree.Tree()
+    outcomes = made.offer(
+        [
+            make_offer('a', 1, order, d=DOMAINS),
+            make_offer('b', 1, 5, d=DOMAINS),
+        ]
+    )
+    assert [o.team for o in outcomes if isinstance(o, tree.Refusal)] == [
+        blamed
+    ]
+
+
+def test_delta_carries_only_what_changed():
+    """Peers must stay within their bytes when one document changes."""
+    first = make_offer('net', 1, a=DOMAINS, b=SERVICES, c='')
+    sender, receiver = make_tree(first), make_tree(first)
+    sender.offer([make_offer('net', 2, a=DOMAINS, b=SERVICES + '# x')])
+    (record,) = sender.make_records(receiver.versions)
+    assert record.base == 1 and record.removed == ('c.toml',)
+    assert record.documents.keys() == {'manifest.toml', 'b.toml'}
+    assert isinstance(receiver.apply([record])[0], tree.Acceptance)
+    assert receiver.configuration == sender.configuration
+    assert sender.make_records(receiver.versions) == ()
+    (whole,) = sender.make_records({})
+    assert whole.base == 0 and len(whole.documents) == 3
+
+
+def test_delta_that_does_not_fit_asks_for_all():
+    """A delta for another base must not produce a mixture."""
+    made = make_tree(make_offer('net', 2, a=DOMAINS))
+    before = made.configuration
+    texts = make_texts(4, a='')
+    other = messages.SubtreeRecord('net', 4, 3, texts)
+    damaged = messages.SubtreeRecord(
+        'net', 4, 2, {'manifest.toml': texts['manifest.toml']}
+    )
+    for record in (other, damaged):
+        assert made.apply([record]) == (tree.NeedAll('net', 4),)
+        assert made.configuration is before
+    whole = messages.SubtreeRecord('net', 4, 0, texts)
+    assert made.apply([whole])[0].to_version == 4
+    assert made.apply([other]) == ()
+
+
+NAMES = strategies.sampled_from(['net', 'a', '', '../x', 'manifest.toml'])
+MANIFEST = make_texts(9, a='the digest of no text below')['manifest.toml']
+TEXTS = strategies.sampled_from(
+    ['', DOMAINS, SERVICES, 'x', '\udc80', MANIFEST]
+) | strategies.text(max_size=20)
+RECORDS = strategies.builds(
+    messages.SubtreeRecord,
+    NAMES,
+    strategies.integers(-1, 1 << 70),
+    strategies.integers(-1, 3),
+    strategies.dictionaries(
+        NAMES | strategies.sampled_from(['manifest.toml', 'a.toml']),
+        TEXTS,
+        max_size=3,
+    ),
+    strategies.lists(NAMES, max_size=2).map(tuple),
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(strategies.lists(RECORDS, max_size=3))
+def test_arbitrary_records_are_typed_and_change_nothing(records):
+    """A damaged record must neither raise nor get into force."""
+    made = make_tree(make_offer('net', 1, a=DOMAINS))
+    before = made.configuration
+    for outcome in made.apply(records):
+        assert isinstance(outcome, tree.Refusal | tree.NeedAll)
+    assert made.configuration is before
