Read the platform by the Consul protocol, with a stand-in

The client bounds every wait, resets an index that went backwards, refuses indexes below 1 and answers over 64 MiB, and leaves out single values that are too large or no text, so that one team's mistake refuses only its own subtree. A light watch names teams only, since the service repeats the whole answer at the end of each wait.

The stand-in has a control address of its own and switchable faults. One table of cases holds both sides to the protocol, with plain calls and through the client.

--- /dev/null
+++ b/cranberryscale/connection/platform.py
@@ -0,0 +1,228 @@
+"""Client of the platform's read-only services.
+
+Speaks the Consul HTTP protocol: KV reads, service health and blocking
+queries (developer.hashicorp.com/consul/api-docs/features/blocking).
+"""
+
+import datetime
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+import urllib3
+
+from cranberryscale import clock
+from cranberryscale.connection import entries
+from cranberryscale import errors
+from cranberryscale.version import subtrees
+from cranberryscale.version import view
+
+
+__all__ = ['InstanceList', 'PlatformClient', 'SubtreeList']
+
+ANSWER_LIMIT_BYTES = 64 << 20
+CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+# Answers take milliseconds; the rest is for a busy machine.
+ANSWER_GRACE = datetime.timedelta(seconds=0.5)
+# The protocol lets the service add up to wait/16 of jitter.
+JITTER_DIVISOR = 16
+
+
+class SubtreeList(NamedTuple):
+    """Hold the published subtrees.
+
+    `index` is what the next call passes on: 0 after it went backwards.
+    `is_stale` is set when the service says that it has no leader.
+    """
+
+    index: int
+    is_stale: bool
+    offers: tuple[subtrees.Offer, ...]
+
+
+class InstanceList(NamedTuple):
+    """Hold the published instances; `index` is as for SubtreeList."""
+
+    index: int
+    is_stale: bool
+    instances: view.View
+
+
+class _Answer(NamedTuple):
+    index: int
+    version: int
+    is_stale: bool
+    value: Any
+
+
+def _format_wait(wait: datetime.timedelta) -> str:
+    return f'{int(wait.total_seconds() * 1000)}ms'
+
+
+class PlatformClient:
+    """Read and watch what the platform publishes.
+
+    Calls raise PlatformUnavailable when the service does not answer or
+    answers with an error, and PlatformMalformed when the answer does not
+    follow the protocol. `calls` counts calls, answered or not. Thread-safe.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        prefix: str,
+        instance_service: str,
+        timer: clock.Clock | None = None,
+    ):
+        self.calls = 0
+        self._timer = timer or clock.SystemClock()
+        self._url = url.rstrip('/')
+        self._prefix = prefix.strip('/')
+        self._service = instance_service
+        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+
+    def watch_teams(self, index: int, wait: datetime.timedelta) -> SubtreeList:
+        """Wait for a change after `index`, without reading documents.
+
+        The answer names the teams only, since the service sends the whole
+        answer again when the wait is over.
+        """
+        answer = self._read(
+            f'/v1/kv/{self._prefix}/',
+            {'keys': '', 'separator': '/'},
+            index,
+            wait,
+            tuple[str, ...],
+        )
+        teams = (key.rstrip('/').rpartition('/')[2] for key in answer.value)
+        return SubtreeList(
+            answer.index,
+            answer.is_stale,
+            tuple(subtrees.Offer(team, {}) for team in teams),
+        )
+
+    def read_subtrees(
+        self,
+        index: int = 0,
+        wait: datetime.timedelta = datetime.timedelta(seconds=10),
+    ) -> SubtreeList:
+        """Return all subtrees, at once with index 0, else after a change."""
+        answer = self._read(
+            f'/v1/kv/{self._prefix}/',
+            {'recurse': ''},
+            index,
+            wait,
+            tuple[entries.KvEntry, ...],
+        )
+        offers = entries.group_entries(self._prefix, answer.value)
+        return SubtreeList(answer.index, answer.is_stale, offers)
+
+    def read_instances(
+        self,
+        index: int = 0,
+        wait: datetime.timedelta = datetime.timedelta(seconds=10),
+    ) -> InstanceList:
+        """Return the instance list, at once or after a change."""
+        answer = self._read(
+            f'/v1/health/service/{self._service}',
+            {},
+            index,
+            wait,
+            tuple[entries.HealthEntry, ...],
+        )
+        members = tuple(sorted(entries.make_members(answer.value)))
+        listed = view.View(answer.version, members)
+        return InstanceList(answer.index, answer.is_stale, listed)
+
+    def _read(
+        self,
+        path: str,
+        fields: dict[str, str],
+        index: int,
+        wait: datetime.timedelta,
+        kind: Any,
+    ) -> _Answer:
+        if index > 0:
+            fields |= {'index': str(index), 'wait': _format_wait(wait)}
+            limit = wait + wait / JITTER_DIVISOR + ANSWER_GRACE
+        else:
+            limit = ANSWER_GRACE + CONNECT_TIMEOUT
+        status, headers, body = self._fetch(path, fields, limit)
+        if status == 404:
+            body = b'[]'
+        elif status != 200:
+            raise errors.make_error(
+                'platform_unavailable', f'{path}: status {status}'
+            )
+        version = self._read_index(path, headers)
+        try:
+            value = msgspec.json.decode(body, type=kind)
+        except (ValueError, RecursionError) as error:
+            raise errors.make_error(
+                'platform_malformed', f'{path}: {error}'
+            ) from error
+        stale = headers.get('X-Consul-KnownLeader', 'true') == 'false'
+        return _Answer(
+            version if version >= index else 0, version, stale, value
+        )
+
+    def _read_index(self, path: str, headers: Any) -> int:
+        # An index below 1 would turn blocking queries into a busy loop.
+        text = headers.get('X-Consul-Index', '')
+        well_formed = text.isascii() and text.isdigit() and len(text) < 19
+        if not well_formed or int(text) < 1:
+            raise errors.make_error(
+                'platform_malformed', f'{path}: X-Consul-Index {text!r}'
+            )
+        return int(text)
+
+    def _fetch(
+        self, path: str, fields: dict[str, str], limit: datetime.timedelta
+    ) -> tuple[int, Any, bytes]:
+        self.calls += 1
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT.total_seconds(),
+            read=limit.total_seconds(),
+        )
+        try:
+            answer = self._pool.request(
+                'GET',
+                self._url + path,
+                fields=fields,
+                timeout=timeout,
+                redirect=False,
+                preload_content=False,
+            )
+            try:
+                body = self._read_body(path, answer, limit)
+            except BaseException:
+                answer.close()
+                raise
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise errors.make_error(
+                'platform_unavailable', f'{path}: {type(error).__name__}'
+            ) from error
+        answer.release_conn()
+        return answer.status, answer.headers, body
+
+    def _read_body(
+        self,
+        path: str,
+        answer: urllib3.BaseHTTPResponse,
+        limit: datetime.timedelta,
+    ) -> bytes:
+        # The pool's timeout bounds each read; a service that sends one byte
+        # at a time must not hold the caller for longer either.
+        until = self._timer.read_elapsed() + limit
+        body = bytearray()
+        while part := answer.read1(1 << 16):
+            body += part
+            if len(body) > ANSWER_LIMIT_BYTES:
+                raise errors.make_error(
+                    'platform_malformed', f'{path}: over 64 MiB'
+                )
+            if self._timer.read_elapsed() > until:
+                raise errors.make_error(
+                    'platform_unavailable', f'{path}: answer too slow'
+                )
+        return bytes(body)
--- a/cranberryscale/version/tables.py
+++ b/cranberryscale/version/tables.py
@@ -61,11 +61,11 @@
     'keys': Table(
         configuration.Key,
         {
-            'sha256': Field(Digest, True, 'digest'),
+            'digest': Field(Digest, True),
             'customer': Field(Name, True, refers_to='customers'),
             'withdrawn': Field(bool),
         },
-        'sha256',
+        'digest',
     ),
     'routes': Table(
         configuration.Route,
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,252 @@
+"""A stand-in for the platform's read-only services.
+
+Speaks the Consul protocol for KV reads, service health and blocking queries
+over a store in memory. Changes and faults come through methods of Store or
+through a control address of its own, since the product interface is
+read-only.
+"""
+
+import argparse
+import base64
+import http.server
+import json
+import pathlib
+import re
+import threading
+import time
+from typing import Any
+from typing import Mapping
+import urllib.parse
+
+from standins import store
+
+
+__all__ = ['load_values', 'main', 'make_control_server', 'make_server']
+
+# The protocol's defaults and limit for the wait of a blocking query.
+WAIT_DEFAULT_S = 300.0
+WAIT_LIMIT_S = 600.0
+UNITS_S = {'ms': 0.001, 's': 1.0, 'm': 60.0}
+
+
+def _parse_wait(text: str) -> float:
+    found = re.fullmatch(r'([0-9.]+)(ms|s|m)', text)
+    if not found:
+        raise ValueError(f'invalid wait {text!r}')
+    return min(float(found[1]) * UNITS_S[found[2]], WAIT_LIMIT_S)
+
+
+def _list_keys(
+    state: store.State, prefix: str, separator: str, faults: store.Faults
+) -> list[str]:
+    keys = set()
+    for key in _list_visible(state, prefix, faults):
+        rest = key[len(prefix) :]
+        cut = rest.find(separator) if separator else -1
+        end = len(rest) if cut < 0 else cut + len(separator)
+        keys.add(prefix + rest[:end])
+    return sorted(keys)
+
+
+def _list_visible(
+    state: store.State, prefix: str, faults: store.Faults
+) -> list[str]:
+    return [
+        key
+        for key in sorted(state.values)
+        if key.startswith(prefix)
+        and not key.endswith(faults.hidden or ('\0',))
+    ]
+
+
+def _list_entries(
+    state: store.State, prefix: str, faults: store.Faults
+) -> list[Mapping[str, Any]]:
+    bad = faults.malformed == 'base64'
+    rows = ((k, state.values[k]) for k in _list_visible(state, prefix, faults))
+    return [
+        {
+            'Key': key,
+            'Value': '*' if bad else base64.b64encode(value.encode()).decode(),
+            'Flags': 0,
+            'CreateIndex': index,
+            'ModifyIndex': index,
+        }
+        for key, (index, value) in rows
+    ]
+
+
+def _list_health(state: store.State) -> list[Mapping[str, Any]]:
+    return [
+        {
+            'Node': {'Address': entry.get('Address', '')},
+            'Service': {k: v for k, v in entry.items() if k != 'Checks'},
+            'Checks': entry.get('Checks', []),
+        }
+        for entry in state.instances
+    ]
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    published: store.Store
+
+    def log_message(self, format, *args):
+        """Keep the output free of access lines."""
+
+    def reply(self, status: int, body: Any, index: int | None = None) -> None:
+        """Send JSON, or text as it is."""
+        text = body if isinstance(body, str) else json.dumps(body)
+        data = text.encode()
+        self.send_response(status)
+        if index is not None:
+            self.send_header('X-Consul-Index', str(index))
+            self.send_header('X-Consul-KnownLeader', 'true')
+            self.send_header('X-Consul-LastContact', '0')
+        self.send_header('Content-Type', 'application/json')
+        self.send_header('Content-Length', str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+class _ReadHandler(_Handler):
+    def do_GET(self):
+        """Answer a read or a blocking query."""
+        url = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query, True))
+        try:
+            index = int(query.get('index', 0))
+            wait_s = _parse_wait(query.get('wait', f'{WAIT_DEFAULT_S}s'))
+        except ValueError as error:
+            self.reply(400, str(error))
+            return
+        path = urllib.parse.unquote(url.path)
+        kind, _, name = path.removeprefix('/v1/').partition('/')
+        if kind == 'kv':
+            state = self.published.wait_for_values(index, wait_s)
+            body = self._read_values(state, name, query)
+            self._answer(body, state.values_index)
+        elif kind == 'health' and name.startswith('service/'):
+            state = self.published.wait_for_instances(index, wait_s)
+            self._answer(_list_health(state), state.instances_index)
+        else:
+            self.reply(404, 'no such endpoint')
+
+    def _read_values(
+        self, state: store.State, name: str, query: Mapping[str, str]
+    ) -> list[Any] | None:
+        faults = self.published.faults
+        if 'keys' in query:
+            separator = query.get('separator', '')
+            return _list_keys(state, name, separator, faults) or None
+        rows = _list_entries(state, name, faults)
+        if 'recurse' not in query:
+            rows = [row for row in rows if row['Key'] == name]
+        return rows or None
+
+    def _answer(self, body: list[Any] | None, index: int) -> None:
+        faults = self.published.faults
+        if faults.slow_s:
+            time.sleep(faults.slow_s)
+        if faults.hang:
+            self.close_connection = True
+            time.sleep(WAIT_LIMIT_S)
+        elif faults.down:
+            self.reply(500, 'No cluster leader')
+        elif faults.malformed == 'json':
+            self.reply(200, '[{', index)
+        elif body is None:
+            self.reply(404, '', index)
+        else:
+            self.reply(200, body, 0 if faults.malformed == 'index' else index)
+
+
+class _ControlHandler(_Handler):
+    def do_GET(self):
+        """Return the number of calls and the faults."""
+        faults = self.published.faults._asdict()
+        self.reply(200, {'calls': self.published.calls, 'faults': faults})
+
+    def do_PUT(self):
+        """Set values, instances or faults from a JSON body."""
+        body = self.rfile.read(int(self.headers.get('Content-Length', 0)))
+        try:
+            data = json.loads(body)
+            match self.path:
+                case '/values':
+                    self.published.put_values(data)
+                case '/instances':
+                    self.published.put_instances(data)
+                case '/faults':
+                    hidden = tuple(data.pop('hidden', ()))
+                    self.published.set_faults(
+                        store.Faults(hidden=hidden, **data)
+                    )
+                case _:
+                    self.reply(404, 'no such endpoint')
+                    return
+        except (ValueError, TypeError, AttributeError) as error:
+            self.reply(400, str(error))
+            return
+        self.reply(200, {})
+
+    def do_DELETE(self):
+        """Remove the values under the prefix in the path."""
+        self.published.remove_values(self.path.removeprefix('/values/'))
+        self.reply(200, {})
+
+
+def _make(
+    base: type[_Handler], published: store.Store, port: int
+) -> http.server.ThreadingHTTPServer:
+    handler = type('Handler', (base,), {'published': published})
+    server = http.server.ThreadingHTTPServer(('127.0.0.1', port), handler)
+    server.daemon_threads = True
+    return server
+
+
+def make_server(
+    published: store.Store, port: int = 0
+) -> http.server.ThreadingHTTPServer:
+    """Return a server on loopback that answers reads from the store."""
+    return _make(_ReadHandler, published, port)
+
+
+def make_control_server(
+    published: store.Store, port: int = 0
+) -> http.server.ThreadingHTTPServer:
+    """Return a server on loopback that changes the store."""
+    return _make(_ControlHandler, published, port)
+
+
+def load_values(
+    directory: pathlib.Path, prefix: str = 'cranberryscale'
+) -> dict[str, str]:
+    """Return the documents of a directory of subtrees as values."""
+    return {
+        f'{prefix}/{path.relative_to(directory).as_posix()}': (
+            path.read_text('utf-8')
+        )
+        for path in sorted(directory.glob('*/*.toml'))
+    }
+
+
+def main() -> None:
+    """Serve a directory of documents and an instance list until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--control-port', type=int, default=0)
+    parser.add_argument('--documents', type=pathlib.Path, required=True)
+    parser.add_argument('--instances', type=pathlib.Path, required=True)
+    options = parser.parse_args()
+    published = store.Store()
+    published.put_values(load_values(options.documents))
+    published.put_instances(json.loads(options.instances.read_text('utf-8')))
+    control = make_control_server(published, options.control_port)
+    threading.Thread(target=control.serve_forever, daemon=True).start()
+    print(f'control=127.0.0.1:{control.server_port}', flush=True)
+    make_server(published, options.port).serve_forever()
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -17,7 +17,7 @@
 rate_per_s = 5
 burst_requests = 10
 [[keys]]
-sha256 = "%s"
+digest = "%s"
 customer = "c"
 [[routes]]
 name = "r"
@@ -70,7 +70,7 @@
         ('[fleet]', '[[fleet]]', 'must be written as [fleet]'),
         ('[[domains]]', '[domains]', 'must be written as [[domains]]'),
         ('address = "127.0.0.1:9"', 'address = "127.0.0.1:0"', 'port'),
-        ('sha256 = "a', 'sha256 = "A', 'regex'),
+        ('digest = "a', 'digest = "A', 'regex'),
         ('[[domains]]', 'x = """\n[[domains]]\n"""\n[[domains]]', "'x'"),
     ],
 )
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,275 @@
+"""Guard the client and the stand-in of the platform's protocol.
+
+One table of cases runs with plain HTTP calls and through the client, so
+that both sides are held to the protocol and not to each other.
+"""
+
+import base64
+import contextlib
+import datetime
+import json
+import threading
+import time
+
+import pytest
+import urllib3
+
+from cranberryscale.connection import platform
+from cranberryscale import errors
+from cranberryscale.version import subtrees
+from cranberryscale.version import view
+from standins import platform as standin
+from standins import store
+
+
+VALUES = {
+    'cranberryscale/net/manifest.toml': 'version = 1',
+    'cranberryscale/net/a.toml': '# ç',
+    'cranberryscale-other/net/a.toml': 'x',
+}
+INSTANCES = [
+    {
+        'ID': name,
+        'Address': '127.0.0.1',
+        'Port': 9000,
+        'Meta': {
+            'domain': 'd',
+            'callers': '127.0.0.1:9001',
+            'operators': '127.0.0.1:9002',
+            **extra,
+        },
+        'Checks': checks,
+    }
+    for name, extra, checks in (
+        ('i2', {'leaving': 'true'}, []),
+        ('i1', {}, [{'Name': 'leaving', 'Status': 'passing'}]),
+        ('i3', {}, [{'Name': 'leaving', 'Status': 'critical'}]),
+        ('i4', {'domain': ''}, []),
+    )
+]
+SHORT = datetime.timedelta(seconds=0.2)
+
+
+@contextlib.contextmanager
+def serve(make, published):
+    """Serve a store on loopback; yield the URL."""
+    server = make(published)
+    threading.Thread(
+        target=server.serve_forever, args=(0.02,), daemon=True
+    ).start()
+    try:
+        yield f'http://127.0.0.1:{server.server_port}'
+    finally:
+        published.stop()
+        server.shutdown()
+        server.server_close()
+
+
+@pytest.fixture
+def published():
+    """Return a store with subtrees and instances."""
+    made = store.Store()
+    made.put_values(VALUES)
+    made.put_instances(INSTANCES)
+    return made
+
+
+@pytest.fixture
+def url(published):
+    """Serve the store for reads."""
+    with serve(standin.make_server, published) as address:
+        yield address
+
+
+@pytest.fixture
+def client(url):
+    """Return a client of the stand-in."""
+    return platform.PlatformClient(url, 'cranberryscale', 'cranberryscale')
+
+
+def read_plainly(url, kind, index, wait_s=0.2):
+    """Return status, index and decoded body of a plain call."""
+    path, fields = {
+        'subtrees': ('/v1/kv/cranberryscale/', {'recurse': ''}),
+        'teams': ('/v1/kv/cranberryscale/', {'keys': '', 'separator': '/'}),
+        'instances': ('/v1/health/service/cranberryscale', {}),
+    }[kind]
+    if index:
+        fields = {**fields, 'index': str(index), 'wait': f'{wait_s}s'}
+    answer = urllib3.request('GET', url + path, fields=fields, retries=False)
+    body = json.loads(answer.data) if answer.status == 200 else None
+    return answer.status, int(answer.headers.get('X-Consul-Index', 0)), body
+
+
+def read_by_client(client, kind, index, wait=SHORT):
+    """Return the client's answer of one kind."""
+    read = {
+        'subtrees': client.read_subtrees,
+        'teams': client.watch_teams,
+        'instances': client.read_instances,
+    }[kind]
+    return read(index, wait)
+
+
+def change(published, kind):
+    """Publish something that changes answers of one kind."""
+    if kind == 'instances':
+        published.put_instances(INSTANCES[:1])
+    else:
+        published.put_values({'cranberryscale/net/a.toml': 'y'})
+
+
+KINDS = ('subtrees', 'teams', 'instances')
+# What is waited for: index relative to the current one, published meanwhile,
+# wait, least and most seconds. Answers that must not wait have the whole
+# wait as their bound, so that a busy machine changes nothing.
+WAITS = (
+    (None, False, 2, 0, 1.9),
+    (0, False, 0.2, 0.19, 2),
+    (0, True, 2, 0.05, 1.9),
+    (-1, False, 2, 0, 1.9),
+)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize(('offset', 'publish', 'wait_s', 'low', 'high'), WAITS)
+@pytest.mark.parametrize('plain', [True, False])
+def test_blocking_query(
+    published, url, client, kind, offset, publish, wait_s, low, high, plain
+):
+    """A watch must wake on a change, and no sooner or later."""
+    current = read_plainly(url, kind, 0)[1]
+    index = 0 if offset is None else current + offset
+    if publish:
+        timer = threading.Timer(0.08, change, (published, kind))
+        timer.start()
+    started = time.monotonic()
+    if plain:
+        found = read_plainly(url, kind, index, wait_s)[1]
+    else:
+        found = read_by_client(
+            client, kind, index, datetime.timedelta(seconds=wait_s)
+        ).index
+    assert low <= time.monotonic() - started <= high
+    if publish:
+        timer.join()
+        assert found > current
+    else:
+        assert found == current
+
+
+def test_subtrees_are_grouped_and_ordered(client, url):
+    """A key outside the prefix must not become a document."""
+    (offer,) = client.read_subtrees().offers
+    texts = {'manifest.toml': 'version = 1', 'a.toml': '# ç'}
+    assert offer == subtrees.Offer('net', texts, 2)
+    rows = read_plainly(url, 'subtrees', 0)[2]
+    assert {
+        row['Key']: base64.b64decode(row['Value']).decode() for row in rows
+    } == {k: v for k, v in VALUES.items() if k.startswith('cranberryscale/')}
+    assert [o.team for o in client.watch_teams(0, SHORT).offers] == ['net']
+
+
+def test_instances_become_a_view(client):
+    """A wrong registration must not hide the other instances."""
+    listed = client.read_instances()
+    assert listed.instances.version == listed.index
+    assert listed.instances.members == tuple(
+        view.Member(
+            name, 'd', '127.0.0.1:9000', '127.0.0.1:9001', '127.0.0.1:9002', x
+        )
+        for name, x in (('i1', False), ('i2', True), ('i3', True))
+    )
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize(
+    ('faults', 'code'),
+    [
+        (store.Faults(down=True), 'platform_unavailable'),
+        (store.Faults(hang=True), 'platform_unavailable'),
+        (store.Faults(slow_s=3), 'platform_unavailable'),
+        (store.Faults(malformed='json'), 'platform_malformed'),
+        (store.Faults(malformed='index'), 'platform_malformed'),
+    ],
+)
+def test_faults_are_typed(published, client, kind, faults, code):
+    """A failing platform must neither hang nor crash an instance."""
+    published.set_faults(faults)
+    started = time.monotonic()
+    with pytest.raises(errors.ConfigurationError) as caught:
+        read_by_client(client, kind, 1)
+    assert caught.value.code == code
+    assert time.monotonic() - started < 2
+    assert client.calls == published.calls == 1
+    published.set_faults(store.Faults())
+    assert read_by_client(client, kind, 0).index
+
+
+def test_values_that_do_not_decode(published, client):
+    """Damage in transit is the platform's, a bad value is its team's."""
+    published.set_faults(store.Faults(malformed='base64'))
+    with pytest.raises(errors.ConfigurationError) as caught:
+        client.read_subtrees()
+    assert caught.value.code == 'platform_malformed'
+    published.set_faults(store.Faults())
+    large = 'x' * ((1 << 20) + 1)
+    published.put_values({'cranberryscale/net/a.toml': large})
+    assert client.read_subtrees().offers[0].documents == {
+        'manifest.toml': 'version = 1'
+    }
+
+
+def test_index_that_goes_back_starts_anew(published, client):
+    """After a restore the index may fall; a watch must not wait forever."""
+    published.set_faults(store.Faults(is_stale=True))
+    published.put_values({'cranberryscale/net/a.toml': 'y'})
+    published.set_faults(store.Faults())
+    latest = client.read_subtrees().index
+    assert client.read_subtrees(latest + 5, SHORT).index == 0
+
+
+def test_stale_partial_and_lagging_answers(published, client):
+    """The stand-in must show the faults that the design has to bear."""
+    published.set_faults(
+        store.Faults(is_stale=True, hidden=('manifest.toml',))
+    )
+    published.put_values({'cranberryscale/net/a.toml': 'new'})
+    assert client.read_subtrees().offers[0].documents == {'a.toml': '# ç'}
+    published.set_faults(store.Faults(list_lag_s=0.3))
+    time.sleep(0.35)
+    published.put_instances([])
+    assert len(client.read_instances().instances.members) == 3
+    time.sleep(0.35)
+    assert client.read_instances().instances.members == ()
+
+
+def test_missing_prefix_is_empty(client, published):
+    """Before the first publication there is nothing, which is no fault."""
+    published.remove_values('cranberryscale/')
+    assert client.read_subtrees().offers == ()
+
+
+def test_unreachable_platform_is_typed():
+    """An address nobody listens on must be a typed error."""
+    client = platform.PlatformClient('http://127.0.0.1:1', 'a', 'b')
+    with pytest.raises(errors.ConfigurationError) as caught:
+        client.read_subtrees()
+    assert caught.value.code == 'platform_unavailable'
+
+
+def test_control_address(published):
+    """A local fleet's operators need a way to publish."""
+    with serve(standin.make_control_server, published) as url:
+        for path, body in (
+            ('/values', {'cranberryscale/a/b.toml': 'z'}),
+            ('/instances', []),
+            ('/faults', {'down': True, 'hidden': ['x']}),
+        ):
+            answer = urllib3.request('PUT', url + path, json=body)
+            assert answer.status == 200
+        assert published.faults == store.Faults(down=True, hidden=('x',))
+        assert urllib3.request('PUT', url + '/faults', json=1).status == 400
+        urllib3.request('DELETE', url + '/values/cranberryscale/a/')
+        answer = urllib3.request('GET', url + '/')
+        assert json.loads(answer.data)['calls'] == 0
