--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -15,6 +15,8 @@
 
 __all__ = [
     'PROTOCOL_VERSION',
+    'ConfirmationPull',
+    'ConfirmationReply',
     'Done',
     'Failure',
     'FetchSubtrees',
@@ -122,6 +124,30 @@
     subtrees: tuple[SubtreeRecord, ...]
 
 
+class ConfirmationPull(NamedTuple):
+    """Ask how old the receiver's confirmation is.
+
+    `versions_digest` stands for the subtree versions in force at the sender.
+    `confirmed_age_ds` (tenths of a second, -1 for never) is a hint only,
+    since nobody knows how long a call was on its way.
+    """
+
+    versions_digest: int
+    confirmed_age_ds: int
+
+
+class ConfirmationReply(NamedTuple):
+    """Tell how old the sender's confirmation is and whose it was first.
+
+    `subtree_versions` is empty if they are those of the pull.
+    """
+
+    confirmed_age_ds: int
+    source: str
+    versions_digest: int
+    subtree_versions: dict[str, int]
+
+
 class TakeTokens(NamedTuple):
     """Ask the holder of a share for tokens of a customer's budget.
 
@@ -295,6 +321,8 @@
     18: PoolSummaryReply,
     19: Done,
     20: Failure,
+    21: ConfirmationPull,
+    22: ConfirmationReply,
 }
 _TAG_OF = {kind: tag for tag, kind in _TAGS.items()}
 _DECODERS = {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TAGS.items()}
--- /dev/null
+++ b/cranberryscale/process/readers.py
@@ -0,0 +1,101 @@
+"""Who reads the configuration service, and the tree below the readers.
+
+Two live members of each failure domain read. Everybody computes this from
+the instance list and its own suspicions; members that differ for a while
+only cause a few more calls.
+"""
+
+import functools
+from typing import Iterator
+from typing import NamedTuple
+
+from cranberryscale.version import view
+
+
+__all__ = ['FAN_OUT', 'Layout', 'find_layout']
+
+READERS_PER_DOMAIN = 2
+FAN_OUT = 16
+STAND_BYS = 4
+
+
+class Layout(NamedTuple):
+    """Hold the live members of each failure domain in reading order."""
+
+    ranks: tuple[tuple[str, tuple[str, ...]], ...]
+
+    @property
+    def readers(self) -> tuple[str, ...]:
+        """Return the readers of all failure domains."""
+        return tuple(
+            name
+            for _, names in self.ranks
+            for name in names[:READERS_PER_DOMAIN]
+        )
+
+    @property
+    def depth(self) -> int:
+        """Return the number of levels below the readers."""
+        size = max((len(names) for _, names in self.ranks), default=0)
+        return sum(1 for start, _ in _list_levels(size) if start)
+
+    def find_rank(self, domain: str, name: str) -> tuple[int, int]:
+        """Return the member's rank and how many live members there are.
+
+        Leaving members have no rank and come after all others.
+        """
+        names = dict(self.ranks).get(domain, ())
+        if name in names:
+            return names.index(name), len(names)
+        return len(names), len(names) + 1
+
+    def list_readers(self, domain: str) -> tuple[str, ...]:
+        """Return the readers of one failure domain."""
+        return dict(self.ranks).get(domain, ())[:READERS_PER_DOMAIN]
+
+    def list_parents(self, domain: str, name: str) -> tuple[str, ...]:
+        """Return the parent in the tree and then its stand-bys.
+
+        Stand-bys are on the parent's level, so that the load stays spread;
+        empty for a reader.
+        """
+        names = dict(self.ranks).get(domain, ())
+        rank, _ = self.find_rank(domain, name)
+        levels = list(_list_levels(rank + 1))
+        if len(levels) < 2:
+            return ()
+        (above, end), (start, _) = levels[-2:]
+        level = names[above:end]
+        if not level:
+            return ()
+        # Spread over the whole level above, so that the second reader
+        # carries half of a small failure domain.
+        first = (rank - start) % len(level)
+        return (level[first:] + level[:first])[:STAND_BYS]
+
+
+def _list_levels(size: int) -> Iterator[tuple[int, int]]:
+    start, width = 0, READERS_PER_DOMAIN
+    while start < size:
+        yield start, start + width
+        start, width = start + width, width * FAN_OUT
+
+
+@functools.lru_cache(maxsize=64)
+def find_layout(listed: view.View, suspected: frozenset[str]) -> Layout:
+    """Return the layout of the members that live and stay."""
+    return Layout(
+        tuple(
+            (
+                domain,
+                tuple(
+                    member.name
+                    for member in view.rank_members(
+                        listed, view.Resource(domain, 'reader', '')
+                    )
+                    if not member.leaving and member.name not in suspected
+                ),
+            )
+            for domain in listed.domains
+        )
+    )
--- a/cranberryscale/version/tree.py
+++ b/cranberryscale/version/tree.py
@@ -5,6 +5,7 @@
 looks the same.
 """
 
+import hashlib
 from typing import Iterable
 from typing import Iterator
 from typing import Mapping
@@ -61,6 +62,12 @@
     version: int
 
 
+def _digest_versions(versions: Mapping[str, int]) -> int:
+    text = '\0'.join(f'{team}={versions[team]}' for team in sorted(versions))
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big') >> 1
+
+
 Outcome = Acceptance | Refusal | NeedAll
 
 
@@ -73,6 +80,7 @@
         self._history: dict[str, dict[int, Mapping[str, str]]] = {}
         self._refused: dict[str, Refusal] = {}
         self._configuration = configuration.Configuration()
+        self._digest = _digest_versions({})
 
     @property
     def configuration(self) -> configuration.Configuration:
@@ -84,6 +92,11 @@
         """Return the version in force of each team."""
         return self._configuration.versions
 
+    @property
+    def versions_digest(self) -> int:
+        """Return 63 bits that stand for the versions in force."""
+        return self._digest
+
     def is_newer(self, offered: Mapping[str, int]) -> bool:
         """Tell whether a peer has a subtree version that is not in force."""
         return any(
@@ -175,14 +188,14 @@
 
     def _judge(self, offers: Iterable[subtrees.Offer]) -> Iterator[Outcome]:
         candidates: dict[str, subtrees.Subtree] = {}
-        for offer in offers:
-            match self._judge_alone(offer):
-                case subtrees.Subtree() as found:
-                    rival = candidates.get(found.team)
-                    if not rival or rival.version < found.version:
-                        candidates[found.team] = found
-                case Refusal() as refusal:
-                    yield refusal
+        for judged in map(self._judge_alone, offers):
+            match judged:
+                case subtrees.Subtree(team=team):
+                    rival = candidates.get(team)
+                    if not rival or rival.version < judged.version:
+                        candidates[team] = judged
+                case Refusal():
+                    yield judged
         yield from self._judge_together(candidates)
 
     def _judge_alone(
@@ -230,12 +243,12 @@
         outcomes = [
             Acceptance(
                 team,
-                candidate.manifest.owner,
-                candidate.manifest.changed_by,
+                found.manifest.owner,
+                found.manifest.changed_by,
                 self.versions.get(team, 0),
-                candidate.version,
+                found.version,
             )
-            for team, candidate in sorted(candidates.items())
+            for team, found in sorted(candidates.items())
         ]
         if candidates:
             self._put_in_force(candidates, new)
@@ -250,6 +263,7 @@
         merged = self._groups | groups
         self._configuration = resolution.merge(accepted, merged)
         self._accepted, self._groups = accepted, merged
+        self._digest = _digest_versions(self.versions)
         for team, candidate in candidates.items():
             history = self._history.setdefault(team, {})
             history[candidate.version] = candidate.manifest.documents
