--- /dev/null
+++ b/cranberryscale/process/permits.py
@@ -0,0 +1,96 @@
+"""Permits in use at the backend servers of one pool."""
+
+import collections
+from collections.abc import Iterator
+import heapq
+from typing import NamedTuple
+
+
+__all__ = ['Ledger', 'Permit']
+
+
+class Permit(NamedTuple):
+    """Describe a permit in use.
+
+    `is_ended` marks a permit whose request ended at the entry instance but
+    may still run at the backend server.
+    """
+
+    permit_id: str
+    server: str
+    sender: str
+    granted_s: float
+    expires_s: float
+    is_trial: bool = False
+    is_ended: bool = False
+
+
+class Ledger:
+    """Count permits by server and instance until they end or expire."""
+
+    def __init__(self) -> None:
+        self._permits: dict[str, Permit] = {}
+        self._by_server: dict[str, dict[str, Permit]] = {}
+        self._by_sender: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._expiries: list[tuple[float, str]] = []
+        self._heard_s: dict[str, float] = {}
+
+    def note_sender(self, sender: str, now_s: float) -> None:
+        """Record a sign of life of an entry instance."""
+        self._heard_s[sender] = now_s
+
+    def add(self, permit: Permit) -> None:
+        """Add or replace a permit."""
+        self.remove(permit.permit_id)
+        self._permits[permit.permit_id] = permit
+        self._by_server.setdefault(permit.server, {})[permit.permit_id] = (
+            permit
+        )
+        self._by_sender[permit.server, permit.sender] += 1
+        heapq.heappush(self._expiries, (permit.expires_s, permit.permit_id))
+
+    def find(self, permit_id: str) -> Permit | None:
+        """Return the permit, or None when it has ended or expired."""
+        return self._permits.get(permit_id)
+
+    def remove(self, permit_id: str) -> Permit | None:
+        """Remove and return the permit, None when there is none."""
+        permit = self._permits.pop(permit_id, None)
+        if permit:
+            del self._by_server[permit.server][permit_id]
+            key = (permit.server, permit.sender)
+            self._by_sender[key] -= 1
+            if not self._by_sender[key]:
+                del self._by_sender[key]
+        return permit
+
+    def expire(self, now_s: float) -> list[Permit]:
+        """Remove and return the permits whose deadline has passed."""
+        expired = []
+        while self._expiries and self._expiries[0][0] <= now_s:
+            permit = self._permits.get(heapq.heappop(self._expiries)[1])
+            if permit and permit.expires_s <= now_s:
+                expired.append(self.remove(permit.permit_id))
+        return expired
+
+    def count(self, server: str) -> int:
+        """Return the permits in use at a server over all instances."""
+        return len(self._by_server.get(server, ()))
+
+    def count_at(self, server: str, sender: str) -> int:
+        """Return the permits that one instance has in use at a server."""
+        return self._by_sender.get((server, sender), 0)
+
+    def list_ages(self, server: str) -> Iterator[float]:
+        """Yield for how long each running request has not been reported.
+
+        Ages end at the instance's last sign of life, so that a dead or
+        paused instance is no evidence against a server.
+        """
+        return (
+            self._heard_s.get(permit.sender, 0.0) - permit.granted_s
+            for permit in self._by_server.get(server, {}).values()
+            if not permit.is_ended
+        )
--- /dev/null
+++ b/cranberryscale/process/pools.py
@@ -0,0 +1,221 @@
+"""Permits of one pool: the backend servers of a service in one domain.
+
+Times inside are float seconds, since every request reads them many times;
+the interface takes datetime.timedelta.
+"""
+
+import datetime
+import random as random_module
+from typing import Any
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.process import ejections
+from cranberryscale.process import queue
+from cranberryscale.process import slots
+from cranberryscale.process import tenures
+from cranberryscale.version import configuration as configurations
+
+
+__all__ = ['PoolHolder', 'PoolTerms', 'Queued', 'Resolved']
+
+PoolTerms = tenures.PoolTerms
+Resolved = tenures.Resolved
+
+_NO_HOLDER_RETRY_S = 0.25
+
+
+class Queued(NamedTuple):
+    """Say that the answer comes later, as a Resolved with this ticket."""
+
+    ticket: int
+
+
+class PoolHolder:
+    """Decide on a pool while this instance holds its lease.
+
+    Every method that may grant takes the current lease (attributes `since`
+    and `until`) or None. When `since` changes, all state is dropped and a
+    survey of the members begins. Call `advance` at least every 0.1 s.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        domain: str,
+        random: random_module.Random,
+        terms: PoolTerms = PoolTerms(),
+    ):
+        self._service = service
+        self._domain = domain
+        self._random = random
+        self._terms = terms
+        self._configuration = configurations.Configuration()
+        self._members: frozenset[str] = frozenset()
+        self._removed_s: dict[str, float] = {}
+        self._remotes: dict[str, ejections.Remote] = {}
+        self._tenure: tenures.Tenure | None = None
+        self._next_ticket = 1
+        self._resolved: list[Resolved] = []
+
+    def load_servers(
+        self,
+        configuration: configurations.Configuration,
+        now: datetime.timedelta,
+    ) -> None:
+        """Replace the configuration; servers that are out get no permit."""
+        self._configuration = configuration
+        if self._tenure:
+            self._load_tenure(self._tenure, now.total_seconds())
+
+    def load_members(
+        self, members: frozenset[str], now: datetime.timedelta
+    ) -> None:
+        """Replace the names of the instances that may hold permits."""
+        now_s = now.total_seconds()
+        limit_s = self._terms.request_limit.total_seconds()
+        self._removed_s = {
+            name: removed_s
+            for name, removed_s in self._removed_s.items()
+            if now_s - removed_s < limit_s and name not in members
+        } | {name: now_s for name in self._members - members}
+        self._members = members
+
+    def list_unsurveyed(
+        self, lease: Any, now: datetime.timedelta
+    ) -> tuple[str, ...]:
+        """Return the members to send SurveyPool to, this one included."""
+        tenure = self._find_tenure(lease, now)
+        if tenure is None:
+            return ()
+        return tenure.survey.list_pending(now.total_seconds())
+
+    def take_survey(
+        self,
+        sender: str,
+        reply: messages.SurveyReply,
+        lease: Any,
+        now: datetime.timedelta,
+    ) -> tuple[Resolved, ...]:
+        """Add a member's permits in use.
+
+        Pass only replies to questions asked under this lease.
+        """
+        tenure = self._find_tenure(lease, now)
+        if tenure is not None:
+            tenure.take_survey(sender, reply, now.total_seconds())
+        return self._collect(tenure, now)
+
+    def request_permit(
+        self,
+        request: messages.TakePermit,
+        sender: str,
+        lease: Any,
+        now: datetime.timedelta,
+    ) -> messages.PermitGrant | messages.PermitDenial | Queued:
+        """Grant, deny or queue a permit for the sending instance."""
+        tenure = self._find_tenure(lease, now)
+        if tenure is None:
+            return messages.PermitDenial(
+                'pool_unavailable', _NO_HOLDER_RETRY_S
+            )
+        ticket, self._next_ticket = self._next_ticket, self._next_ticket + 1
+        now_s = now.total_seconds()
+        remaining_s = request.remaining_s * (1 + self._terms.drift_ratio)
+        entry = queue.Entry(
+            now_s + remaining_s, ticket, now_s, sender, request
+        )
+        reply = tenure.request_permit(entry, now_s)
+        return Queued(ticket) if reply is None else reply
+
+    def finish_permit(
+        self,
+        report: messages.PermitReport,
+        sender: str,
+        lease: Any,
+        now: datetime.timedelta,
+    ) -> tuple[Resolved, ...]:
+        """Take a report and return the queued requests now answered."""
+        tenure = self._find_tenure(lease, now)
+        if tenure is not None:
+            tenure.finish_permit(report, sender, now.total_seconds())
+        return self._collect(tenure, now)
+
+    def advance(
+        self, lease: Any, now: datetime.timedelta
+    ) -> tuple[Resolved, ...]:
+        """Expire, weigh evidence and return the requests now answered."""
+        return self._collect(self._find_tenure(lease, now), now)
+
+    def cancel_ticket(self, ticket: int) -> None:
+        """Forget a queued request whose instance no longer waits."""
+        if self._tenure:
+            self._tenure.cancel(ticket)
+
+    def take_summary(
+        self,
+        domain: str,
+        reply: messages.PoolSummaryReply,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take the evidence of another domain's holder of the service."""
+        self._remotes[domain] = ejections.Remote(
+            now.total_seconds(), reply.servers
+        )
+
+    def summarize(self, now: datetime.timedelta) -> messages.PoolSummaryReply:
+        """Return recent evidence for the service's other pool holders."""
+        if self._tenure is None:
+            return messages.PoolSummaryReply(())
+        return self._tenure.summarize(now.total_seconds())
+
+    def status(
+        self, lease: Any, now: datetime.timedelta
+    ) -> tuple[slots.ServerStatus, ...]:
+        """Return the state of each server and its reason."""
+        tenure = self._find_tenure(lease, now)
+        return tenure.status(now.total_seconds()) if tenure else ()
+
+    def _load_tenure(self, tenure: tenures.Tenure, now_s: float) -> None:
+        servers = self._configuration.list_pool(self._service, self._domain)
+        out = frozenset(
+            server.name
+            for server in servers
+            if self._configuration.is_server_out(server)
+        )
+        service = self._configuration.services.get(
+            self._service, configurations.Service(self._service)
+        )
+        tenure.load(service, servers, out, now_s)
+
+    def _find_tenure(
+        self, lease: Any, now: datetime.timedelta
+    ) -> tenures.Tenure | None:
+        """Return the state under this lease, new if the lease is."""
+        old = self._tenure
+        if lease is not None and lease.until <= now:
+            lease = None
+        if old is not None and (lease is None or lease.since != old.since):
+            self._resolved.extend(old.close())
+            self._tenure = None
+        if lease is None:
+            return None
+        if self._tenure is None:
+            self._tenure = tenures.Tenure(
+                lease.since,
+                self._members | frozenset(self._removed_s),
+                self._remotes,
+                f'{self._random.getrandbits(48):012x}',
+                self._terms,
+            )
+            self._load_tenure(self._tenure, now.total_seconds())
+        self._tenure.until_s = lease.until.total_seconds()
+        return self._tenure
+
+    def _collect(
+        self, tenure: tenures.Tenure | None, now: datetime.timedelta
+    ) -> tuple[Resolved, ...]:
+        closed, self._resolved = tuple(self._resolved), []
+        if tenure is None:
+            return closed
+        return closed + tuple(tenure.advance(now.total_seconds()))
--- /dev/null
+++ b/cranberryscale/process/slots.py
@@ -0,0 +1,157 @@
+"""Free slots of a pool's backend servers and the choice among them."""
+
+import math
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.process import ejections
+from cranberryscale.process import permits
+from cranberryscale.process import standings
+from cranberryscale.process import survey
+
+
+__all__ = ['ServerStatus', 'Slots']
+
+# Latencies within half a natural logarithm count as equal, so that servers
+# of equal load take turns and all of them give evidence.
+_LATENCY_STEP = 2.0
+# Estimates need this many recent completions.
+_LEAST_COUNT = 10
+
+
+class ServerStatus(NamedTuple):
+    """Describe a backend server to operators.
+
+    `state` is "in use", "ejected", "trial", "cold" or "out"; `limit` is how
+    many requests may run now, `assumed` how many are assumed to run for
+    members that have not replied to the survey.
+    """
+
+    server: str
+    state: str
+    reason: str
+    running: int
+    assumed: int
+    limit: int
+    slots: int
+    evidence: float
+
+
+class Slots:
+    """Combine ramps, permits in use, the survey and ejections."""
+
+    def __init__(
+        self,
+        ledger: permits.Ledger,
+        survey_: survey.Survey,
+        ejections_: ejections.Ejections,
+    ):
+        self._ledger = ledger
+        self._survey = survey_
+        self._ejections = ejections_
+
+    def count_free(self, record: standings.Record, now_s: float) -> int:
+        """Return how many more requests the server may run."""
+        slots = record.server.slots
+        limit = record.ramp.limit
+        if self._survey.is_open(now_s):
+            limit = min(
+                limit, slots - self._survey.count_assumed(slots, now_s)
+            )
+        return limit - self._ledger.count(record.server.name)
+
+    def choose(
+        self, request: messages.TakePermit, sender: str, now_s: float
+    ) -> standings.Record | None:
+        """Return the least loaded server in use, None without a free slot."""
+        best, best_key = None, None
+        for record in self._ejections.records.values():
+            if not record.is_used or not self._may_use(
+                record, request, sender
+            ):
+                continue
+            free = self.count_free(record, now_s)
+            if free <= 0:
+                continue
+            step = round(_LATENCY_STEP * record.evidence.latency.mean)
+            key = (record.is_kept, -free, step, record.last_granted_s)
+            if best_key is None or key < best_key:
+                best, best_key = record, key
+        return best
+
+    def choose_trial(
+        self, request: messages.TakePermit, sender: str, now_s: float
+    ) -> standings.Record | None:
+        """Return an ejected server to try, within the pool's budget.
+
+        A trial never uses a slot that an earlier request may still have.
+        """
+        if not request.probe_ok:
+            return None
+        return next(
+            (
+                record
+                for record in self._ejections.find_trial(now_s)
+                if self._may_use(record, request, sender)
+                and not self._ledger.count(record.server.name)
+                and self.count_free(record, now_s) > 0
+            ),
+            None,
+        )
+
+    def _may_use(
+        self,
+        record: standings.Record,
+        request: messages.TakePermit,
+        sender: str,
+    ) -> bool:
+        name = record.server.name
+        return name not in request.excluded and self._ledger.count_at(
+            name, sender
+        ) < survey.count_half(record.server.slots)
+
+    def estimate_service_s(self, now_s: float) -> float:
+        """Return the usual latency of the pool, 0 while unknown."""
+        known = [
+            r.evidence.latency
+            for r in self._ejections.records.values()
+            if r.is_used and r.evidence.latency.count(now_s) >= _LEAST_COUNT
+        ]
+        if not known:
+            return 0.0
+        return math.exp(sum(latency.mean for latency in known) / len(known))
+
+    def estimate_wait_s(self, ahead: int, now_s: float) -> float:
+        """Return how long a request waits behind `ahead` others."""
+        limit = sum(
+            r.ramp.limit for r in self._ejections.records.values() if r.is_used
+        )
+        return (ahead + 1) * self.estimate_service_s(now_s) / max(1, limit)
+
+    def list_status(self, now_s: float) -> tuple[ServerStatus, ...]:
+        """Return the state of each server, for operators."""
+        return tuple(
+            self._describe(record, now_s)
+            for record in self._ejections.records.values()
+        )
+
+    def _describe(
+        self, record: standings.Record, now_s: float
+    ) -> ServerStatus:
+        state, reason = record.state, record.reason
+        if record.is_out:
+            state, reason = 'out', 'taken out by operators'
+        elif state == 'in use' and record.ramp.is_cold:
+            state = 'cold'
+            reason = reason if record.is_kept else record.ramp.reason
+        slots = record.server.slots
+        return ServerStatus(
+            record.server.name,
+            state,
+            reason,
+            self._ledger.count(record.server.name),
+            self._survey.count_assumed(slots, now_s),
+            0 if state in ('out', 'ejected') else record.ramp.limit,
+            slots,
+            round(record.score, 3),
+        )
--- /dev/null
+++ b/cranberryscale/process/standings.py
@@ -0,0 +1,155 @@
+"""Standing of one backend server: in use, ejected or on trial."""
+
+from collections.abc import Iterable
+
+from cranberryscale import messages
+from cranberryscale.process import evidence
+from cranberryscale.process import ramps
+from cranberryscale.version import configuration
+
+
+__all__ = ['UNKNOWN_USUAL_S', 'Record']
+
+FIRST_OUT_S = 4.0
+MOST_DOUBLINGS = 6
+# A returned server that stays in use for this multiple of its last time out
+# counts as steady again.
+STEADY_FACTOR = 10
+
+# A server that still fails 30% passes with probability 0.7**6 = 12%, and is
+# then ejected again with a doubled time.
+TRIALS_NEEDED = 6
+TRIAL_SLOW_FACTOR = 4.0
+
+# A cold server is slower by nature; while a server that this holder itself
+# ramps up is cold, its latency is compared with this multiple.
+COLD_FACTOR = 3.0
+
+# A server that goes on reporting itself as cold after a ramp is not believed
+# again for this long, since the hint may be wrong.
+HINT_EVERY_S = 60.0
+
+# Latency to compare with before anything is known.
+UNKNOWN_USUAL_S = 1.0
+SEVERITY_WEIGHT = 0.1
+
+
+class Record:
+    """Hold the standing of one backend server."""
+
+    def __init__(
+        self, server: configuration.BackendServer, is_out: bool, now_s: float
+    ):
+        self.server = server
+        self.is_out = is_out
+        self.ramp = ramps.Ramp(server, 'new', now_s)
+        self.evidence = evidence.ServerEvidence()
+        self.usual = evidence.Baseline(UNKNOWN_USUAL_S, 0.0)
+        self.state = 'in use'
+        self.reason = ''
+        self.until_s = 0.0
+        self.out_s = 0.0
+        self.returned_s = now_s
+        self.doublings = 0
+        self.trials_passed = 0
+        self.errors = 0.0
+        self.slowness = 0.0
+        self.severity = 0.0
+        self.is_kept = False
+        self.last_granted_s = 0.0
+        self.hint_taken_s = -HINT_EVERY_S
+
+    @property
+    def is_used(self) -> bool:
+        """Tell whether requests other than trials may run here."""
+        return self.state == 'in use' and not self.is_out
+
+    @property
+    def score(self) -> float:
+        """Return the evidence against the server, 1.0 at the threshold."""
+        return max(self.errors, self.slowness)
+
+    @property
+    def reference(self) -> evidence.Baseline:
+        """Return what the server's reports are compared with."""
+        if self.ramp.is_cold and self.ramp.reason in ('new', 'returned'):
+            return self.usual._replace(
+                latency_s=self.usual.latency_s * COLD_FACTOR
+            )
+        return self.usual
+
+    def take_report(
+        self, report: messages.PermitReport, granted_s: float, now_s: float
+    ) -> None:
+        """Add a report of a request that was not a trial.
+
+        The server's own hint that it is cold can only lower its limit.
+        """
+        is_due = now_s >= self.hint_taken_s + HINT_EVERY_S
+        if report.cold and is_due and not self.ramp.is_cold:
+            self.hint_taken_s = now_s
+            self.ramp.restart('reported cold', now_s)
+        match report.outcome:
+            case 'ok':
+                self.ramp.count_success(granted_s)
+            case 'shed' if granted_s < self.ramp.began_s:
+                return
+            case 'shed' if not self.ramp.is_lowest:
+                # The ramp answers this; only a server that sheds at its
+                # lowest limit is at fault.
+                self.ramp.restart('shedding', now_s)
+                return
+        self._take_evidence(report, now_s)
+
+    def _take_evidence(
+        self, report: messages.PermitReport, now_s: float
+    ) -> None:
+        usual = self.reference
+        self.evidence.add(report.outcome, report.latency_s, usual, now_s)
+        if report.outcome not in ('unused', 'cancelled'):
+            is_bad = report.outcome != 'ok' or (
+                report.latency_s > TRIAL_SLOW_FACTOR * usual.latency_s
+            )
+            self.severity += SEVERITY_WEIGHT * (is_bad - self.severity)
+
+    def weigh(self, ages_s: Iterable[float], now_s: float) -> None:
+        """Update the scores from finished and running requests."""
+        self.errors = self.evidence.measure_errors(now_s)
+        self.slowness = self.evidence.measure_slowness(
+            ages_s, self.server.slots, self.reference.latency_s
+        )
+
+    def eject(self, reason: str, now_s: float) -> None:
+        """Stop using the server, longer when it was ejected recently."""
+        if now_s - self.returned_s < STEADY_FACTOR * self.out_s:
+            self.doublings = min(MOST_DOUBLINGS, self.doublings + 1)
+        else:
+            self.doublings = 0
+        self.out_s = FIRST_OUT_S * 2**self.doublings
+        self.state = 'ejected'
+        self.reason = reason
+        self.until_s = now_s + self.out_s
+        self.trials_passed = 0
+        self.is_kept = False
+
+    def restore(self, reason: str, now_s: float) -> None:
+        """Use the server again, from the lowest limit."""
+        self.state = 'in use'
+        self.reason = reason
+        self.returned_s = now_s
+        self.evidence.reset()
+        self.errors = self.slowness = self.severity = 0.0
+        self.ramp.restart('returned', now_s)
+
+    def take_trial(self, report: messages.PermitReport, now_s: float) -> None:
+        """Add the report of a trial."""
+        if self.state != 'trial' or report.outcome in ('unused', 'cancelled'):
+            return
+        slowest_s = TRIAL_SLOW_FACTOR * self.usual.latency_s
+        if report.outcome != 'ok' or report.latency_s > slowest_s:
+            self.returned_s = now_s
+            self.eject(f'trial failed: {report.outcome}', now_s)
+            return
+        self.trials_passed += 1
+        if self.trials_passed >= TRIALS_NEEDED:
+            self.restore('trials passed', now_s)
--- /dev/null
+++ b/cranberryscale/process/tenures.py
@@ -0,0 +1,301 @@
+"""State of a pool's holder during one uninterrupted lease."""
+
+from collections.abc import Iterator
+import datetime
+import math
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.process import ejections
+from cranberryscale.process import permits
+from cranberryscale.process import queue
+from cranberryscale.process import slots
+from cranberryscale.process import standings
+from cranberryscale.process import survey
+from cranberryscale.version import configuration
+
+
+__all__ = ['PoolTerms', 'Resolved', 'Tenure']
+
+# Outcomes after which the backend server may still be running the request.
+_UNFINISHED = frozenset(('cancelled', 'silent', 'truncated'))
+# A warm server either obeys a cancellation or finishes within this multiple
+# of the usual latency. Holding every cancelled permit until its deadline
+# would let one customer that disconnects block the pool.
+_CANCEL_FACTOR = 12
+_CANCEL_LEAST_S = 0.25
+
+_BUSY_RETRY_S = 0.1
+_SURVEY_RETRY_S = 0.25
+_EMPTY_RETRY_S = 1.0
+
+
+class PoolTerms(NamedTuple):
+    """Set the times of permits; equal on all instances.
+
+    `request_limit` is the longest permitted route timeout.
+    """
+
+    request_limit: datetime.timedelta = datetime.timedelta(seconds=30)
+    start_within: datetime.timedelta = datetime.timedelta(seconds=0.25)
+    drift_ratio: float = 0.01
+
+
+class Resolved(NamedTuple):
+    """Answer a queued request."""
+
+    ticket: int
+    reply: messages.PermitGrant | messages.PermitDenial
+
+
+class Tenure:
+    """Grant permits within slots, ramps and the share of one instance."""
+
+    def __init__(
+        self,
+        since: datetime.timedelta,
+        members: frozenset[str],
+        remotes: dict[str, ejections.Remote],
+        epoch: str,
+        terms: PoolTerms,
+    ):
+        self.since = since
+        self.until_s = since.total_seconds()
+        limit_s = terms.request_limit.total_seconds() * (1 + terms.drift_ratio)
+        self.survey = survey.Survey(members, since.total_seconds(), limit_s)
+        self._epoch = epoch
+        self._terms = terms
+        self._service = configuration.Service('')
+        self._ledger = permits.Ledger()
+        self._queue = queue.Queue()
+        self._entries: dict[int, queue.Entry] = {}
+        self._dropped: list[queue.Entry] = []
+        self._ejections = ejections.Ejections()
+        self._ejections.remotes = remotes
+        self._slots = slots.Slots(self._ledger, self.survey, self._ejections)
+        self._next_permit = 1
+
+    def load(
+        self,
+        service: configuration.Service,
+        servers: tuple[configuration.BackendServer, ...],
+        out: frozenset[str],
+        now_s: float,
+    ) -> None:
+        """Replace the service and its servers in this domain."""
+        self._service = service
+        self._ejections.load(servers, out, service.floor_fraction, now_s)
+
+    def take_survey(
+        self, sender: str, reply: messages.SurveyReply, now_s: float
+    ) -> None:
+        """Count a member's earlier permits as in use."""
+        if not self.survey.take_reply(sender):
+            return
+        for row in reply.permits:
+            if row.permit_id.startswith(self._epoch):
+                continue
+            expires_s = now_s + row.remaining_s * (1 + self._terms.drift_ratio)
+            self._ledger.add(
+                permits.Permit(
+                    row.permit_id, row.server, sender, now_s, expires_s
+                )
+            )
+
+    def request_permit(
+        self, entry: queue.Entry, now_s: float
+    ) -> messages.PermitGrant | messages.PermitDenial | None:
+        """Return the answer, or None after queueing the entry."""
+        self._ledger.note_sender(entry.sender, now_s)
+        self._refresh(now_s)
+        denial = self._find_denial(entry, now_s)
+        if denial:
+            return denial
+        grant = self._try_grant(entry, not len(self._queue), now_s)
+        if grant:
+            return grant
+        if len(self._queue) >= self._service.queue_limit:
+            surplus = self._queue.find_surplus(entry.customer)
+            if surplus is None:
+                return messages.PermitDenial('pool_busy', _BUSY_RETRY_S)
+            self._queue.remove(surplus)
+            self._dropped.append(surplus)
+        self._entries[entry.ticket] = entry
+        self._queue.add(entry)
+        return None
+
+    def finish_permit(
+        self, report: messages.PermitReport, sender: str, now_s: float
+    ) -> None:
+        """Free the slot if the request is over and take the evidence."""
+        self._ledger.note_sender(sender, now_s)
+        permit = self._ledger.find(report.permit_id)
+        if permit is None or permit.sender != sender or permit.is_ended:
+            return
+        record = self._ejections.records.get(permit.server)
+        self._release(permit, report, record, now_s)
+        if record is None:
+            return
+        if permit.is_trial:
+            record.take_trial(report, now_s)
+        elif record.state == 'in use':
+            record.take_report(report, permit.granted_s, now_s)
+
+    def advance(self, now_s: float) -> Iterator[Resolved]:
+        """Yield the queued requests that now have an answer."""
+        self._refresh(now_s)
+        if not self._entries:
+            return
+        service_s = self._slots.estimate_service_s(now_s)
+        for entry in self._queue.list_late(now_s, service_s):
+            self._queue.remove(entry)
+            denial = messages.PermitDenial('deadline_too_short', _BUSY_RETRY_S)
+            yield self._resolve(entry, denial)
+        yield from self._drain(now_s)
+        for entry in self._dropped:
+            denial = messages.PermitDenial('pool_busy', _BUSY_RETRY_S)
+            yield self._resolve(entry, denial)
+        self._dropped.clear()
+
+    def _drain(self, now_s: float) -> Iterator[Resolved]:
+        """Yield grants until no queued request can be placed.
+
+        Each grant passes the customer's turn on, so the order starts anew.
+        """
+        while True:
+            for entry in self._queue.iterate():
+                grant = self._try_grant(entry, True, now_s)
+                if grant:
+                    break
+            else:
+                return
+            self._queue.take(entry)
+            yield self._resolve(entry, grant)
+
+    def cancel(self, ticket: int) -> None:
+        """Remove a queued request without an answer."""
+        entry = self._entries.pop(ticket, None)
+        if entry in self._dropped:
+            self._dropped.remove(entry)
+        elif entry:
+            self._queue.remove(entry)
+
+    def close(self) -> list[Resolved]:
+        """Deny what is queued, since the lease has ended."""
+        denial = messages.PermitDenial('pool_unavailable', _SURVEY_RETRY_S)
+        return [Resolved(ticket, denial) for ticket in self._entries]
+
+    def summarize(self, now_s: float) -> messages.PoolSummaryReply:
+        """Return recent evidence on the servers in use."""
+        return messages.PoolSummaryReply(
+            tuple(
+                messages.ServerSummary(
+                    record.server.name,
+                    round(record.evidence.latency.count(now_s)),
+                    round(math.exp(record.evidence.latency.mean), 6),
+                    round(record.evidence.errors.mean, 4),
+                )
+                for record in self._ejections.used
+            )
+        )
+
+    def status(self, now_s: float) -> tuple[slots.ServerStatus, ...]:
+        """Return the state of each server."""
+        self._refresh(now_s)
+        return self._slots.list_status(now_s)
+
+    def _refresh(self, now_s: float) -> None:
+        self._ledger.expire(now_s)
+        self._ejections.weigh(self._ledger.list_ages, now_s)
+
+    def _resolve(
+        self,
+        entry: queue.Entry,
+        reply: messages.PermitGrant | messages.PermitDenial,
+    ) -> Resolved:
+        del self._entries[entry.ticket]
+        return Resolved(entry.ticket, reply)
+
+    def _find_denial(
+        self, entry: queue.Entry, now_s: float
+    ) -> messages.PermitDenial | None:
+        """Return the reason why the request cannot be served here."""
+        if self.survey.is_pending(entry.sender, now_s):
+            return messages.PermitDenial('pool_unavailable', _SURVEY_RETRY_S)
+        usable = [
+            record
+            for record in self._ejections.used
+            if record.server.name not in entry.request.excluded
+        ]
+        if not usable:
+            return messages.PermitDenial('no_backend_server', _EMPTY_RETRY_S)
+        if self.survey.is_open(now_s) and all(
+            self.survey.count_assumed(record.server.slots, now_s)
+            >= record.server.slots
+            for record in usable
+        ):
+            return messages.PermitDenial('pool_unavailable', _SURVEY_RETRY_S)
+        ahead = self._queue.count_ahead(entry.customer, entry.deadline_s)
+        needed_s = self._slots.estimate_service_s(now_s)
+        if ahead:
+            needed_s += self._slots.estimate_wait_s(ahead, now_s)
+        if entry.deadline_s - now_s < needed_s:
+            return messages.PermitDenial('deadline_too_short', _BUSY_RETRY_S)
+        return None
+
+    def _try_grant(
+        self, entry: queue.Entry, may_use: bool, now_s: float
+    ) -> messages.PermitGrant | None:
+        """Grant a trial or, if `may_use`, a slot at a server in use."""
+        record = self._slots.choose_trial(entry.request, entry.sender, now_s)
+        is_trial = record is not None
+        if record is None and may_use:
+            record = self._slots.choose(entry.request, entry.sender, now_s)
+        if record is None or now_s >= self.until_s:
+            return None
+        if is_trial:
+            self._ejections.spend_trial(now_s)
+        permit_id = f'{self._epoch}{self._next_permit:x}'
+        self._next_permit += 1
+        record.last_granted_s = now_s
+        self._ledger.add(
+            permits.Permit(
+                permit_id,
+                record.server.name,
+                entry.sender,
+                now_s,
+                entry.deadline_s,
+                is_trial,
+            )
+        )
+        start_s = min(
+            self._terms.start_within.total_seconds(), self.until_s - now_s
+        )
+        # Instances count from when they asked, which was before the wait.
+        return messages.PermitGrant(
+            permit_id, record.server.name, now_s - entry.asked_s + start_s
+        )
+
+    def _release(
+        self,
+        permit: permits.Permit,
+        report: messages.PermitReport,
+        record: standings.Record | None,
+        now_s: float,
+    ) -> None:
+        """Free the permit's slot, unless the request may still run."""
+        if report.outcome not in _UNFINISHED:
+            self._ledger.remove(permit.permit_id)
+            return
+        expires_s = permit.expires_s
+        if (
+            report.outcome == 'cancelled'
+            and record
+            and record.is_used
+            and not record.ramp.is_cold
+        ):
+            usual_s = _CANCEL_FACTOR * record.usual.latency_s
+            expires_s = min(
+                expires_s, permit.granted_s + max(usual_s, _CANCEL_LEAST_S)
+            )
+        self._ledger.add(permit._replace(expires_s=expires_s, is_ended=True))
