--- a/cranberryscale/instance.py
+++ b/cranberryscale/instance.py
@@ -143,7 +143,7 @@
         cherrypy.engine.exit()
 
     def _keep_time(self) -> None:
-        pull_at = idle_at = self.clock.read_elapsed()
+        gossip_at = pull_at = idle_at = self.clock.read_elapsed()
         while not self._stopping.wait(ADVANCE_S):
             now = self.clock.read_elapsed()
             plans = []
@@ -151,7 +151,10 @@
                 self.node.advance(now)
                 if now >= pull_at:
                     pull_at = now + self.node.pull_interval
-                    plans.extend(self.node.plan_pulls(now))
+                    plans.extend(self.node.plan_confirmations(now))
+                if now >= gossip_at:
+                    gossip_at = now + self.node.gossip_interval
+                    plans.extend(self.node.plan_gossip(now))
                 if now >= idle_at:
                     idle_at = now + datetime.timedelta(seconds=IDLE_S)
                     self.node.drop_idle(now)
--- a/cranberryscale/node.py
+++ b/cranberryscale/node.py
@@ -4,8 +4,9 @@
 `Node` and nothing else:
 
 - `load_list` and `load_subtrees` bring in what the platform published;
-- `advance` every 50 ms, `plan_pulls` every `pull_interval`, and
-  `drop_idle` now and then, keep it going; `take_errands` returns plans;
+- `advance` every 50 ms, `plan_gossip` every `gossip_interval`,
+  `plan_confirmations` every `pull_interval` and `drop_idle` every few
+  seconds keep it going; `take_errands` returns plans;
 - `answer` answers a message of another instance, `take_resolved` returns
   the answers that were put off;
 - `plan_tokens`, `plan_permit`, `report_permit` and `plan_finish_once` serve
@@ -25,6 +26,7 @@
 from cranberryscale import messages
 from cranberryscale.process import bucket
 from cranberryscale.process import calls
+from cranberryscale.process import confirmation
 from cranberryscale.process import discovery
 from cranberryscale.process import holding
 from cranberryscale.process import leases
@@ -82,7 +84,7 @@
 
     def _make_upkeep(self, now: datetime.timedelta) -> upkeep.Upkeep:
         confirm = _seconds(self.options.timeouts.confirm_s)
-        terms = spread.SpreadTerms(confirm=confirm)
+        terms = confirmation.SpreadTerms(confirm=confirm)
         return upkeep.Upkeep(
             membership.Membership(self._table, now),
             spread.Spread(self.options.name, terms, now),
@@ -121,9 +123,14 @@
 
     @property
     def pull_interval(self) -> datetime.timedelta:
-        """Return the time between two calls of `plan_pulls`."""
+        """Return the time between two calls of `plan_confirmations`."""
         return self.upkeep.spread.interval
 
+    @property
+    def gossip_interval(self) -> datetime.timedelta:
+        """Return the time between two calls of `plan_gossip`."""
+        return _seconds(self.options.leases.gossip_s)
+
     @property
     def not_ready_reason(self) -> str:
         """Return why callers are not to be sent here, '' if they may."""
@@ -159,22 +166,53 @@
         self.holding.drop_idle(now)
         self.admission.drop_idle(now)
 
-    def plan_pulls(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
-        """Yield plans that pull from other instances."""
-        return self.upkeep.plan_pulls(now)
+    def plan_gossip(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
+        """Yield plans that spread signs of life; call each interval."""
+        return self.upkeep.plan_gossip(now)
+
+    def plan_confirmations(
+        self, now: datetime.timedelta
+    ) -> Iterable[calls.Plan]:
+        """Yield plans that confirm the configuration; call each interval."""
+        return self.upkeep.plan_confirmations(now)
 
     def take_errands(self, now: datetime.timedelta) -> list[calls.Plan]:
         """Return plans that became due, each once."""
         return [
+            *self.upkeep.take_errands(),
             *self.holding.take_errands(),
             *self.holding.plan_returns(now),
             *self.admission.plan_returns(now),
-            *(
-                self.admission.plan_reports(pool, now)
-                for pool in self.admission.list_reporting()
-            ),
+            *self.take_reports(now),
         ]
 
+    def take_reports(self, now: datetime.timedelta) -> list[calls.Plan]:
+        """Return the plans that give permits back, each once."""
+        return [
+            self.admission.plan_reports(pool, now)
+            for pool in self.admission.list_reporting()
+        ]
+
+    def list_budget_holders(self, customer: str) -> list[str | None]:
+        """Return who holds each share of a customer's budget."""
+        shares = placement.list_shares(self.get_configuration(), customer)
+        return [self._table.find_holder(share.resource) for share in shares]
+
+    def list_pool_holders(self, service: str) -> dict[str, str | None]:
+        """Return who holds the service's pool in each failure domain."""
+        current = self.get_configuration()
+        domains = {
+            server.domain
+            for server in current.servers.values()
+            if server.service == service
+        }
+        return {
+            domain: self._table.find_holder(
+                placement.make_pool(service, domain)
+            )
+            for domain in sorted(domains)
+        }
+
     def take_resolved(self) -> dict[Ticket, Any]:
         """Return answers to permits that were queued, each once."""
         return self.holding.take_resolved()
@@ -230,7 +268,7 @@
             customer, once_key, request_id, ran, now
         )
 
-    def decide_keyed(self, now: datetime.timedelta) -> spread.Decision:
+    def decide_keyed(self, now: datetime.timedelta) -> confirmation.Decision:
         """Tell whether requests with keys may be served now."""
         return self.upkeep.decide_keyed(now)
 
--- a/cranberryscale/process/upkeep.py
+++ b/cranberryscale/process/upkeep.py
@@ -1,12 +1,16 @@
 """Gossip and configuration between instances, as plans."""
 
 import datetime
+import math
 import random
 from typing import Any
 from typing import Iterable
+from typing import Mapping
 
+from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import calls
+from cranberryscale.process import confirmation
 from cranberryscale.process import membership
 from cranberryscale.process import spread
 from cranberryscale.version import subtrees
@@ -16,10 +20,6 @@
 
 __all__ = ['Upkeep']
 
-# A random member is pulled once in so many turns; the other turns go to the
-# parent, so that withdrawn keys and new lists arrive in time.
-RANDOM_TURNS = 2
-
 
 class Upkeep:
     """Own membership, the accepted configuration and its confirmation."""
@@ -27,18 +27,19 @@
     def __init__(
         self,
         members: membership.Membership,
-        confirmation: spread.Spread,
+        spreading: spread.Spread,
         rng: random.Random,
         peer_timeout: datetime.timedelta,
     ):
         self.membership = members
-        self.spread = confirmation
+        self.spread = spreading
         self.tree = tree.Tree()
         self._random = rng
         self._peer_timeout = peer_timeout
         self._outcomes: list[Any] = []
+        self._errands: list[calls.Plan] = []
         self._alive: frozenset[str] = frozenset()
-        self._turn = 0
+        self._offered: Mapping[str, int] = {}
 
     def load_view(self, published: view.View, now) -> None:
         """Follow a version of the instance list."""
@@ -64,11 +65,14 @@
         """Judge an answer of the configuration service, and confirm."""
         offers = tuple(offers)
         self._outcomes.extend(self.tree.offer(offers))
-        self.note_service(subtrees.read_versions(offers), sent_at, now)
+        self._offered = dict(_list_versions(offers))
+        self.note_unchanged(sent_at, now)
 
-    def note_service(self, offered, sent_at, now) -> None:
-        """Record an answer of the service and what it offered."""
-        is_current = self.tree.covers(offered)
+    def note_unchanged(
+        self, sent_at: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Record that the service still offers what it offered last."""
+        is_current = self.tree.covers(self._offered)
         self.spread.note_service_answer(sent_at, now, is_current)
         self._note_confirmed(now)
 
@@ -82,39 +86,65 @@
         outcomes, self._outcomes = self._outcomes, []
         return outcomes
 
-    def plan_pulls(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
-        """Yield the pulls of this turn."""
+    def plan_gossip(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
+        """Yield the gossip pull of this turn."""
         self.advance(now)
-        targets = list(self.spread.list_targets(now))
-        self._turn += 1
-        if self._turn % RANDOM_TURNS == 0 or not targets:
-            peer = self.membership.choose_peer(self._random)
-            targets += [peer] if peer and peer not in targets else []
-        for target in targets:
-            yield self.plan_pull(target, now)
-
-    def plan_pull(self, target: str, now: datetime.timedelta) -> calls.Plan:
-        """Pull from a member and fetch what it has that is newer."""
+        parent = self.spread.find_parent(now)
+        target = self.membership.choose_peer(self._random, parent)
+        if target is not None:
+            yield self._plan_gossip(target, now)
+
+    def _plan_gossip(self, target: str, now) -> calls.Plan:
+        pull = self.membership.make_pull(target, now, self.tree.versions)
+        pulled = yield from calls.ask(target, pull, self._peer_timeout, now)
+        if pulled.message is None:
+            return
+        reply, now = pulled.message, pulled.now
+        self.membership.merge_reply(target, reply, pulled.sent_at, now)
+        if self.tree.is_newer(reply.subtree_versions):
+            now = yield from self._plan_fetch(target, now)
+        yield from self._plan_list(now)
+
+    def plan_confirmations(
+        self, now: datetime.timedelta
+    ) -> Iterable[calls.Plan]:
+        """Yield the pulls that confirm the configuration."""
+        for target in self.spread.list_targets(now):
+            yield self._plan_confirmation(target, now)
+
+    def _plan_confirmation(self, target: str, now) -> calls.Plan:
         own = self.spread.make_confirmation(now)
-        pull = self.membership.make_pull(
-            target, now, self.tree.versions
-        )._replace(confirmed_age_s=_to_seconds(own.age))
+        pull = messages.ConfirmationPull(
+            self.tree.versions_digest, _to_tenths(own.age)
+        )
         pulled = yield from calls.ask(target, pull, self._peer_timeout, now)
         if pulled.message is None:
             self.spread.note_failure(target, pulled.now)
             return
-        reply = pulled.message
-        self.membership.merge_reply(target, reply, pulled.sent_at, pulled.now)
-        now = pulled.now
+        reply, now = pulled.message, pulled.now
         if self.tree.is_newer(reply.subtree_versions):
             now = yield from self._plan_fetch(target, now)
-        told = spread.Confirmation(
-            _from_seconds(reply.confirmed_age_s), reply.confirmed_source
+        # What was fetched may be newer than the reply, never older.
+        is_current = (
+            reply.versions_digest == self.tree.versions_digest
+            or not self.tree.is_newer(reply.subtree_versions)
+        )
+        told = confirmation.Confirmation(
+            _from_tenths(reply.confirmed_age_ds), reply.source
         )
-        is_current = not self.tree.is_newer(reply.subtree_versions)
         self.spread.note_parent(target, told, pulled.sent_at, now, is_current)
         self._note_confirmed(now)
-        yield from self._plan_list(now)
+
+    def plan_bootstrap(self, target: str, now) -> calls.Plan:
+        """Fetch list and configuration; tell whether that worked."""
+        fetched = yield from calls.ask(
+            target, messages.FetchView(), self._peer_timeout * 4, now
+        )
+        if fetched.message is None:
+            return False
+        self.learn_view(fetched.message, fetched.now)
+        yield from self._plan_fetch(target, fetched.now)
+        return bool(self.tree.versions)
 
     def _plan_fetch(self, target: str, now: datetime.timedelta):
         """Fetch newer subtrees, whole where a delta does not fit."""
@@ -164,24 +194,43 @@
         self.membership.learn_view(published, now)
         self._follow_members(self.membership.table.view)
 
-    def answer_pull(
-        self, sender: str, pull: messages.GossipPull, now
-    ) -> messages.GossipReply:
-        """Return the table of members and the confirmation."""
-        age = _from_seconds(pull.confirmed_age_s)
-        self.spread.note_hint(sender, age, now)
+    def answer(self, sender: str, message: Any, now) -> Any:
+        """Return the reply to a control message; raise PeerError."""
+        match message:
+            case messages.GossipPull():
+                return self.membership.answer_pull(
+                    message, now, self.tree.versions
+                )
+            case messages.ConfirmationPull():
+                return self._answer_confirmation(sender, message, now)
+            case messages.FetchSubtrees():
+                records = self.tree.make_records(message.have)
+                return messages.SubtreesReply(records)
+            case messages.FetchView():
+                return self.answer_view()
+        kind = type(message).__name__
+        raise errors.make_error('message_undecodable', kind)
+
+    def _answer_confirmation(
+        self, sender: str, pull: messages.ConfirmationPull, now
+    ) -> messages.ConfirmationReply:
+        age = _from_tenths(pull.confirmed_age_ds)
+        if self.spread.note_hint(sender, age, now):
+            self._errands.append(self._plan_confirmation(sender, now))
         own = self.spread.make_confirmation(now)
-        reply = self.membership.answer_pull(pull, now, self.tree.versions)
-        return reply._replace(
-            confirmed_age_s=_to_seconds(own.age),
-            confirmed_source=own.source,
+        digest = self.tree.versions_digest
+        same = pull.versions_digest == digest
+        return messages.ConfirmationReply(
+            _to_tenths(own.age),
+            own.source,
+            digest,
+            {} if same else dict(self.tree.versions),
         )
 
-    def answer_fetch(
-        self, message: messages.FetchSubtrees
-    ) -> messages.SubtreesReply:
-        """Return the subtrees that a peer lacks."""
-        return messages.SubtreesReply(self.tree.make_records(message.have))
+    def take_errands(self) -> list[calls.Plan]:
+        """Return plans that became due, each once."""
+        errands, self._errands = self._errands, []
+        return errands
 
     def answer_view(self) -> messages.ViewReply:
         """Return the instance list."""
@@ -189,21 +238,44 @@
         rows = tuple(tuple(member) for member in listed.members)
         return messages.ViewReply(listed.version, rows)
 
-    def decide_keyed(self, now: datetime.timedelta) -> spread.Decision:
+    def decide_keyed(self, now: datetime.timedelta) -> confirmation.Decision:
         """Tell whether keyed requests may be served now."""
-        ages = self.membership.list_heard(now)
-        heard = (
-            spread.Heard(age, confirmed)
-            for name, (age, confirmed) in ages.items()
-            if name != self.membership.table.name
-        )
         members = len(self.membership.table.view.members)
-        return self.spread.can_serve_keyed(now, heard, members)
+        return self.spread.can_serve_keyed(
+            now, self._iterate_heard(now), members
+        )
+
+    def _iterate_heard(self, now) -> Iterable[confirmation.Heard]:
+        # Evaluated only when the confirmation is old.
+        signs = self.membership.list_signs(now)
+        for name, (age, confirmed_age) in signs.items():
+            if name != self.membership.table.name:
+                yield confirmation.Heard(age, confirmed_age)
+
+    def list_serving(self, now: datetime.timedelta) -> frozenset[str]:
+        """Return the members that callers may be sent to.
+
+        While some members have a confirmed configuration, those without one
+        refuse keyed requests and are left out.
+        """
+        signs = self.membership.list_signs(now)
+        confirmed = frozenset(
+            name for name, (_, age) in signs.items() if age is not None
+        )
+        own = frozenset((self.membership.table.name,))
+        return (confirmed or self.membership.alive) | own
+
+
+def _list_versions(offers) -> Iterable[tuple[str, int]]:
+    for offer in offers:
+        manifest = subtrees.read_manifest(offer)
+        if isinstance(manifest, subtrees.Manifest):
+            yield offer.team, manifest.version
 
 
-def _to_seconds(age: datetime.timedelta | None) -> float:
-    return -1.0 if age is None else age.total_seconds()
+def _to_tenths(age: datetime.timedelta | None) -> int:
+    return -1 if age is None else math.ceil(age.total_seconds() * 10)
 
 
-def _from_seconds(age_s: float) -> datetime.timedelta | None:
-    return None if age_s < 0 else datetime.timedelta(seconds=age_s)
+def _from_tenths(age_ds: int) -> datetime.timedelta | None:
+    return None if age_ds < 0 else datetime.timedelta(seconds=age_ds / 10)
--- a/cranberryscale/request/admission.py
+++ b/cranberryscale/request/admission.py
@@ -7,6 +7,7 @@
 from typing import Iterable
 from typing import NamedTuple
 
+from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import allotments
 from cranberryscale.process import budgets
@@ -27,6 +28,7 @@
 ZERO = datetime.timedelta()
 RETRY_S = 0.25
 REPORT_ATTEMPTS = 4
+RETURN_MARGIN = datetime.timedelta(milliseconds=15)
 REPORT_PAUSE = datetime.timedelta(milliseconds=50)
 
 # Of several denials, the one that tells the caller most goes first.
@@ -275,6 +277,49 @@
                 return
             now = (yield calls.Wait(REPORT_PAUSE * (attempt + 1))).now
 
+    def answer_survey(
+        self, message: messages.SurveyPool, now: datetime.timedelta
+    ) -> messages.SurveyReply:
+        """Return the permits of a pool in use at this instance."""
+        pool = ledger.Pool(message.service, message.domain)
+        return self.ledger.answer_survey(pool, now)
+
+    def plan_returns(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
+        """Yield plans that give back tokens before they expire."""
+        for ask in self.allotments.collect_returns(now, RETURN_MARGIN):
+            holder = self._fleet.find_holder(ask.share.resource)
+            yield calls.ask(holder, ask.message, self._fleet.peer_timeout, now)
+
+    def plan_finish_once(
+        self,
+        customer: str,
+        once_key: str,
+        request_id: str,
+        ran: str,
+        now: datetime.timedelta,
+    ) -> calls.Plan:
+        """Tell the holder of share 0 how a request ended.
+
+        A holder that does not learn of it goes on refusing repeats as
+        running, so the message is sent again a few times.
+        """
+        message = messages.FinishOnce(
+            customer, once_key, request_id, ran != errors.NOT_RUN
+        )
+        for attempt in range(REPORT_ATTEMPTS):
+            shares = placement.list_shares(
+                self._fleet.get_configuration(), customer
+            )
+            if not shares:
+                return
+            holder = self._fleet.find_holder(shares[0].resource)
+            reply = yield from calls.ask(
+                holder, message, self._fleet.peer_timeout, now
+            )
+            if reply.error is None:
+                return
+            now = (yield calls.Wait(REPORT_PAUSE * (attempt + 1))).now
+
     def drop_idle(self, now: datetime.timedelta) -> None:
         """Forget what no longer matters."""
         self.allotments.drop_idle(now)
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,384 @@
+"""A whole fleet on loopback: platform, backend servers and instances.
+
+Used by `make run`, by tests and by measurements with real processes. Each
+part is a process of its own, so that it can be killed or suspended.
+"""
+
+import argparse
+import contextlib
+import json
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+from typing import NamedTuple
+
+import urllib3
+
+from cranberryscale import console
+from cranberryscale.version import subtrees
+
+
+__all__ = ['LocalFleet', 'main']
+
+READY_LIMIT_S = 60.0
+STOP_LIMIT_S = 30.0
+SECRET = 'a secret for fleets on loopback'
+PREFIX = 'cranberryscale'
+ADDRESS = re.compile(r'^(address = )"127\.0\.0\.1:(\d+)"', re.MULTILINE)
+
+_SETTINGS = """\
+name = "{name}"
+domain = "{domain}"
+secret = "{secret}"
+[addresses]
+callers = "{callers}"
+peers = "{peers}"
+operators = "{operators}"
+[platform]
+url = "{url}"
+[timeouts]
+answer_lifetime_s = {lifetime_s}
+list_lag_s = {lag_s}
+"""
+
+
+class Member(NamedTuple):
+    """Describe one instance of the fleet."""
+
+    name: str
+    domain: str
+    callers: str
+    peers: str
+    operators: str
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports on loopback that are free now, all different."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+class LocalFleet:
+    """Run a fleet from a directory of documents, in `folder`.
+
+    `put_subtree` publishes a change as an operator would. Processes are
+    found by name in `processes`.
+    """
+
+    def __init__(
+        self,
+        documents: pathlib.Path,
+        folder: pathlib.Path,
+        count: int = 6,
+        lifetime_s: float = 1.0,
+        lag_s: float = 1.0,
+    ):
+        self.folder = folder
+        self.http = urllib3.PoolManager(retries=False, maxsize=16)
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._count = count
+        self._times = (lifetime_s, lag_s)
+        self._texts = {
+            offer.team: dict(offer.documents)
+            for offer in subtrees.load_directory(documents)
+        }
+        self._versions = dict.fromkeys(self._texts, 0)
+        self.members: tuple[Member, ...] = ()
+        self._platform_port, self._control_port = find_ports(2)
+
+    def __enter__(self) -> 'LocalFleet':
+        """Start all parts and wait until every instance is ready."""
+        try:
+            self._move_servers()
+            self._start_platform()
+            self.members = tuple(self._list_members())
+            self.set_instances()
+            for member in self.members:
+                self.start_instance(member)
+            self.wait_ready()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_) -> None:
+        """Stop what still runs."""
+        self.stop()
+
+    def _move_servers(self) -> None:
+        """Give the documents' backend servers free ports and start them."""
+        found = sorted(
+            {
+                port
+                for texts in self._texts.values()
+                for text in texts.values()
+                for _, port in ADDRESS.findall(text)
+            }
+        )
+        ports = dict(zip(found, find_ports(len(found))))
+        for texts in self._texts.values():
+            for name, text in texts.items():
+                texts[name] = ADDRESS.sub(
+                    lambda m: f'{m[1]}"127.0.0.1:{ports[m[2]]}"', text
+                )
+        self._start_backends(sorted(ports.values()))
+
+    def _start_backends(self, ports: list[int]) -> None:
+        for port in ports:
+            self._start(
+                f'backend-{port}',
+                'standins.backend',
+                f'--name=b{port}',
+                f'--port={port}',
+            )
+
+    def _start_platform(self) -> None:
+        documents = self.folder / 'documents'
+        for team in self._texts:
+            self._write_subtree(team, 'operator@example.org')
+        self.folder.joinpath('instances.json').write_text('[]')
+        self._start(
+            'platform',
+            'standins.platform',
+            f'--port={self._platform_port}',
+            f'--control-port={self._control_port}',
+            f'--documents={documents}',
+            f'--instances={self.folder / "instances.json"}',
+        )
+        self._wait_for(lambda: self.control('GET', '/') is not None)
+
+    def _write_subtree(self, team: str, changed_by: str) -> dict[str, str]:
+        folder = self.folder / 'documents' / team
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, text in self._texts[team].items():
+            if name != subtrees.MANIFEST:
+                folder.joinpath(name).write_text(text, 'utf-8')
+        self._versions[team] += 1
+        manifest = subtrees.make_manifest(
+            folder, self._versions[team], f'team {team}', changed_by
+        )
+        folder.joinpath(subtrees.MANIFEST).write_text(manifest, 'utf-8')
+        return {
+            f'{PREFIX}/{team}/{path.name}': path.read_text('utf-8')
+            for path in folder.glob('*.toml')
+        }
+
+    def put_subtree(
+        self, team: str, name: str, text: str, changed_by: str = 'test'
+    ) -> int:
+        """Publish one changed document and return the new version."""
+        self._texts[team][name] = text
+        self.control('PUT', '/values', self._write_subtree(team, changed_by))
+        return self._versions[team]
+
+    def read_document(self, team: str, name: str) -> str:
+        """Return a published document."""
+        return self._texts[team][name]
+
+    def control(self, method: str, path: str, value: Any = None) -> Any:
+        """Call the platform stand-in's control address."""
+        url = f'http://127.0.0.1:{self._control_port}{path}'
+        body = None if value is None else json.dumps(value)
+        try:
+            answer = self.http.request(method, url, body=body, timeout=5)
+            return json.loads(answer.data)
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def _list_members(self):
+        domains = sorted(
+            {
+                found
+                for texts in self._texts.values()
+                for text in texts.values()
+                for found in re.findall(r'^domain = "(.+)"', text, re.M)
+            }
+        )
+        ports = [f'127.0.0.1:{p}' for p in find_ports(3 * self._count)]
+        for number in range(self._count):
+            yield Member(
+                f'i{number + 1:02}',
+                domains[number % len(domains)],
+                *ports[3 * number : 3 * number + 3],
+            )
+
+    def set_instances(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Publish the instance list."""
+        self.control(
+            'PUT',
+            '/instances',
+            [
+                {
+                    'ID': member.name,
+                    'Address': member.peers.partition(':')[0],
+                    'Port': int(member.peers.partition(':')[2]),
+                    'Meta': {
+                        'domain': member.domain,
+                        'callers': member.callers,
+                        'operators': member.operators,
+                        'leaving': str(member.name in leaving).lower(),
+                    },
+                }
+                for member in self.members
+            ],
+        )
+
+    def start_instance(self, member: Member) -> None:
+        """Start or restart an instance."""
+        lifetime_s, lag_s = self._times
+        path = self.folder / f'{member.name}.toml'
+        path.write_text(
+            _SETTINGS.format(
+                **member._asdict(),
+                secret=SECRET,
+                url=f'http://127.0.0.1:{self._platform_port}',
+                lifetime_s=lifetime_s,
+                lag_s=lag_s,
+            )
+        )
+        self._start(
+            member.name,
+            'cranberryscale.commands',
+            'serve',
+            f'--settings={path}',
+        )
+
+    def _start(self, name: str, *arguments: str) -> None:
+        with self.folder.joinpath(f'{name}.log').open('ab') as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, '-m', *arguments],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env=os.environ | {'PYTHONUNBUFFERED': '1'},
+            )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one part, for example SIGKILL or SIGSTOP."""
+        self.processes[name].send_signal(number)
+
+    def fetch_status(self, member: Member, path: str = '/status') -> Any:
+        """Return an operators' page of an instance, None if unreachable."""
+        try:
+            answer = self.http.request(
+                'GET', f'http://{member.operators}{path}', timeout=2
+            )
+            return json.loads(answer.data)
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return None
+
+    def wait_ready(self) -> None:
+        """Wait until every instance is ready and every pool is held."""
+        self._wait_for(self._is_ready)
+
+    def _is_ready(self) -> bool:
+        found = [self.fetch_status(member) for member in self.members]
+        if not all(one and one['ready'] for one in found):
+            return False
+        held = {
+            (pool['service'], pool['domain'])
+            for one in found
+            for pool in one['pools']
+        }
+        wanted = {
+            pair
+            for texts in self._texts.values()
+            for text in texts.values()
+            for pair in re.findall(
+                r'^service = "(.+)"\ndomain = "(.+)"', text, re.M
+            )
+        }
+        return wanted <= held
+
+    def _wait_for(self, check) -> None:
+        limit = time.monotonic() + READY_LIMIT_S
+        while not check():
+            for name, process in self.processes.items():
+                if process.poll() is not None:
+                    log = self.folder.joinpath(f'{name}.log').read_text()
+                    raise RuntimeError(f'{name} ended:\n{log[-2000:]}')
+            if time.monotonic() > limit:
+                raise TimeoutError(f'not ready after {READY_LIMIT_S} s')
+            time.sleep(0.1)
+
+    def stop(self) -> None:
+        """Terminate all parts, and kill those that do not end in time."""
+        running = [p for p in self.processes.values() if p.poll() is None]
+        for process in running:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        limit = time.monotonic() + STOP_LIMIT_S
+        for process in running:
+            try:
+                process.wait(max(limit - time.monotonic(), 0.1))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def _read_requests(example: pathlib.Path) -> list[dict[str, str]]:
+    path = example / 'requests.json'
+    return json.loads(path.read_text('utf-8'))
+
+
+def _send_requests(fleet: LocalFleet, requests: list[dict[str, str]]):
+    for number, each in enumerate(requests):
+        member = fleet.members[number % len(fleet.members)]
+        headers = {'X-Api-Key': each['key']} if each.get('key') else {}
+        began = time.monotonic()
+        answer = fleet.http.request(
+            each['method'],
+            f'http://{member.callers}{each["path"]}',
+            headers=headers,
+            body=each.get('body'),
+            timeout=10,
+        )
+        taken_ms = (time.monotonic() - began) * 1000
+        yield (
+            member.name,
+            each['method'],
+            each['path'],
+            answer.status,
+            f'{taken_ms:.1f}',
+            answer.data[:60].decode('utf-8', 'replace'),
+        )
+
+
+def main() -> int:
+    """Run a fleet from an example, send its requests, serve until ended."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument('--example', type=pathlib.Path, required=True)
+    parser.add_argument(
+        '--folder', type=pathlib.Path, default=pathlib.Path('build/fleet')
+    )
+    parser.add_argument('--instances', type=int, default=6)
+    parser.add_argument(
+        '--seconds', type=float, default=0, help='0 serves until interrupted'
+    )
+    options = parser.parse_args()
+    options.folder.mkdir(parents=True, exist_ok=True)
+    documents = options.example / 'documents'
+    print('starting; the first leases take about 10 s', flush=True)
+    with LocalFleet(documents, options.folder, options.instances) as fleet:
+        rows = _send_requests(fleet, _read_requests(options.example))
+        head = ('instance', 'method', 'path', 'status', 'ms', 'answer')
+        print(console.render_table(head, rows), flush=True)
+        operators = ' '.join(
+            f'--operators {member.operators}' for member in fleet.members[:2]
+        )
+        print(f'try: cranberryscale status {operators}', flush=True)
+        with contextlib.suppress(KeyboardInterrupt):
+            time.sleep(options.seconds or 1e9)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
