--- a/cranberryscale/process/ejections.py
+++ b/cranberryscale/process/ejections.py
@@ -21,6 +21,9 @@
 TRIAL_EVERY_S = 0.5
 # Evidence of slowness that restarts the ramp, as part of the threshold.
 RAMP_SCORE = 0.6
+# A lower limit delays the verdict, and a server that is slow enough to be
+# ejected is ejected within this time.
+RAMP_AFTER_S = 2.0
 # Others with this part of the threshold show the same fault.
 COMMON_SCORE = 0.3
 # Summaries of other domains lag, so they vote only this long after the
@@ -96,7 +99,7 @@
         self._next_trial_s = now_s + TRIAL_EVERY_S
 
     def weigh(
-        self, list_ages: Callable[[str], Iterable[float]], now_s: float
+        self, list_ages: Callable[[str, float], Iterable[float]], now_s: float
     ) -> None:
         """Eject, ramp and schedule trials according to the evidence."""
         if now_s - self._weighed_s < WEIGH_EVERY_S:
@@ -105,7 +108,7 @@
         used = self.used
         for record in used:
             record.usual = self._find_usual(record, used, now_s)
-            record.weigh(list_ages(record.server.name), now_s)
+            record.weigh(list_ages(record.server.name, now_s), now_s)
         for record in sorted(used, key=lambda r: r.score, reverse=True):
             self._judge(record, used, now_s)
         self._schedule_trials(now_s)
@@ -123,9 +126,14 @@
         kind = 'errors' if record.errors > record.slowness else 'slowness'
         if self._is_common(record, kind, used, now_s):
             return
-        if kind == 'slowness' and not record.ramp.is_cold:
-            record.ramp.restart('suddenly slow', now_s)
         if record.score < 1:
+            onset_s = record.evidence.onset_s or now_s
+            if (
+                kind == 'slowness'
+                and not record.ramp.is_cold
+                and now_s - onset_s >= RAMP_AFTER_S
+            ):
+                record.ramp.restart('suddenly slow', now_s)
             return
         reason = f'{kind} {record.score:.2f} of threshold'
         if len(self.used) > self._floor or self._swap(record, now_s):
--- a/cranberryscale/process/evidence.py
+++ b/cranberryscale/process/evidence.py
@@ -25,8 +25,9 @@
 # Healthy servers fail up to this part of their requests.
 HEALTHY_RATIO = 0.005
 # Healthy servers give wrong, truncated or crossed answers or refuse
-# connections ten times more rarely than they give errors.
-RARE_FACTOR = 0.1
+# connections in at most one of 10,000 requests; three in short succession
+# are enough.
+RARE_FACTOR = 0.02
 # Shedding is normal under bursts, so it needs many occurrences to count.
 SHED_RATIO = 0.02
 
--- a/cranberryscale/process/permits.py
+++ b/cranberryscale/process/permits.py
@@ -8,6 +8,11 @@
 
 __all__ = ['Ledger', 'Permit']
 
+# An instance heard from this recently is taken to be alive. Usual instances
+# speak several times a second; half a second of a dead instance's silence is
+# far too little evidence for an ejection.
+_ALIVE_S = 0.5
+
 
 class Permit(NamedTuple):
     """Describe a permit in use.
@@ -83,14 +88,18 @@
         """Return the permits that one instance has in use at a server."""
         return self._by_sender.get((server, sender), 0)
 
-    def list_ages(self, server: str) -> Iterator[float]:
+    def list_ages(self, server: str, now_s: float) -> Iterator[float]:
         """Yield for how long each running request has not been reported.
 
-        Ages end at the instance's last sign of life, so that a dead or
-        paused instance is no evidence against a server.
+        Ages end at the last sign of life of a silent instance, so that a
+        dead or paused instance is no evidence against a server.
         """
         return (
-            self._heard_s.get(permit.sender, 0.0) - permit.granted_s
+            self._read_alive_s(permit.sender, now_s) - permit.granted_s
             for permit in self._by_server.get(server, {}).values()
             if not permit.is_ended
         )
+
+    def _read_alive_s(self, sender: str, now_s: float) -> float:
+        heard_s = self._heard_s.get(sender, 0.0)
+        return now_s if now_s - heard_s < _ALIVE_S else heard_s
--- a/cranberryscale/process/slots.py
+++ b/cranberryscale/process/slots.py
@@ -15,10 +15,25 @@
 # Latencies within half a natural logarithm count as equal, so that servers
 # of equal load take turns and all of them give evidence.
 _LATENCY_STEP = 2.0
+# Part of a threshold from which a server is suspected: one error.
+_SUSPECT_SCORE = 0.2
 # Estimates need this many recent completions.
 _LEAST_COUNT = 10
 
 
+def _rank(record: standings.Record, probe_ok: bool) -> int:
+    """Return 0 for servers to choose first, 3 for the last resort.
+
+    Requests that may be repeated go to suspected servers first, because the
+    verdict needs a number of requests and not time; the others avoid them.
+    """
+    if record.is_kept:
+        return 3
+    if record.score < _SUSPECT_SCORE:
+        return 1
+    return 0 if probe_ok else 2
+
+
 class ServerStatus(NamedTuple):
     """Describe a backend server to operators.
 
@@ -60,21 +75,32 @@
             )
         return limit - self._ledger.count(record.server.name)
 
+    def has_free(self, now_s: float) -> bool:
+        """Tell whether some server could run another request."""
+        return any(
+            self.count_free(record, now_s) > 0
+            for record in self._ejections.records.values()
+            if record.state != 'ejected' and not record.is_out
+        )
+
     def choose(
         self, request: messages.TakePermit, sender: str, now_s: float
     ) -> standings.Record | None:
         """Return the least loaded server in use, None without a free slot."""
         best, best_key = None, None
         for record in self._ejections.records.values():
-            if not record.is_used or not self._may_use(
-                record, request, sender
-            ):
+            if not record.is_used:
                 continue
             free = self.count_free(record, now_s)
-            if free <= 0:
+            if free <= 0 or not self._may_use(record, request, sender):
                 continue
             step = round(_LATENCY_STEP * record.evidence.latency.mean)
-            key = (record.is_kept, -free, step, record.last_granted_s)
+            key = (
+                _rank(record, request.probe_ok),
+                -free,
+                step,
+                record.last_granted_s,
+            )
             if best_key is None or key < best_key:
                 best, best_key = record, key
         return best
--- a/cranberryscale/process/tenures.py
+++ b/cranberryscale/process/tenures.py
@@ -162,7 +162,7 @@
 
         Each grant passes the customer's turn on, so the order starts anew.
         """
-        while True:
+        while self._slots.has_free(now_s):
             for entry in self._queue.iterate():
                 grant = self._try_grant(entry, True, now_s)
                 if grant:
--- a/cranberryscale_bench/pool_model.py
+++ b/cranberryscale_bench/pool_model.py
@@ -4,8 +4,8 @@
 in one thread from a seed.
 """
 
-from collections.abc import Callable
 import collections
+from collections.abc import Callable
 import datetime
 import heapq
 import random as random_module
@@ -27,6 +27,7 @@
 
 HOP_S = 0.001
 TICK_S = 0.05
+MOST_RETRIES = 2
 SIGMA = 0.5
 CUSTOMERS = (('a', 25), ('b', 25), ('c', 20), ('d', 10))
 CUSTOMERS += (('e', 8), ('f', 6), ('g', 4), ('h', 2))
@@ -73,6 +74,7 @@
         self.error_ratio = 0.005
         self.is_silent = False
         self.pause_until_s = 0.0
+        self.paused_s = 0.0
         self.running = 0
         self.peak_ratio = 0.0
         self._service_s = service_s
@@ -142,14 +144,27 @@
         self.since_s: float | None = 0.0
         self.waiting: dict[int, 'Request'] = {}
         self.holder.load_members(model.members, self.now)
-        self.holder.load_servers(model.configuration, self.now)
         self.unanswering: frozenset[str] = frozenset()
+        self.load_servers()
 
     @property
     def now(self) -> datetime.timedelta:
         """Return the model's time."""
         return datetime.timedelta(seconds=self._model.now_s)
 
+    def load_servers(self) -> None:
+        """Load the model's configuration."""
+        self.holder.load_servers(self._model.configuration, self.now)
+
+    def replace_holder(self, lost: str, gap_s: float) -> None:
+        """Lose the holder, an entry instance too, and find another later."""
+        self.since_s = None
+        self.unanswering = frozenset((lost,))
+        self._model.at(self._model.now_s + gap_s, self._begin)
+
+    def _begin(self) -> None:
+        self.since_s = self._model.now_s
+
     @property
     def lease(self) -> Lease | None:
         """Return the current lease."""
@@ -233,7 +248,7 @@
         self.deadline_s = model.now_s + model.deadline_s
         self.probe_ok = model.random.random() < 0.8
         self.excluded: tuple[str, ...] = ()
-        self.permit: tuple[Any, Server, float] | None = None
+        self.permit: tuple[Any, Server, float, float] | None = None
 
 
 class Model:
@@ -272,6 +287,24 @@
         self.at(self.now_s, self._tick)
         self.at(self.now_s, self._arrive)
 
+    def load(self, loaded: configuration.Configuration) -> None:
+        """Give every pool a new configuration."""
+        self.configuration = loaded
+        for pool in self.pools.values():
+            pool.load_servers()
+
+    def pause_servers(self, mean_s: float, pause_s: float) -> None:
+        """Pause every server for a short time again and again."""
+        for server in self.servers.values():
+            gap_s = self.random.expovariate(1 / mean_s)
+            self.at(self.now_s + gap_s, self._pause, server, mean_s, pause_s)
+
+    def _pause(self, server: Server, mean_s: float, pause_s: float) -> None:
+        server.pause_until_s = self.now_s + pause_s
+        server.paused_s += pause_s
+        gap_s = pause_s + self.random.expovariate(1 / mean_s)
+        self.at(self.now_s + gap_s, self._pause, server, mean_s, pause_s)
+
     @property
     def rate_per_s(self) -> float:
         """Return the usual arrivals over all pools."""
@@ -320,7 +353,18 @@
         """Start a granted request, or ask the next pool."""
         match reply:
             case messages.PermitGrant():
-                self.at(self.now_s + HOP_S, self._start, pool, request, reply)
+                # Instances check again just before they start a request.
+                last_s = (
+                    self.now_s + pools.PoolTerms().start_within.total_seconds()
+                )
+                self.at(
+                    self.now_s + HOP_S,
+                    self._start,
+                    pool,
+                    request,
+                    reply,
+                    last_s,
+                )
             case messages.PermitDenial() if len(request.domains) > 1:
                 del request.domains[0]
                 self.at(self.now_s + HOP_S, self._ask, request)
@@ -357,23 +401,36 @@
             return True
         return False
 
-    def _start(self, pool: Any, request: Request, grant: Any) -> None:
-        if self._defer(request, self._start, pool, request, grant):
+    def _start(self, pool: Any, request: Request, grant, last_s) -> None:
+        if self._defer(request, self._start, pool, request, grant, last_s):
             return
         server = self.servers[grant.server]
         remaining_s = request.deadline_s - self.now_s
-        if remaining_s <= 0:
+        if remaining_s <= 0 or self.now_s > last_s:
             self._report(pool, request, grant, 'unused', 0.0)
             return
         outcome, took_s = server.run(self.now_s, remaining_s)
-        request.permit = (grant, server, self.now_s)
+        request.permit = (grant, server, self.now_s, server.paused_s)
         self.running[grant.permit_id] = request
         self.at(self.now_s + took_s, self._finish, pool, request, outcome)
 
     def _finish(self, pool: Any, request: Request, outcome: str) -> None:
-        grant, server, started_s = request.permit
+        grant, server, started_s, paused_s = request.permit
+        if server.paused_s > paused_s:
+            # The server paused while the request was running.
+            request.permit = (grant, server, started_s, server.paused_s)
+            later_s = self.now_s + server.paused_s - paused_s
+            self.at(later_s, self._finish, pool, request, outcome)
+            return
         server.finish(outcome)
-        self.results[request.customer, outcome] += 1
+        if outcome == 'shed' and len(request.excluded) < MOST_RETRIES:
+            # The server says that it did not run the request.
+            retry = Request(self, request.customer, int(request.instance[1:]))
+            retry.deadline_s = request.deadline_s
+            retry.excluded = (*request.excluded, server.name)
+            self.at(self.now_s + HOP_S, self._ask, retry)
+        else:
+            self.results[request.customer, outcome] += 1
         self.at(
             self.now_s + HOP_S,
             self._deliver,
