--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -191,7 +191,8 @@
     """Ask a pool's holder for a permit to run one request.
 
     `probe_ok` allows a trial at an ejected server: set for idempotent
-    requests only.
+    requests only. Without `may_queue` a busy pool denies at once, since
+    another failure domain's pool may have a free slot.
     """
 
     service: str
@@ -201,6 +202,7 @@
     remaining_s: float
     excluded: tuple[str, ...] = ()
     probe_ok: bool = False
+    may_queue: bool = True
 
 
 class PermitGrant(NamedTuple):
--- a/cranberryscale/process/tenures.py
+++ b/cranberryscale/process/tenures.py
@@ -114,6 +114,10 @@
         grant = self._try_grant(entry, not len(self._queue), now_s)
         if grant:
             return grant
+        if not entry.request.may_queue:
+            ahead = len(self._queue) + 1
+            wait_s = self._slots.estimate_wait_s(ahead, now_s)
+            return messages.PermitDenial('pool_busy', wait_s)
         if len(self._queue) >= self._service.queue_limit:
             surplus = self._queue.find_surplus(entry.customer)
             if surplus is None:
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -42,7 +42,9 @@
     def return_tokens(self, customer: str) -> None:
         """Give back the token of a request that did not run."""
 
-    def finish_once(self, customer: str, once_key: str, ran: str) -> None:
+    def finish_once(
+        self, customer: str, once_key: str, request_id: str, ran: str
+    ) -> None:
         """Record how the request with an idempotency key ended."""
 
 
@@ -118,7 +120,10 @@
     ) -> None:
         if outcome.has_once:
             self.fleet.finish_once(
-                outcome.customer, transfer.once_key, outcome.ran
+                outcome.customer,
+                transfer.once_key,
+                transfer.request_id,
+                outcome.ran,
             )
         if outcome.has_unspent:
             self.fleet.return_tokens(outcome.customer)
