--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,276 @@
+"""Stand-in backend servers with slots, cold start and gray failures.
+
+One process hosts many servers, each on its own port, and one control
+address. GET /servers there lists the counters, and PUT
+/servers/NAME/{mode,cold,drain} with a JSON body changes a server.
+"""
+
+import argparse
+import base64
+import hashlib
+import http.server
+import json
+import select
+import socket
+import threading
+import time
+
+from standins import behavior
+
+
+__all__ = ['main', 'serve', 'serve_control']
+
+_STEP_S = 0.02
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+    wbufsize = -1
+
+    @property
+    def backend(self) -> behavior.Backend:
+        return self.server.backend
+
+    def log_message(self, *_values) -> None:
+        """Log nothing; the counters say what happened."""
+
+    def answer(self) -> None:
+        """Answer a request by any method."""
+        backend = self.backend
+        if self.path == '/health':
+            self._send(200, backend.read_health().encode())
+            return
+        backend.headers.append(self.raw_requestline + self.headers.as_bytes())
+        body = self._read_body()
+        if body is None:
+            self._send(400, b'bad length')
+            return
+        if not backend.start():
+            self._send(503, b'not run', {'X-Not-Run': 'true'})
+            return
+        outcome = 'broken'
+        try:
+            outcome = self._run(hashlib.sha256(body).hexdigest()[:16])
+        except OSError:
+            self.close_connection = True
+        finally:
+            backend.finish(outcome)
+
+    do_DELETE = do_GET = do_HEAD = do_OPTIONS = answer
+    do_PATCH = do_POST = do_PUT = answer
+
+    def _read_body(self) -> bytes | None:
+        if self.headers.get('Transfer-Encoding', '').lower() != 'chunked':
+            length = self.headers.get('Content-Length', '0')
+            return self.rfile.read(int(length)) if length.isdigit() else None
+        parts = []
+        while True:
+            try:
+                size = int(self.rfile.readline().split(b';')[0], 16)
+            except ValueError:
+                return None
+            parts.append(self.rfile.read(size))
+            self.rfile.readline()
+            if not size:
+                return b''.join(parts)
+
+    def _run(self, digest: str) -> str:
+        """Run the request and return how it ended."""
+        backend = self.backend
+        request_id = self.headers.get('X-Request-Id', '')
+        backend.count_run(request_id, self.headers.get('Idempotency-Key', ''))
+        hit, took_s = backend.draw()
+        limit_ms = self.headers.get('X-Deadline-Ms', '')
+        limit_s = int(limit_ms) / 1000 if limit_ms.isdigit() else 60.0
+        ended = self._wait(took_s if hit != 'silent' else limit_s, limit_s)
+        if ended != 'completed' or hit == 'silent':
+            self.close_connection = True
+            return ended if ended != 'completed' else 'late'
+        text = f'{backend.name} {self.command} {self.path} {digest} '
+        body = text.encode().ljust(backend.behavior.answer_bytes, b'.')
+        before = backend.swap_answer((request_id, body))
+        if hit == 'crossed':
+            request_id, body = before
+        self._send_answer(hit, request_id, body)
+        return 'failed' if hit == 'error' else 'completed'
+
+    def _wait(self, took_s: float, limit_s: float) -> str:
+        """Work until done, the deadline, or the peer has closed."""
+        end_s = time.monotonic() + min(took_s, limit_s)
+        while (left_s := end_s - time.monotonic()) > 0:
+            step_s = min(left_s, _STEP_S)
+            if not select.select([self.connection], [], [], step_s)[0]:
+                continue
+            try:
+                if not self.connection.recv(1, socket.MSG_PEEK):
+                    return 'cancelled'
+            except OSError:
+                return 'cancelled'
+            time.sleep(step_s)
+        return 'completed' if took_s <= limit_s else 'late'
+
+    def _send_answer(self, hit: str, request_id: str, body: bytes) -> None:
+        digest = base64.b64encode(hashlib.sha256(body).digest()).decode()
+        headers = {
+            'X-Request-Id': request_id,
+            'Content-Digest': f'sha-256=:{digest}:',
+        }
+        if hit == 'wrong':
+            body = body[::-1]
+        if hit == 'error':
+            self._send(500, b'failed', {'X-Request-Id': request_id})
+        else:
+            self._send(200, body, headers, is_cut=hit == 'truncated')
+
+    def _send(
+        self,
+        status: int,
+        body: bytes,
+        headers: dict[str, str] | None = None,
+        is_cut: bool = False,
+    ) -> None:
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header('X-Load', self.backend.describe_load())
+        self.send_header('Content-Length', str(len(body)))
+        if self.backend.is_draining:
+            self.send_header('Connection', 'close')
+        self.end_headers()
+        if self.command != 'HEAD':
+            self.wfile.write(body[: len(body) // 2] if is_cut else body)
+        if is_cut:
+            self.close_connection = True
+        self.wfile.flush()
+
+
+class _Listener(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 512
+
+    def __init__(self, address, handler, **values):
+        vars(self).update(values)
+        super().__init__(address, handler)
+        self.thread = threading.Thread(target=self.serve_forever, daemon=True)
+        self.thread.start()
+
+
+class _ControlHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+
+    def log_message(self, *_values) -> None:
+        """Log nothing."""
+
+    def do_GET(self) -> None:
+        """Return the counters of all servers or of one."""
+        backends = self.server.backends
+        match self.path.strip('/').split('/'):
+            case ['servers']:
+                found = {n: b.snapshot() for n, b in backends.items()}
+                self._send(200, found)
+            case ['servers', name] if name in backends:
+                self._send(200, backends[name].snapshot())
+            case _:
+                self._send(404, {'error': 'not found', 'path': self.path})
+
+    def do_PUT(self) -> None:
+        """Change a server."""
+        backends = self.server.backends
+        length = int(self.headers.get('Content-Length', 0))
+        try:
+            values = json.loads(self.rfile.read(length) or b'{}')
+            match self.path.strip('/').split('/'):
+                case ['servers', name, 'mode'] if name in backends:
+                    backends[name].set_mode(behavior.Mode(**values))
+                case ['servers', name, 'cold'] if name in backends:
+                    backends[name].turn_cold()
+                case ['servers', name, 'drain'] if name in backends:
+                    backends[name].is_draining = bool(values.get('on', True))
+                case _:
+                    self._send(404, {'error': 'not found', 'path': self.path})
+                    return
+        except (TypeError, ValueError) as error:
+            self._send(400, {'error': 'bad value', 'value': str(error)})
+            return
+        self._send(200, backends[name].snapshot())
+
+    def _send(self, status: int, found: dict) -> None:
+        body = json.dumps(found).encode()
+        self.send_response(status)
+        self.send_header('Content-Type', 'application/json')
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def serve(backend: behavior.Backend, host: str, port: int = 0) -> _Listener:
+    """Serve a stand-in server in threads; `server_address` has its port."""
+    return _Listener((host, port), _Handler, backend=backend)
+
+
+def serve_control(
+    backends: dict[str, behavior.Backend], host: str, port: int = 0
+) -> _Listener:
+    """Serve the control address in threads."""
+    return _Listener((host, port), _ControlHandler, backends=backends)
+
+
+def _parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
+    usual = behavior.Behavior()
+    parser = argparse.ArgumentParser(
+        prog='standins.backend',
+        description='Run stand-in backend servers.',
+    )
+    parser.add_argument(
+        '--server',
+        action='append',
+        required=True,
+        metavar='NAME=HOST:PORT',
+        help='a server; may be given many times',
+    )
+    parser.add_argument('--control', required=True, metavar='HOST:PORT')
+    parser.add_argument('--slots', type=int, default=usual.slots)
+    parser.add_argument('--service-ms', type=float, default=40.0)
+    parser.add_argument('--sigma', type=float, default=usual.sigma)
+    parser.add_argument('--cold-slots', type=int, default=usual.cold_slots)
+    parser.add_argument(
+        '--warm-completions', type=int, default=usual.warm_completions
+    )
+    parser.add_argument('--cold', action='store_true', help='start cold')
+    parser.add_argument('--seed', type=int, default=0)
+    return parser.parse_args(arguments)
+
+
+def _split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(':')
+    return host, int(port)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run servers until interrupted."""
+    chosen = _parse_arguments(arguments)
+    usual = behavior.Behavior(
+        slots=chosen.slots,
+        service_s=chosen.service_ms / 1000,
+        sigma=chosen.sigma,
+        cold_slots=chosen.cold_slots,
+        warm_completions=chosen.warm_completions,
+    )
+    backends = {}
+    for number, text in enumerate(chosen.server):
+        name, _, address = text.partition('=')
+        backends[name] = behavior.Backend(name, usual, chosen.seed + number)
+        if chosen.cold:
+            backends[name].turn_cold()
+        serve(backends[name], *_split_address(address))
+    control = serve_control(backends, *_split_address(chosen.control))
+    print(f'event=ready servers={len(backends)}', flush=True)
+    try:
+        control.thread.join()
+    except KeyboardInterrupt:
+        control.shutdown()
+
+
+if __name__ == '__main__':
+    main()
