Add the examples, their manifests and the settings page

Both examples load without faults; a test reads them, the keys of their README and their settings template. Two routes that match the same method, host and prefix are refused, since a team could otherwise take over another team's requests. confirm_s may not exceed the 4 s within which a withdrawn key must stop.

--- a/cranberryscale/version/resolution.py
+++ b/cranberryscale/version/resolution.py
@@ -15,6 +15,8 @@
 Groups = Mapping[str, Mapping[str, Any]]
 Conflict = tuple[str, documents.Fault]
 
+_TABLES = (*documents.list_tables(), subtrees.PATHS)
+
 
 def _find_duplicates(
     accepted: Mapping[str, subtrees.Subtree],
@@ -89,9 +91,7 @@
 
 def group_items(subtree: subtrees.Subtree) -> Groups:
     """Return the subtree's items by table and name."""
-    groups: dict[str, dict[str, Any]] = {
-        table: {} for table in documents.list_tables()
-    }
+    groups: dict[str, dict[str, Any]] = {table: {} for table in _TABLES}
     for item in subtree.items:
         groups[item.table][item.name] = item
     return groups
@@ -109,7 +109,7 @@
     """
     names: dict[str, set[str]] = {
         table: set().union(*(group[table] for group in groups.values()))
-        for table in documents.list_tables()
+        for table in _TABLES
     }
     conflicts: dict[str, list[documents.Fault]] = {}
     for team, fault in _find_duplicates(accepted, candidates, groups):
--- a/cranberryscale/version/subtrees.py
+++ b/cranberryscale/version/subtrees.py
@@ -21,9 +21,11 @@
 
 __all__ = [
     'MANIFEST',
+    'PATHS',
     'Manifest',
     'Offer',
     'Subtree',
+    'format_manifest',
     'load_directory',
     'make_manifest',
     'parse_subtree',
@@ -32,6 +34,22 @@
 
 MANIFEST = 'manifest.toml'
 
+# The table of what routes match, one item per method, host and prefix.
+PATHS = 'paths'
+METHODS = frozenset(
+    (
+        'CONNECT',
+        'DELETE',
+        'GET',
+        'HEAD',
+        'OPTIONS',
+        'PATCH',
+        'POST',
+        'PUT',
+        'TRACE',
+    )
+)
+
 DocumentName = Annotated[
     str, msgspec.Meta(pattern=r'^[A-Za-z0-9][A-Za-z0-9._-]*\.toml\Z')
 ]
@@ -111,6 +129,17 @@
     return item
 
 
+def _list_paths(item: documents.Item) -> Iterator[documents.Item]:
+    # Of two routes that match the same requests one would win by chance, and
+    # a team could take over another team's requests.
+    if item.table == 'routes':
+        route = item.value
+        prefix = '/' + route.prefix.strip('/')
+        for method in sorted(route.methods or METHODS):
+            name = f'{method} {route.host.lower()}{prefix}'
+            yield documents.Item(PATHS, name, None, item.path, item.line)
+
+
 def _find_repeats(items: list[documents.Item]) -> Iterator[documents.Fault]:
     seen: dict[tuple[str, str], documents.Item] = {}
     for item in items:
@@ -153,6 +182,7 @@
                     items.append(_claim(part, offer.team))
                 case fault:
                     faults.append(fault)
+    items.extend([path for item in items for path in _list_paths(item)])
     faults.extend(_find_repeats(items))
     if faults:
         return tuple(faults)
@@ -165,26 +195,34 @@
     )
 
 
-def make_manifest(
-    directory: pathlib.Path, version: int, owner: str, changed_by: str
+def format_manifest(
+    texts: Mapping[str, str], version: int, owner: str, changed_by: str
 ) -> str:
-    """Return the manifest text for the documents in a directory."""
-    digests: Mapping[str, str] = {
-        path.name: _digest(path.read_text('utf-8'))
-        for path in sorted(directory.glob('*.toml'))
-        if path.name != MANIFEST
-    }
+    """Return the manifest text for documents by name."""
     lines = (
         f'version = {version}',
         f'owner = {json.dumps(owner, ensure_ascii=False)}',
         f'changed_by = {json.dumps(changed_by, ensure_ascii=False)}',
         '',
         '[documents]',
-        *(f'"{name}" = "{digest}"' for name, digest in digests.items()),
+        *(
+            f'"{name}" = "{_digest(texts[name])}"'
+            for name in sorted(texts.keys() - {MANIFEST})
+        ),
     )
     return '\n'.join(lines) + '\n'
 
 
+def make_manifest(
+    directory: pathlib.Path, version: int, owner: str, changed_by: str
+) -> str:
+    """Return the manifest text for the documents in a directory."""
+    texts = {
+        path.name: path.read_text('utf-8') for path in directory.glob('*.toml')
+    }
+    return format_manifest(texts, version, owner, changed_by)
+
+
 def load_directory(path: pathlib.Path) -> tuple[Offer, ...]:
     """Return the subtrees in a directory, one subdirectory a team.
 
--- a/cranberryscale/version/tree.py
+++ b/cranberryscale/version/tree.py
@@ -20,9 +20,9 @@
 
 __all__ = ['Acceptance', 'NeedAll', 'Outcome', 'Refusal', 'Tree']
 
-# Versions for which a delta can be sent; a peer that is further behind gets
-# the whole subtree. At 50,000 changes a day over some teams, eight versions
-# cover every peer that pulls at least every few seconds.
+# Versions for which a delta can be sent; a peer further behind gets the whole
+# subtree. At 50,000 changes a day over some teams, eight versions cover every
+# peer that pulls at least every few seconds.
 HISTORY_LIMIT = 8
 
 # Refusals remembered so that each is reported once.
@@ -128,9 +128,8 @@
         self, records: Iterable[messages.SubtreeRecord]
     ) -> tuple[Outcome, ...]:
         """Accept or refuse subtrees sent by a peer."""
-        offers: list[subtrees.Offer] = []
+        offers, missing = [], []
         deltas: set[str] = set()
-        missing: list[NeedAll] = []
         for record in records:
             if record.base == 0:
                 offers.append(subtrees.Offer(record.team, record.documents))
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,12 +1,17 @@
 """Guard the checking of published documents."""
 
+import collections
+import pathlib
 import re
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
+from cranberryscale import errors
 from cranberryscale.version import documents
+from cranberryscale.version import settings
 from cranberryscale.version import subtrees
 from cranberryscale.version import tables
 
@@ -182,3 +187,30 @@
     """Damaged documents must never raise in an instance."""
     for part in documents.parse_document('t/d.toml', text):
         assert isinstance(part, documents.Fault)
+
+
+def test_settings_page_names_every_field():
+    """A field that nobody can read about might as well not exist."""
+    folder = pathlib.Path(__file__).parents[1]
+    page = (folder / 'docs' / 'settings.md').read_text('utf-8')
+    for name, table in tables.TABLES.items():
+        assert f'[{name}]' in page
+        assert all(f'`{field}`' in page for field in table.fields)
+    for field in msgspec.structs.fields(settings.Settings):
+        inner = getattr(field.type, '__struct_fields__', ())
+        names = [f'{field.name}.{name}' for name in inner] or [field.name]
+        assert all(f'`{name}`' in page for name in names)
+
+
+@pytest.mark.parametrize('name', ['ponte-nova', 'guild'])
+def test_settings_template_is_valid(name):
+    """A local fleet starts from the template."""
+    folder = pathlib.Path(__file__).parents[1] / 'examples' / name
+    text = (folder / 'settings.template.toml').read_text('utf-8')
+    words = collections.defaultdict(lambda: '21000')
+    words['secret'] = 'a secret for tests only'
+    text = text.format_map(words)
+    assert settings.parse_settings(text, name).addresses.peers
+    for wrong in ('confirm_s = 5', 'confirm_s = 0', 'unknown = 1'):
+        with pytest.raises(errors.ConfigurationError):
+            settings.parse_settings(f'{text}[timeouts]\n{wrong}', name)
--- a/tests/test_tree.py
+++ b/tests/test_tree.py
@@ -1,14 +1,18 @@
 """Guard the acceptance of subtrees."""
 
 import hashlib
+import pathlib
+import re
 
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from cranberryscale import messages
+from cranberryscale.version import keys
 from cranberryscale.version import subtrees
 from cranberryscale.version import tree
+from standins import manifests
 
 
 DOMAINS = '[[domains]]\nname = "d"\n'
@@ -107,6 +111,47 @@
     assert [type(o) for o in outcomes] == [tree.Acceptance] * 2
 
 
+@pytest.mark.parametrize(
+    ('line', 'accepted'),
+    [
+        ('', False),
+        ('methods = ["GET"]\n', False),
+        ('host = "a.example"\n', True),
+    ],
+)
+def test_routes_cannot_take_over_requests(line, accepted):
+    """One team must not receive another team's requests."""
+    made = make_tree(make_offer('a', 1, routes=ROUTES, s=SERVICES))
+    rival = ROUTES.replace('"r"', '"x"') + line
+    (outcome,) = made.offer([make_offer('b', 1, routes=rival)])
+    assert isinstance(outcome, tree.Acceptance) == accepted
+
+
+@pytest.mark.parametrize('name', ['ponte-nova', 'guild'])
+def test_examples_are_accepted(name):
+    """The examples must match the documents' rules and their manifests."""
+    folder = pathlib.Path(__file__).parents[1] / 'examples' / name
+    made = make_tree(*subtrees.load_directory(folder))
+    servers = made.configuration.servers.values()
+    assert len(made.configuration.customers) == 8
+    assert len({server.address for server in servers}) == len(servers)
+    readme = (folder / 'README.md').read_text('utf-8')
+    withdrawn = 0
+    for key in re.findall(r'^\| `([^`]+)` \|', readme, re.MULTILINE):
+        found = made.configuration.keys[keys.digest_key(key)]
+        withdrawn += found.withdrawn
+    assert withdrawn == 1
+    first = sorted(server.address for server in servers)[0]
+    values = manifests.list_values(folder, {first: '127.0.0.1:1'})
+    offers = {}
+    for path, text in values.items():
+        _, team, document = path.split('/')
+        offers.setdefault(team, {})[document] = text
+    moved = make_tree(*(subtrees.Offer(*item) for item in offers.items()))
+    addresses = {s.address for s in moved.configuration.servers.values()}
+    assert '127.0.0.1:1' in addresses and first not in addresses
+
+
 @pytest.mark.parametrize(('order', 'blamed'), [(9, 'a'), (1, 'b')])
 def test_later_write_is_refused_when_both_are_new(order, blamed):
     """A new instance must decide a conflict as older ones did."""
