--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,7 +21,9 @@
 import urllib3
 
 from cranberryscale import console
+from cranberryscale.version import configuration
 from cranberryscale.version import subtrees
+from cranberryscale.version import tree
 
 
 __all__ = ['LocalFleet', 'main']
@@ -81,12 +83,16 @@
         count: int = 6,
         lifetime_s: float = 1.0,
         lag_s: float = 1.0,
+        service_ms: float = 10.0,
     ):
         self.folder = folder
         self.http = urllib3.PoolManager(retries=False, maxsize=16)
         self.processes: dict[str, subprocess.Popen] = {}
         self._count = count
         self._times = (lifetime_s, lag_s)
+        self._service_ms = service_ms
+        self.backend_port = 0
+        self.configuration = configuration.Configuration()
         self._texts = {
             offer.team: dict(offer.documents)
             for offer in subtrees.load_directory(documents)
@@ -124,27 +130,33 @@
                 for _, port in ADDRESS.findall(text)
             }
         )
-        ports = dict(zip(found, find_ports(len(found))))
+        *free, self.backend_port = find_ports(len(found) + 1)
+        ports = dict(zip(found, free))
         for texts in self._texts.values():
             for name, text in texts.items():
                 texts[name] = ADDRESS.sub(
                     lambda m: f'{m[1]}"127.0.0.1:{ports[m[2]]}"', text
                 )
-        self._start_backends(sorted(ports.values()))
-
-    def _start_backends(self, ports: list[int]) -> None:
-        for port in ports:
-            self._start(
-                f'backend-{port}',
-                'standins.backend',
-                f'--name=b{port}',
-                f'--port={port}',
-            )
+        for team in self._texts:
+            self._write_subtree(team, 'operator@example.org')
+        accepted = tree.Tree()
+        accepted.offer(subtrees.load_directory(self.folder / 'documents'))
+        self.configuration = accepted.configuration
+        self._start_backends()
+
+    def _start_backends(self) -> None:
+        servers = self.configuration.servers.values()
+        self._start(
+            'backends',
+            'standins.backend',
+            f'--control=127.0.0.1:{self.backend_port}',
+            f'--slots={max(server.slots for server in servers)}',
+            f'--service-ms={self._service_ms}',
+            *(f'--server={each.name}={each.address}' for each in servers),
+        )
 
     def _start_platform(self) -> None:
         documents = self.folder / 'documents'
-        for team in self._texts:
-            self._write_subtree(team, 'operator@example.org')
         self.folder.joinpath('instances.json').write_text('[]')
         self._start(
             'platform',
@@ -195,14 +207,7 @@
             return None
 
     def _list_members(self):
-        domains = sorted(
-            {
-                found
-                for texts in self._texts.values()
-                for text in texts.values()
-                for found in re.findall(r'^domain = "(.+)"', text, re.M)
-            }
-        )
+        domains = sorted(self.configuration.domains)
         ports = [f'127.0.0.1:{p}' for p in find_ports(3 * self._count)]
         for number in range(self._count):
             yield Member(
@@ -289,12 +294,8 @@
             for pool in one['pools']
         }
         wanted = {
-            pair
-            for texts in self._texts.values()
-            for text in texts.values()
-            for pair in re.findall(
-                r'^service = "(.+)"\ndomain = "(.+)"', text, re.M
-            )
+            (server.service, server.domain)
+            for server in self.configuration.servers.values()
         }
         return wanted <= held
 
@@ -365,9 +366,10 @@
     )
     options = parser.parse_args()
     options.folder.mkdir(parents=True, exist_ok=True)
-    documents = options.example / 'documents'
     print('starting; the first leases take about 10 s', flush=True)
-    with LocalFleet(documents, options.folder, options.instances) as fleet:
+    with LocalFleet(
+        options.example, options.folder, options.instances
+    ) as fleet:
         rows = _send_requests(fleet, _read_requests(options.example))
         head = ('instance', 'method', 'path', 'status', 'ms', 'answer')
         print(console.render_table(head, rows), flush=True)
