--- a/cranberryscale/version/settings.py
+++ b/cranberryscale/version/settings.py
@@ -42,7 +42,7 @@
 
     lease_s: Seconds = 8.0
     suspect_s: Seconds = 5.0
-    gossip_s: Seconds = 0.5
+    gossip_s: Seconds = 0.35
     drift_ratio: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.01
 
 
