--- a/cranberryscale/process/ejections.py
+++ b/cranberryscale/process/ejections.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 import math
 import statistics
-from typing import NamedTuple
 
 from cranberryscale import messages
 from cranberryscale.process import evidence
@@ -24,25 +23,56 @@
 # A lower limit delays the verdict, and a server that is slow enough to be
 # ejected is ejected within this time.
 RAMP_AFTER_S = 2.0
-# Others with this part of the threshold show the same fault.
-COMMON_SCORE = 0.3
 # Summaries of other domains lag, so they vote only this long after the
 # evidence began.
 REMOTE_LAG_S = 2.0
 REMOTE_LIFETIME_S = 5.0
 
+# Others count as slow too from this multiple of the usual latency.
+COMMON_SLOW_FACTOR = 2.0
+COMMON_BAD_RATIO = 0.15
+
 LEAST_COUNT = 5
+LEAST_REMOTE = 2
 FEW_SERVERS = 3
 LEAST_USUAL_S = 0.005
 ERROR_MARGIN = 1.5
 WORSE_BY = 0.25
 
 
-class Remote(NamedTuple):
+class Remote:
     """Hold what another domain's pool holder said about its servers."""
 
-    received_s: float
-    servers: tuple[messages.ServerSummary, ...]
+    def __init__(self) -> None:
+        self.received_s = -math.inf
+        self.servers: tuple[messages.ServerSummary, ...] = ()
+        self._latency: dict[str, evidence.Decayed] = {}
+        self._errors: dict[str, evidence.Decayed] = {}
+
+    def take(
+        self, servers: tuple[messages.ServerSummary, ...], now_s: float
+    ) -> None:
+        """Take a summary and add it to what is usual."""
+        self.received_s = now_s
+        self.servers = tuple(s for s in servers if s.count >= LEAST_REMOTE)
+        for name in set(self._latency) - {s.server for s in servers}:
+            del self._latency[name], self._errors[name]
+        for summary in self.servers:
+            self._latency.setdefault(
+                summary.server, evidence.Decayed(evidence.LATENCY_MEMORY_S)
+            ).add(math.log(max(summary.median_latency_s, 1e-6)), now_s)
+            self._errors.setdefault(
+                summary.server, evidence.Decayed(evidence.ERROR_MEMORY_S)
+            ).add(summary.error_ratio, now_s)
+
+    def list_usual(self) -> list[evidence.Baseline]:
+        """Return what is usual at each server."""
+        return [
+            evidence.Baseline(
+                math.exp(self._latency[name].mean), self._errors[name].mean
+            )
+            for name in self._latency
+        ]
 
 
 class Ejections:
@@ -72,7 +102,8 @@
             is_out = server.name in out
             record = before.get(server.name)
             if record is None or record.server.address != server.address:
-                record = standings.Record(server, is_out, now_s)
+                reason = 'new' if before else 'new holder'
+                record = standings.Record(server, is_out, now_s, reason)
             elif record.is_out and not is_out:
                 record.restore('taken in', now_s)
             record.server, record.is_out = server, is_out
@@ -119,12 +150,15 @@
         used: list[standings.Record],
         now_s: float,
     ) -> None:
-        if record.score < COMMON_SCORE:
+        if record.score < standings.COMMON_SCORE:
             record.is_kept = False
         if record.score < RAMP_SCORE:
             return
         kind = 'errors' if record.errors > record.slowness else 'slowness'
-        if self._is_common(record, kind, used, now_s):
+        is_common = self._is_common(record, kind, used, now_s)
+        if is_common and record.score >= 1:
+            record.evidence.relearn()
+        if is_common or is_common is None:
             return
         if record.score < 1:
             onset_s = record.evidence.onset_s or now_s
@@ -164,26 +198,40 @@
         kind: str,
         used: list[standings.Record],
         now_s: float,
-    ) -> bool:
-        """Tell whether most other servers show the same fault."""
+    ) -> bool | None:
+        """Tell whether most other servers show the same fault.
+
+        None means that the other domains' answers are awaited.
+        """
         local = [
-            getattr(other, kind) >= COMMON_SCORE
+            other.is_affected(kind, now_s)
             for other in used
             if other is not record
             and other.evidence.errors.count(now_s) >= LEAST_COUNT
         ]
         if sum(local) * 2 <= len(local):
             return False
+        fresh = self._list_fresh(now_s)
+        if not any(remote.servers for remote in fresh):
+            return True
         onset_s = record.evidence.onset_s
         since_s = (now_s if onset_s is None else onset_s) + REMOTE_LAG_S
-        votes = local + [
+        votes = [
             _is_affected(summary, kind, record.usual)
-            for remote in self.remotes.values()
-            if remote.received_s >= max(since_s, now_s - REMOTE_LIFETIME_S)
+            for remote in fresh
+            if remote.received_s >= since_s
             for summary in remote.servers
-            if summary.count >= LEAST_COUNT
         ]
-        return sum(votes) * 2 > len(votes)
+        if not votes:
+            return None
+        return sum(local + votes) * 2 > len(local + votes)
+
+    def _list_fresh(self, now_s: float) -> list[Remote]:
+        return [
+            remote
+            for remote in self.remotes.values()
+            if now_s - remote.received_s < REMOTE_LIFETIME_S
+        ]
 
     def _find_usual(
         self,
@@ -192,32 +240,28 @@
         now_s: float,
     ) -> evidence.Baseline:
         """Return the medians over the service's other servers."""
-        others = [
-            r.evidence
+        usual = [
+            evidence.Baseline(
+                math.exp(r.evidence.latency.mean), r.evidence.errors.mean
+            )
             for r in used
-            if r is not record and r.evidence.latency.count(now_s) > 5
+            if r is not record
+            and r.evidence.latency.count(now_s) >= LEAST_COUNT
         ]
-        summaries = [
-            summary
-            for remote in self.remotes.values()
-            if now_s - remote.received_s < REMOTE_LIFETIME_S
-            for summary in remote.servers
-            if summary.count >= LEAST_COUNT
-        ]
-        latencies = [math.exp(e.latency.mean) for e in others]
-        latencies += [s.median_latency_s for s in summaries]
-        ratios = [e.errors.mean for e in others]
-        ratios += [s.error_ratio for s in summaries]
-        if len(latencies) < FEW_SERVERS:
+        for remote in self._list_fresh(now_s):
+            usual.extend(remote.list_usual())
+        latencies = [u.latency_s for u in usual] or [0.0]
+        ratios = [u.error_ratio for u in usual] or [0.0]
+        least_s = LEAST_USUAL_S
+        own = record.evidence.history
+        if len(usual) < FEW_SERVERS and own.count(now_s) >= LEAST_COUNT:
             # A single faster server must not make this one look slow.
-            own = record.evidence.history
-            least_s = math.exp(own.mean) if own.count(now_s) > 5 else 0.0
-        else:
-            least_s = 0.0
-        usual_s = max(statistics.median(latencies or [0.0]), least_s)
+            least_s = max(least_s, math.exp(own.mean))
+        elif not usual:
+            least_s = standings.UNKNOWN_USUAL_S
         return evidence.Baseline(
-            max(usual_s or standings.UNKNOWN_USUAL_S, LEAST_USUAL_S),
-            ERROR_MARGIN * statistics.median(ratios or [0.0]),
+            max(statistics.median(latencies), least_s),
+            ERROR_MARGIN * statistics.median(ratios),
         )
 
     def _schedule_trials(self, now_s: float) -> None:
@@ -233,6 +277,5 @@
     summary: messages.ServerSummary, kind: str, usual: evidence.Baseline
 ) -> bool:
     if kind == 'errors':
-        return summary.error_ratio > evidence.BAD_RATIO / 2
-    slow_s = usual.latency_s * evidence.SLOW_FACTOR
-    return summary.median_latency_s > slow_s
+        return summary.error_ratio > COMMON_BAD_RATIO
+    return summary.median_latency_s > COMMON_SLOW_FACTOR * usual.latency_s
--- a/cranberryscale/process/evidence.py
+++ b/cranberryscale/process/evidence.py
@@ -53,6 +53,8 @@
 LATENCY_MEMORY_S = 10.0
 ERROR_MEMORY_S = 30.0
 HISTORY_MEMORY_S = 60.0
+# What other holders are told must show a new fault at once.
+RECENT_MEMORY_S = 1.0
 
 _RARE = frozenset(('wrong', 'truncated', 'crossed', 'refused'))
 _FAILED = frozenset(('error', 'silent')) | _RARE
@@ -143,6 +145,8 @@
         self.latency = Decayed(LATENCY_MEMORY_S)
         self.history = Decayed(HISTORY_MEMORY_S)
         self.errors = Decayed(ERROR_MEMORY_S)
+        self.recent_latency = Decayed(RECENT_MEMORY_S)
+        self.recent_errors = Decayed(RECENT_MEMORY_S)
         self.reset()
 
     def reset(self) -> None:
@@ -151,6 +155,11 @@
         self.slow_score = 0.0
         self.onset_s: float | None = None
 
+    def relearn(self) -> None:
+        """Forget what was usual too, after a change of all servers."""
+        self.reset()
+        self.latency = Decayed(LATENCY_MEMORY_S)
+
     def add(
         self, outcome: str, latency_s: float, usual: Baseline, now_s: float
     ) -> None:
@@ -159,8 +168,9 @@
             return
         slow = rate_latency(latency_s, usual.latency_s)
         if outcome == 'ok':
-            self.latency.add(math.log(max(latency_s, 1e-6)), now_s)
-            self.history.add(math.log(max(latency_s, 1e-6)), now_s)
+            value = math.log(max(latency_s, 1e-6))
+            for mean in (self.latency, self.history, self.recent_latency):
+                mean.add(value, now_s)
         elif outcome in ('shed', 'refused'):
             slow = 0.0
         else:
@@ -168,6 +178,7 @@
             slow = max(0.0, slow)
         if outcome not in ('cancelled', 'shed'):
             self.errors.add(outcome in _FAILED, now_s)
+            self.recent_errors.add(outcome in _FAILED, now_s)
         error = _rate_outcome(outcome, usual.error_ratio)
         self._raise_scores(error, slow, usual, now_s)
 
--- a/cranberryscale/process/pools.py
+++ b/cranberryscale/process/pools.py
@@ -72,14 +72,10 @@
         self, members: frozenset[str], now: datetime.timedelta
     ) -> None:
         """Replace the names of the instances that may hold permits."""
-        now_s = now.total_seconds()
-        limit_s = self._terms.request_limit.total_seconds()
-        self._removed_s = {
-            name: removed_s
-            for name, removed_s in self._removed_s.items()
-            if now_s - removed_s < limit_s and name not in members
-        } | {name: now_s for name in self._members - members}
+        removed = self._members - members
+        self._removed_s |= dict.fromkeys(removed, now.total_seconds())
         self._members = members
+        self._list_surveyed(now.total_seconds())
 
     def list_unsurveyed(
         self, lease: Any, now: datetime.timedelta
@@ -113,7 +109,10 @@
         lease: Any,
         now: datetime.timedelta,
     ) -> messages.PermitGrant | messages.PermitDenial | Queued:
-        """Grant, deny or queue a permit for the sending instance."""
+        """Grant, deny or queue a permit for the sending instance.
+
+        After Queued, call `advance`: it may answer this or other requests.
+        """
         tenure = self._find_tenure(lease, now)
         if tenure is None:
             return messages.PermitDenial(
@@ -159,9 +158,8 @@
         now: datetime.timedelta,
     ) -> None:
         """Take the evidence of another domain's holder of the service."""
-        self._remotes[domain] = ejections.Remote(
-            now.total_seconds(), reply.servers
-        )
+        remote = self._remotes.setdefault(domain, ejections.Remote())
+        remote.take(reply.servers, now.total_seconds())
 
     def summarize(self, now: datetime.timedelta) -> messages.PoolSummaryReply:
         """Return recent evidence for the service's other pool holders."""
@@ -176,6 +174,16 @@
         tenure = self._find_tenure(lease, now)
         return tenure.status(now.total_seconds()) if tenure else ()
 
+    def _list_surveyed(self, now_s: float) -> frozenset[str]:
+        """Return the members and those removed a short time ago."""
+        limit_s = self._terms.request_limit.total_seconds()
+        self._removed_s = {
+            name: removed_s
+            for name, removed_s in self._removed_s.items()
+            if now_s - removed_s < limit_s and name not in self._members
+        }
+        return self._members | frozenset(self._removed_s)
+
     def _load_tenure(self, tenure: tenures.Tenure, now_s: float) -> None:
         servers = self._configuration.list_pool(self._service, self._domain)
         out = frozenset(
@@ -203,7 +211,7 @@
         if self._tenure is None:
             self._tenure = tenures.Tenure(
                 lease.since,
-                self._members | frozenset(self._removed_s),
+                self._list_surveyed(now.total_seconds()),
                 self._remotes,
                 f'{self._random.getrandbits(48):012x}',
                 self._terms,
--- a/cranberryscale/process/standings.py
+++ b/cranberryscale/process/standings.py
@@ -1,6 +1,7 @@
 """Standing of one backend server: in use, ejected or on trial."""
 
 from collections.abc import Iterable
+import math
 
 from cranberryscale import messages
 from cranberryscale.process import evidence
@@ -8,7 +9,7 @@
 from cranberryscale.version import configuration
 
 
-__all__ = ['UNKNOWN_USUAL_S', 'Record']
+__all__ = ['COMMON_SCORE', 'UNKNOWN_USUAL_S', 'Record']
 
 FIRST_OUT_S = 4.0
 MOST_DOUBLINGS = 6
@@ -21,14 +22,20 @@
 TRIALS_NEEDED = 6
 TRIAL_SLOW_FACTOR = 4.0
 
-# A cold server is slower by nature; while a server that this holder itself
-# ramps up is cold, its latency is compared with this multiple.
+# A cold server is slower by nature; while a new or returned server is ramped
+# up, its latency is compared with this multiple. Servers found by a new
+# holder are ramped too, but most of them are warm, and a gray one must not
+# profit.
 COLD_FACTOR = 3.0
 
 # A server that goes on reporting itself as cold after a ramp is not believed
 # again for this long, since the hint may be wrong.
 HINT_EVERY_S = 60.0
 
+# Others with this part of the threshold, now or lately, show the same fault.
+COMMON_SCORE = 0.3
+AFFECTED_S = 3.0
+
 # Latency to compare with before anything is known.
 UNKNOWN_USUAL_S = 1.0
 SEVERITY_WEIGHT = 0.1
@@ -38,11 +45,15 @@
     """Hold the standing of one backend server."""
 
     def __init__(
-        self, server: configuration.BackendServer, is_out: bool, now_s: float
+        self,
+        server: configuration.BackendServer,
+        is_out: bool,
+        now_s: float,
+        reason: str = 'new',
     ):
         self.server = server
         self.is_out = is_out
-        self.ramp = ramps.Ramp(server, 'new', now_s)
+        self.ramp = ramps.Ramp(server, reason, now_s)
         self.evidence = evidence.ServerEvidence()
         self.usual = evidence.Baseline(UNKNOWN_USUAL_S, 0.0)
         self.state = 'in use'
@@ -56,6 +67,7 @@
         self.slowness = 0.0
         self.severity = 0.0
         self.is_kept = False
+        self.affected_s = {'errors': -math.inf, 'slowness': -math.inf}
         self.last_granted_s = 0.0
         self.hint_taken_s = -HINT_EVERY_S
 
@@ -118,6 +130,35 @@
         self.slowness = self.evidence.measure_slowness(
             ages_s, self.server.slots, self.reference.latency_s
         )
+        for kind in self.affected_s:
+            if getattr(self, kind) >= COMMON_SCORE:
+                self.affected_s[kind] = now_s
+
+    def is_affected(self, kind: str, now_s: float) -> bool:
+        """Tell whether the server lately showed a kind of fault."""
+        return now_s - self.affected_s[kind] < AFFECTED_S
+
+    def summarize(
+        self, ages_s: Iterable[float], now_s: float
+    ) -> messages.ServerSummary:
+        """Return the last second's latency and errors.
+
+        Requests that have run for longer than usual count with their age,
+        because a slow server completes little.
+        """
+        recent = self.evidence.recent_latency
+        weight = recent.count(now_s)
+        values = [
+            math.log(age_s) for age_s in ages_s if age_s > self.usual.latency_s
+        ]
+        count = weight + len(values)
+        total = weight * recent.mean + sum(values)
+        return messages.ServerSummary(
+            self.server.name,
+            round(count),
+            round(math.exp(total / count), 6) if count else 0.0,
+            round(self.evidence.recent_errors.mean, 4),
+        )
 
     def eject(self, reason: str, now_s: float) -> None:
         """Stop using the server, longer when it was ejected recently."""
--- a/cranberryscale/process/tenures.py
+++ b/cranberryscale/process/tenures.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 import datetime
-import math
 from typing import NamedTuple
 
 from cranberryscale import messages
@@ -189,11 +188,8 @@
         """Return recent evidence on the servers in use."""
         return messages.PoolSummaryReply(
             tuple(
-                messages.ServerSummary(
-                    record.server.name,
-                    round(record.evidence.latency.count(now_s)),
-                    round(math.exp(record.evidence.latency.mean), 6),
-                    round(record.evidence.errors.mean, 4),
+                record.summarize(
+                    self._ledger.list_ages(record.server.name, now_s), now_s
                 )
                 for record in self._ejections.used
             )
--- a/cranberryscale_bench/alone.py
+++ b/cranberryscale_bench/alone.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 import statistics
 from typing import Any
 
@@ -110,6 +111,9 @@
     def tick(self) -> None:
         """Do nothing, since nothing is queued."""
 
+    def exchange(self, others: Iterable['AlonePool']) -> None:
+        """Do nothing, since instances tell each other nothing."""
+
     def list_states(self) -> dict[str, str]:
         """Return "ejected" for servers that most instances do not use."""
         now_s = self._model.now_s
--- a/cranberryscale_bench/pool_model.py
+++ b/cranberryscale_bench/pool_model.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import datetime
 import heapq
 import random as random_module
@@ -27,6 +28,7 @@
 
 HOP_S = 0.001
 TICK_S = 0.05
+SUMMARY_TICKS = 20
 MOST_RETRIES = 2
 SIGMA = 0.5
 CUSTOMERS = (('a', 25), ('b', 25), ('c', 20), ('d', 10))
@@ -189,6 +191,7 @@
         )
         if isinstance(reply, pools.Queued):
             self.waiting[reply.ticket] = request
+            self._resolve(self.holder.advance(self.lease, self.now))
         else:
             self._model.take_reply(self, request, reply)
 
@@ -212,6 +215,14 @@
                 )
         self._resolve(self.holder.advance(self.lease, self.now))
 
+    def exchange(self, others: Iterable['HolderPool']) -> None:
+        """Take the summaries of the other domains' holders."""
+        for other in others:
+            if other is not self and other.since_s is not None:
+                self.holder.take_summary(
+                    other.domain, other.holder.summarize(self.now), self.now
+                )
+
     def list_states(self) -> dict[str, str]:
         """Return each server's state."""
         rows = self.holder.status(self.lease, self.now)
@@ -283,6 +294,7 @@
         )
         self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
         self._sequence = 0
+        self._ticks = 0
         self.pools = {name: make_pool(self, name) for name in self.domains}
         self.at(self.now_s, self._tick)
         self.at(self.now_s, self._arrive)
@@ -374,6 +386,10 @@
     def _tick(self) -> None:
         for pool in self.pools.values():
             pool.tick()
+        self._ticks += 1
+        if self._ticks % SUMMARY_TICKS == 0:
+            for pool in self.pools.values():
+                pool.exchange(self.pools.values())
         self.at(self.now_s + TICK_S, self._tick)
 
     def _arrive(self) -> None:
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -121,7 +121,7 @@
     assert not found.start()
     found.finish('completed')
     ask(connect)
-    assert not found.is_cold
+    wait_for(lambda: not found.is_cold)
 
 
 def test_control_address():
--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,296 @@
+"""Guard permits, the queue and the survey of a pool's holder."""
+
+import collections
+import datetime
+import random
+from typing import NamedTuple
+
+import pytest
+
+from cranberryscale import messages
+from cranberryscale.process import pools
+from cranberryscale.process import queue
+from cranberryscale.version import configuration
+
+
+MEMBERS = frozenset(f'i{n}' for n in range(6))
+
+
+class Lease(NamedTuple):
+    """Stand in for process.leases.Lease."""
+
+    resource: str
+    since: datetime.timedelta
+    until: datetime.timedelta
+
+
+def at(seconds):
+    """Return a point in time."""
+    return datetime.timedelta(seconds=seconds)
+
+
+def lease(since_s, until_s=10**6):
+    """Return a lease."""
+    return Lease('pool', at(since_s), at(until_s))
+
+
+def make_configuration(servers=2, slots=4, out=(), limit=64, **values):
+    """Return one service with warm servers in one domain."""
+    published = {
+        f's{n}': configuration.BackendServer(
+            f's{n}',
+            'app',
+            'd',
+            f'h:{n}',
+            slots,
+            state='out' if f's{n}' in out else 'in',
+            **({'cold_slots': slots} | values),
+        )
+        for n in range(servers)
+    }
+    services = {'app': configuration.Service('app', queue_limit=limit)}
+    return configuration.Configuration(services=services, servers=published)
+
+
+def make_holder(answering=MEMBERS, **values):
+    """Return a holder whose survey at time 0 was answered."""
+    holder = pools.PoolHolder('app', 'd', random.Random(1))
+    holder.load_members(MEMBERS, at(0))
+    holder.load_servers(make_configuration(**values), at(0))
+    for member in sorted(answering):
+        empty = messages.SurveyReply(())
+        holder.take_survey(member, empty, lease(0), at(0))
+    return holder
+
+
+def ask(holder, now_s, sender='i0', held=None, customer='c', **values):
+    """Request a permit."""
+    request = messages.TakePermit(
+        'app',
+        'd',
+        'r',
+        customer,
+        values.pop('remaining_s', 5.0),
+        **values,
+    )
+    return holder.request_permit(request, sender, held or lease(0), at(now_s))
+
+
+def report(holder, grant, now_s, outcome='ok', sender='i0', held=None):
+    """Report the end of a request."""
+    message = messages.PermitReport(
+        grant.permit_id, grant.server, outcome, 0.04
+    )
+    return holder.finish_permit(message, sender, held or lease(0), at(now_s))
+
+
+def count_running(holder, now_s, held=None):
+    """Return the permits in use at each server."""
+    rows = holder.status(held or lease(0), at(now_s))
+    return {row.server: row.running for row in rows}
+
+
+@pytest.mark.parametrize('slots', [1, 2, 3, 6])
+def test_random_traffic_stays_within_slots(slots):
+    """Slots and the half of one instance hold in any order of events."""
+    rng = random.Random(slots)
+    holder = make_holder(slots=slots, limit=4)
+    live, waiting = {}, {}
+    for step in range(2000):
+        now_s = 1 + step * 0.01
+        # Instances and backend servers stop at the deadline.
+        for permit_id, (_, _, ends_s) in tuple(live.items()):
+            if ends_s <= now_s:
+                del live[permit_id]
+        sender = rng.choice(sorted(MEMBERS))
+        remaining_s = rng.uniform(1, 9)
+        resolved = ()
+        if rng.random() < 0.6:
+            reply = ask(holder, now_s, sender, remaining_s=remaining_s)
+            if isinstance(reply, pools.Queued):
+                waiting[reply.ticket] = sender, now_s + remaining_s
+                resolved = holder.advance(lease(0), at(now_s))
+            elif isinstance(reply, messages.PermitGrant):
+                live[reply.permit_id] = sender, reply, now_s + remaining_s
+        elif live:
+            owner, grant, _ = live.pop(rng.choice(sorted(live)))
+            outcome = rng.choice(('ok', 'ok', 'ok', 'unused'))
+            resolved = report(holder, grant, now_s, outcome, owner)
+        for ticket, reply in resolved:
+            owner, ends_s = waiting.pop(ticket)
+            if isinstance(reply, messages.PermitGrant):
+                live[reply.permit_id] = owner, reply, ends_s
+        granted = [(owner, grant.server) for owner, grant, _ in live.values()]
+        by_server = collections.Counter(server for _, server in granted)
+        by_owner = collections.Counter(granted)
+        assert max(by_server.values(), default=0) <= slots
+        assert max(by_owner.values(), default=0) <= -(-slots // 2)
+
+
+def test_no_lease_no_permit_and_no_start_after_it():
+    """A former holder must not let requests start after its lease."""
+    holder = make_holder()
+    reply = ask(holder, 1, held=lease(0, 1))
+    assert reply.code == 'pool_unavailable'
+    holder = make_holder()
+    grant = ask(holder, 1, held=lease(0, 1.1))
+    assert grant.start_within_s == pytest.approx(0.1)
+
+
+def test_queued_grant_may_start_within_time_after_the_wait():
+    """A limit counted from asking would be over before the grant."""
+    holder = make_holder(servers=1, slots=2)
+    first = ask(holder, 1)
+    ask(holder, 1, 'i1')
+    ticket = ask(holder, 1, 'i2').ticket
+    ((got, grant),) = report(holder, first, 2)
+    assert got == ticket
+    assert grant.start_within_s == pytest.approx(1.25)
+
+
+def test_unreported_permit_expires_at_its_deadline():
+    """A dead instance must not keep slots, nor lose them too early."""
+    holder = make_holder(servers=1)
+    ask(holder, 1, remaining_s=2.0)
+    assert count_running(holder, 3.01) == {'s0': 1}
+    assert count_running(holder, 3.03) == {'s0': 0}
+
+
+@pytest.mark.parametrize('outcome', ['silent', 'truncated', 'cancelled'])
+def test_unfinished_request_keeps_its_slot(outcome):
+    """The server may still run the request and would be overrun."""
+    values = {'cold_slots': 1} if outcome == 'cancelled' else {}
+    holder = make_holder(servers=1, **values)
+    grant = ask(holder, 1)
+    report(holder, grant, 1.1, outcome)
+    assert count_running(holder, 5.9) == {'s0': 1}
+    assert count_running(holder, 6.2) == {'s0': 0}
+
+
+def test_cancelled_requests_do_not_block_warm_servers():
+    """One customer that disconnects could otherwise take all slots."""
+    holder = make_holder(servers=1)
+    for step in range(30):
+        grant = ask(holder, 1 + step / 10)
+        report(holder, grant, 1.05 + step / 10)
+    grant = ask(holder, 5)
+    report(holder, grant, 5.01, 'cancelled')
+    assert count_running(holder, 5.1) == {'s0': 1}
+    assert count_running(holder, 6) == {'s0': 0}
+
+
+def test_report_of_another_instance_frees_nothing():
+    """A confused instance must not free the slots of another."""
+    holder = make_holder()
+    grant = ask(holder, 1, 'i0')
+    report(holder, grant, 1.1, sender='i1')
+    assert sum(count_running(holder, 1.2).values()) == 1
+
+
+def test_new_lease_waits_for_the_survey():
+    """Earlier permits are still running when another holder begins."""
+    holder = make_holder()
+    ask(holder, 1)
+    new = lease(20)
+    assert ask(holder, 20, held=new).code == 'pool_unavailable'
+    assert set(holder.list_unsurveyed(new, at(20))) == MEMBERS
+    permits = tuple(messages.SurveyPermit(f'p{n}', 's0', 4.0) for n in (1, 2))
+    for member in sorted(MEMBERS):
+        reply = messages.SurveyReply(permits if member == 'i1' else ())
+        holder.take_survey(member, reply, new, at(20))
+    assert count_running(holder, 20, new) == {'s0': 2, 's1': 0}
+    # The instance already has its half of s0.
+    grants = [ask(holder, 20, 'i1', new) for _ in range(3)]
+    assert [g.server for g in grants[:2]] == ['s1', 's1']
+    assert isinstance(grants[2], pools.Queued)
+    holder.finish_permit(
+        messages.PermitReport('p1', 's0', 'ok', 0.1), 'i1', new, at(21)
+    )
+    assert count_running(holder, 21, new)['s0'] == 2
+
+
+def test_silent_member_counts_with_its_maximum_for_the_limit():
+    """A member that cannot be asked may have half of every server."""
+    holder = make_holder(answering=MEMBERS - {'i5'}, servers=1)
+    grants = [ask(holder, 1, f'i{n}') for n in range(3)]
+    assert isinstance(grants[1], messages.PermitGrant)
+    assert isinstance(grants[2], pools.Queued)
+    assert ask(holder, 1, 'i5').code == 'pool_unavailable'
+    ticket = ask(holder, 31, 'i5').ticket
+    resolved = dict(holder.advance(lease(0), at(31)))
+    assert isinstance(resolved[ticket], messages.PermitGrant)
+
+
+def test_members_removed_just_before_the_lease_are_surveyed():
+    """A replaced instance may still be running requests."""
+    holder = make_holder()
+    holder.load_members(MEMBERS - {'i5'}, at(15))
+    assert 'i5' in holder.list_unsurveyed(lease(20), at(20))
+    assert 'i5' not in holder.list_unsurveyed(lease(60), at(60))
+
+
+def test_out_and_excluded_servers_get_nothing():
+    """Work at a server that operators took out breaks their change."""
+    holder = make_holder(servers=3)
+    holder.load_servers(make_configuration(3, out=('s0',)), at(1))
+    for n in range(6):
+        grant = ask(holder, 1, f'i{n}', excluded=('s1',))
+        if isinstance(grant, messages.PermitGrant):
+            assert grant.server == 's2'
+    reply = ask(holder, 1, excluded=('s1', 's2'))
+    assert reply.code == 'no_backend_server'
+    domain = {'d': configuration.FailureDomain('d', 'out')}
+    out = make_configuration(3)._replace(domains=domain)
+    holder.load_servers(out, at(2))
+    assert ask(holder, 2).code == 'no_backend_server'
+
+
+def test_lost_lease_denies_the_queue():
+    """Queued requests must not wait for a holder that is none."""
+    holder = make_holder(servers=1, slots=1)
+    ask(holder, 1)
+    ticket = ask(holder, 1, 'i1').ticket
+    ((got, reply),) = holder.advance(None, at(2))
+    assert (got, reply.code) == (ticket, 'pool_unavailable')
+
+
+def test_queue_drops_hopeless_requests():
+    """Work that ends after its deadline wastes slots."""
+    holder = make_holder(servers=1, slots=2)
+    for step in range(20):
+        report(holder, ask(holder, 1 + step / 10), 1.04 + step / 10)
+    assert ask(holder, 4, remaining_s=0.01).code == 'deadline_too_short'
+    ask(holder, 4, 'i0')
+    ask(holder, 4, 'i1')
+    ticket = ask(holder, 4, 'i2', remaining_s=0.2).ticket
+    ((got, reply),) = holder.advance(lease(0), at(4.3))
+    assert (got, reply.code) == (ticket, 'deadline_too_short')
+
+
+def test_full_queue_favours_customers_with_fewer_entries():
+    """A customer that floods the queue must not shut out the others."""
+    holder = make_holder(servers=1, slots=1, limit=3)
+    first = ask(holder, 1, customer='big')
+    waiting = [ask(holder, 1, f'i{n}', customer='big') for n in (1, 2, 3)]
+    assert ask(holder, 1, 'i4', customer='big').code == 'pool_busy'
+    small = ask(holder, 1, 'i5', customer='small')
+    assert isinstance(small, pools.Queued)
+    resolved = dict(report(holder, first, 1.1))
+    assert resolved[waiting[2].ticket].code == 'pool_busy'
+    assert isinstance(resolved[waiting[0].ticket], messages.PermitGrant)
+
+
+def test_queue_takes_turns_and_sorts_by_deadline():
+    """Neither a flood nor an early arrival may decide the order."""
+    waiting = queue.Queue()
+    for ticket, (customer, deadline_s) in enumerate(
+        (('a', 9), ('a', 5), ('a', 7), ('b', 8))
+    ):
+        request = messages.TakePermit('app', 'd', 'r', customer, 1.0)
+        waiting.add(queue.Entry(deadline_s, ticket, 0, 'i', request))
+    order = []
+    while len(waiting):
+        entry = next(waiting.iterate())
+        waiting.take(entry)
+        order.append((entry.customer, entry.deadline_s))
+    assert order == [('a', 5), ('b', 8), ('a', 7), ('a', 9)]
