--- a/cranberryscale/commands.py
+++ b/cranberryscale/commands.py
@@ -12,12 +12,15 @@
 import sys
 import time
 from typing import Any
+from typing import Iterable
 
 from cranberryscale import console
 from cranberryscale import errors
 from cranberryscale import instance
 from cranberryscale import operators
 from cranberryscale.version import settings
+from cranberryscale.version import subtrees
+from cranberryscale.version import tree
 
 
 __all__ = ['main']
@@ -51,6 +54,44 @@
     return EXIT_OK
 
 
+def _list_faults(options: argparse.Namespace) -> Iterable[str]:
+    if options.settings:
+        try:
+            settings.load_settings(options.settings)
+        except errors.ConfigurationError as error:
+            yield str(error)
+    if options.documents:
+        published = tree.Tree()
+        offers = subtrees.load_directory(options.documents)
+        for outcome in published.offer(offers):
+            if isinstance(outcome, tree.Refusal):
+                yield from (
+                    f'{fault.path}:{fault.line}: {fault.reason}'
+                    for fault in outcome.faults
+                )
+
+
+def _check(options: argparse.Namespace) -> int:
+    faults = list(_list_faults(options))
+    if options.json:
+        _print_json({'faults': faults})
+    else:
+        _print('\n'.join(faults) if faults else 'no faults')
+    return EXIT_FAULTS if faults else EXIT_OK
+
+
+def _make_manifest(options: argparse.Namespace) -> int:
+    _print(
+        subtrees.make_manifest(
+            options.directory,
+            options.version,
+            options.owner,
+            options.changed_by,
+        )
+    )
+    return EXIT_OK
+
+
 def _show_status(options: argparse.Namespace) -> int:
     client = operators.OperatorClient(options.operators)
     answers = client.list_statuses()
@@ -138,6 +179,28 @@
     table.set_defaults(run=_show_errors)
 
 
+def _add_checking(commands) -> None:
+    check = commands.add_parser(
+        'check', help='check settings and documents, all faults in one run'
+    )
+    check.add_argument('--settings', type=pathlib.Path, help='TOML file')
+    check.add_argument(
+        '--documents',
+        type=pathlib.Path,
+        help='directory with one subdirectory a team',
+    )
+    check.add_argument('--json', action='store_true', help='print JSON')
+    check.set_defaults(run=_check)
+    manifest = commands.add_parser(
+        'manifest', help='print the manifest of a team\'s documents'
+    )
+    manifest.add_argument('directory', type=pathlib.Path)
+    manifest.add_argument('--version', type=int, required=True)
+    manifest.add_argument('--owner', required=True)
+    manifest.add_argument('--changed-by', required=True)
+    manifest.set_defaults(run=_make_manifest)
+
+
 def _add_watching(commands) -> None:
     show = commands.add_parser('status', help='show the fleet')
     _add_fleet_options(show)
@@ -185,6 +248,7 @@
     )
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
     _add_serving(commands)
+    _add_checking(commands)
     _add_watching(commands)
     _add_asking(commands)
     return parser
--- a/cranberryscale/console.py
+++ b/cranberryscale/console.py
@@ -54,7 +54,7 @@
             server['server'],
             server['state'],
             server['reason'] or '-',
-            f'{server["in_use"]}/{server["limit"]}/{server["slots"]}',
+            f'{server["running"]}/{server["limit"]}/{server["slots"]}',
             one['instance'],
         )
         for one in fleet
--- a/cranberryscale/driver.py
+++ b/cranberryscale/driver.py
@@ -123,7 +123,7 @@
         return calls.Reply(message, sent_at, now, error)
 
     def _find_address(self, target: str) -> str:
-        member = self.node.view.find_member(target)
+        member = self.node.listed.find_member(target)
         if member is not None:
             return member.peer_address
         if target in self._seeds:
--- a/cranberryscale/instance.py
+++ b/cranberryscale/instance.py
@@ -61,7 +61,10 @@
         self.watcher = watcher.Watcher(self)
         self.gateway = gateway.Gateway(
             facts.GatewayFleet(self.driver, self.facts),
-            backends.Backends(self.clock),
+            backends.Backends(
+                self.clock,
+                datetime.timedelta(seconds=options.timeouts.connect_s),
+            ),
             self.clock,
             self._observe,
         )
@@ -72,7 +75,11 @@
         """Serve until SIGTERM or SIGINT."""
         self.driver.server.start(self.options.addresses.peers)
         self._mount()
-        for work in (self._keep_time, self.watcher.watch):
+        for work in (
+            self._keep_time,
+            self.watcher.watch_documents,
+            self.watcher.watch_list,
+        ):
             threading.Thread(target=work, daemon=True).start()
         cherrypy.engine.start()
         logs.log_event(
@@ -168,3 +175,13 @@
     ) -> None:
         self.metrics.record('request_seconds', elapsed, route=outcome.route)
         self.metrics.count('requests', code=outcome.code, ran=outcome.ran)
+
+    def record_gauges(self) -> None:
+        """Set the gauges that are read from other objects."""
+        traffic = self.driver.server.traffic
+        sent = traffic.control_bytes + self.driver.client.control_bytes
+        self.metrics.set_gauge('control_bytes_sent', sent)
+        self.metrics.set_gauge('platform_calls', self.watcher.calls)
+        self.metrics.set_gauge('requests_running', self.gateway.running)
+        for code, count in traffic.refused.items():
+            self.metrics.set_gauge('peer_messages_refused', count, code=code)
--- a/cranberryscale/node.py
+++ b/cranberryscale/node.py
@@ -117,7 +117,7 @@
         return admission.Admission(fleet, self._make_terms(), self._random)
 
     @property
-    def view(self) -> view.View:
+    def listed(self) -> view.View:
         """Return the instance list that this instance follows."""
         return self._table.view
 
@@ -136,7 +136,7 @@
         """Return why callers are not to be sent here, '' if they may."""
         if not self.get_configuration().versions:
             return 'no_configuration'
-        if self.options.name not in self.view.names:
+        if self.options.name not in self.listed.names:
             return 'not_listed'
         if self.upkeep.membership.superseded:
             return 'superseded'
@@ -149,7 +149,7 @@
     def load_list(self, published: view.View, now) -> None:
         """Follow an instance list read from the platform."""
         self.upkeep.load_view(published, now)
-        self.holding.load_members(self.view.names, now)
+        self.holding.load_members(self.listed.names, now)
 
     def load_subtrees(self, offers, sent_at, now) -> None:
         """Judge subtrees that the service answered to a call of `sent_at`."""
@@ -158,7 +158,7 @@
     def advance(self, now: datetime.timedelta) -> None:
         """Do what is due; call every 50 ms."""
         self.upkeep.advance(now)
-        self.holding.load_members(self.view.names, now)
+        self.holding.load_members(self.listed.names, now)
         self.holding.advance(now)
 
     def drop_idle(self, now: datetime.timedelta) -> None:
@@ -223,7 +223,7 @@
         Raises PeerError. Only BOOTSTRAP_CALLS are answered to senders that
         are not in the instance list.
         """
-        known = sender in self.view.names or sender == self.options.name
+        known = sender in self.listed.names or sender == self.options.name
         if not known and not isinstance(message, messages.BOOTSTRAP_CALLS):
             raise errors.make_error('peer_unknown', sender)
         match message:
@@ -284,7 +284,7 @@
         if self.not_ready_reason:
             usable -= {self.options.name}
         addresses = discovery.choose_addresses(
-            self.view,
+            self.listed,
             usable,
             customer or service,
             discovery.count_addresses(found.rate_per_s if found else 0.0),
@@ -293,7 +293,7 @@
             self._random,
         )
         lifetime_s = self.options.timeouts.answer_lifetime_s
-        return discovery.Directions(addresses, lifetime_s, self.view.version)
+        return discovery.Directions(addresses, lifetime_s, self.listed.version)
 
     def report_status(self, now) -> status.InstanceStatus:
         """Return what operators see of this instance."""
@@ -311,9 +311,9 @@
             keyed_requests=keyed.serves,
             keyed_reason=keyed.reason,
             confirmed_age_s=-1.0 if age is None else age.total_seconds(),
-            view_version=self.view.version,
-            members=len(self.view.members),
-            suspected=sorted(self.view.names - members.alive),
+            view_version=self.listed.version,
+            members=len(self.listed.members),
+            suspected=sorted(self.listed.names - members.alive),
             heard_one_way=list(members.list_indirect(now)),
             subtrees=[],
             domains={d.name: d.state for d in current.domains.values()},
--- a/cranberryscale/process/holding.py
+++ b/cranberryscale/process/holding.py
@@ -280,3 +280,11 @@
             for pool, holder, lease in held
             if lease is not None
         ]
+
+    def finish_once(self, message: messages.FinishOnce, now) -> messages.Done:
+        """Record how a request with an idempotency key ended."""
+        return messages.Done()
+
+    def report_budgets(self, now) -> list[status.BudgetStatus]:
+        """Return the shares held here, for operators."""
+        return []
--- a/cranberryscale/process/membership.py
+++ b/cranberryscale/process/membership.py
@@ -254,6 +254,21 @@
                 self._wanted = (sender, version)
                 self._wanted_at = now
 
+    def list_signs(
+        self, now: datetime.timedelta
+    ) -> dict[str, tuple[datetime.timedelta, datetime.timedelta | None]]:
+        """Return the age of each member's latest sign of life.
+
+        Beside it stands the age of its configuration at that moment.
+        """
+        own = None if self._confirmed_at is None else now - self._confirmed_at
+        found = {self.table.name: (datetime.timedelta(0), own)}
+        for name in self._health:
+            sign = self._signs.get(self.table.ids[name])
+            if sign is not None:
+                found[name] = (now - sign.at, sign.confirmed_age)
+        return found
+
     def _is_fresh(
         self, name: str, now: datetime.timedelta, within: datetime.timedelta
     ) -> bool:
--- a/cranberryscale/process/spread.py
+++ b/cranberryscale/process/spread.py
@@ -50,6 +50,11 @@
         self._stale: dict[str, datetime.timedelta] = {}
         self._turn = 0
 
+    @property
+    def terms(self) -> confirmation.SpreadTerms:
+        """Return the times."""
+        return self._terms
+
     @property
     def layout(self) -> readers.Layout:
         """Return the layout of the live members."""
--- a/cranberryscale/process/status.py
+++ b/cranberryscale/process/status.py
@@ -23,14 +23,20 @@
 
 
 class ServerStatus(TypedDict):
-    """Describe a backend server as its pool's holder sees it."""
+    """Describe a backend server as its pool's holder sees it.
+
+    `running` counts permits in use, `assumed` those that members which have
+    not been heard may have.
+    """
 
     server: str
     state: str
     reason: str
-    in_use: int
+    running: int
+    assumed: int
     limit: int
     slots: int
+    evidence: float
 
 
 class PoolStatus(TypedDict):
@@ -39,7 +45,6 @@
     service: str
     domain: str
     lease_left_s: float
-    queued: int
     servers: list[ServerStatus]
 
 
--- a/cranberryscale/request/admission.py
+++ b/cranberryscale/request/admission.py
@@ -10,8 +10,10 @@
 from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import allotments
+from cranberryscale.process import attempts
 from cranberryscale.process import budgets
 from cranberryscale.process import calls
+from cranberryscale.process import facts as share_facts
 from cranberryscale.process import ledger
 from cranberryscale.process import placement
 from cranberryscale.request import actions
@@ -56,7 +58,8 @@
     def __init__(self, fleet: Fleet, terms: Any, rng: random.Random):
         self._fleet = fleet
         self._random = rng
-        self.allotments = allotments.Allotments(fleet.domain, terms, rng)
+        self._terms = terms
+        self.allotments = allotments.Allotments(terms)
         self.ledger = ledger.PermitLedger()
         self._silent_until: dict[str, datetime.timedelta] = {}
         self._busy_until: dict[ledger.Pool, datetime.timedelta] = {}
@@ -77,7 +80,15 @@
         )
         if not shares:
             return actions.Denied('key_unknown')
-        steps = self.allotments.obtain(shares, request_id, now, once_key)
+        attempt = attempts.Attempt(
+            self.allotments,
+            shares,
+            self._fleet.domain,
+            self._terms,
+            self._random,
+            request_id,
+        )
+        steps = attempt.run(now, once_key)
         event: Any = None
         while True:
             try:
@@ -88,7 +99,7 @@
                 case budgets.Ask():
                     event = yield from self._ask_share(step, now)
                     now = event.now
-                case allotments.Pause(delay):
+                case attempts.Pause(delay):
                     now = event = (yield calls.Wait(delay)).now
 
     def _ask_share(self, ask: budgets.Ask, now: datetime.timedelta):
@@ -99,14 +110,14 @@
             holder, ask.message, self._fleet.peer_timeout, now
         )
         self._note_reply(holder, reply)
-        return allotments.Answer(reply.message, reply.sent_at, reply.now)
+        return share_facts.Answer(reply.message, reply.sent_at, reply.now)
 
     def _judge_tokens(self, end) -> actions.TokensGranted | actions.Denied:
         match end:
-            case allotments.Admitted(at=at):
+            case attempts.Admitted(at=at):
                 # The token is spent; what remains is to start in time.
                 return actions.TokensGranted(at + self._fleet.peer_timeout)
-            case allotments.Refused(code=code, retry_after=retry_after):
+            case attempts.Refused(code=code, retry_after=retry_after):
                 return actions.Denied(code, retry_after)
 
     def _note_reply(self, holder: str | None, reply: calls.Reply) -> None:
--- a/cranberryscale/request/pages.py
+++ b/cranberryscale/request/pages.py
@@ -110,7 +110,7 @@
     @cherrypy.expose
     def members(self) -> bytes:
         """Return the instance list that this instance follows."""
-        listed = self._instance.node.view
+        listed = self._instance.node.listed
         return self._answer([member._asdict() for member in listed.members])
 
     @cherrypy.expose
--- a/cranberryscale/version/settings.py
+++ b/cranberryscale/version/settings.py
@@ -85,6 +85,8 @@
     """Hold the settings of one instance.
 
     `secret` is shared by the fleet and signs messages between instances.
+    `seeds` maps names to peer addresses: an instance that starts while the
+    platform is away asks them for the list and the configuration.
     """
 
     name: str
@@ -95,6 +97,7 @@
     leases: Leases = Leases()
     limits: Limits = Limits()
     timeouts: Timeouts = Timeouts()
+    seeds: dict[str, str] = {}
 
     @property
     def lease(self) -> datetime.timedelta:
--- a/cranberryscale/watcher.py
+++ b/cranberryscale/watcher.py
@@ -2,6 +2,7 @@
 
 import time
 from typing import Any
+from typing import Callable
 
 from absl import logging
 
@@ -42,30 +43,47 @@
         """Return how many calls were made to the platform."""
         return self._client.calls
 
-    def watch(self) -> None:
-        """Read until the instance stops."""
-        if not self._read():
+    def watch_documents(self) -> None:
+        """Read documents until the instance stops."""
+        if not self._try(self._read_documents):
             self._ask_seeds()
         while not self._instance.is_stopping:
-            with self._instance.driver.lock:
-                due = self._instance.node.upkeep.spread.should_read(
-                    self._instance.clock.read_elapsed()
-                )
-            if not due:
+            if not self._is_due():
                 time.sleep(IDLE_PAUSE_S)
-            elif not self._read():
+            else:
+                self._try(self._read_documents)
+
+    def watch_list(self) -> None:
+        """Read the instance list until the instance stops."""
+        works = self._try(self._read_list)
+        while not self._instance.is_stopping:
+            spreading = self._instance.node.upkeep.spread
+            if not works or not spreading.is_reader:
                 time.sleep(FAILURE_PAUSE_S)
+            listed = self._instance.node.listed.members
+            if spreading.is_reader or not listed:
+                works = self._try(self._read_list)
 
-    def _read(self) -> bool:
-        """Read documents and the instance list; tell whether it worked."""
+    def _is_due(self) -> bool:
+        with self._instance.driver.lock:
+            return self._instance.node.upkeep.spread.should_read(
+                self._instance.clock.read_elapsed()
+            )
+
+    def _try(self, read: Callable[[], None]) -> bool:
+        """Read once; tell whether the platform answered."""
         try:
-            self._read_documents()
-            self._read_list()
+            read()
         except errors.ConfigurationError as error:
+            logs.log_event(
+                'platform_failed',
+                logging.WARNING,
+                code=error.code,
+                reason=error.value,
+            )
             now = self._instance.clock.read_elapsed()
             with self._instance.driver.lock:
                 self._instance.node.upkeep.spread.note_service_failure(now)
-            logs.log_event('platform_failed', logging.WARNING, code=error.code)
             return False
         return True
 
@@ -92,7 +110,7 @@
         self._list_index = found.index
         with self._instance.driver.lock:
             node = self._instance.node
-            if found.instances != node.view:
+            if found.instances != node.listed:
                 now = self._instance.clock.read_elapsed()
                 node.load_list(found.instances, now)
 
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,69 @@
+"""Guard the command line's checks and tables."""
+
+import datetime
+import json
+import pathlib
+import shutil
+
+import pytest
+
+from cranberryscale import commands
+from cranberryscale import errors
+from cranberryscale.process import audit
+
+
+ROOT = pathlib.Path(__file__).parent.parent
+EXAMPLES = ROOT / 'examples'
+AT = datetime.datetime(2026, 12, 4, tzinfo=datetime.timezone.utc)
+
+
+@pytest.mark.parametrize('example', ['ponte-nova', 'guild'])
+def test_the_examples_have_no_faults(example, capsys):
+    """A newcomer's first documents must be accepted as they are."""
+    path = str(EXAMPLES / example)
+    assert commands.main(['check', '--documents', path]) == commands.EXIT_OK
+    assert capsys.readouterr().out == 'no faults\n'
+
+
+def test_every_fault_is_listed_with_path_and_line(tmp_path, capsys):
+    """One run must list the faults of settings and of all teams."""
+    tree = tmp_path / 'documents'
+    shutil.copytree(EXAMPLES / 'guild', tree)
+    for team, word in (('roster', 'prefix'), ('records', 'timeout_s')):
+        path = tree / team / 'service.toml'
+        path.write_text(path.read_text().replace(word, f'{word}x', 1))
+        manifest = tree / team / 'manifest.toml'
+        made = ['manifest', str(tree / team), '--version', '2']
+        made += ['--owner', 'o', '--changed-by', 'c']
+        assert commands.main(made) == commands.EXIT_OK
+        manifest.write_text(capsys.readouterr().out)
+    settings = tmp_path / 'settings.toml'
+    settings.write_text('name = 1')
+    given = ['check', '--documents', str(tree), '--settings', str(settings)]
+    assert commands.main([*given, '--json']) == commands.EXIT_FAULTS
+    faults = json.loads(capsys.readouterr().out)['faults']
+    text = '\n'.join(faults)
+    assert 'settings.toml' in text
+    assert 'roster/service.toml:8: ' in text
+    assert 'records/service.toml:10: ' in text
+
+
+def test_a_saved_audit_trail_is_verified(tmp_path, capsys):
+    """An auditor checks saved lines without the fleet."""
+    lines = []
+    trail = audit.AuditTrail('i01', 1, lines.append)
+    for number in range(3):
+        trail.add(AT, 'subtree_in_force', to_version=number)
+    path = tmp_path / 'audit.jsonl'
+    path.write_text('\n'.join(lines))
+    given = ['audit', '--file', str(path)]
+    assert commands.main(given) == commands.EXIT_OK
+    path.write_text('\n'.join((lines[0], lines[2])))
+    assert commands.main(given) == commands.EXIT_FAULTS
+    assert 'records are missing' in capsys.readouterr().out
+
+
+def test_the_errors_page_is_current():
+    """The page in the docs must be the table that the code uses."""
+    page = (ROOT / 'docs' / 'errors.md').read_text('utf-8')
+    assert page == errors.render_table()
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,229 @@
+"""Guard the whole fleet: separate processes, real sockets, real failures.
+
+One fleet serves all tests of this module; each leaves it healthy.
+"""
+
+import json
+import pathlib
+import re
+import signal
+import time
+
+import pytest
+import urllib3
+
+from standins import fleet
+
+
+EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples' / 'ponte-nova'
+KEY = 'pn-example-tejo-sailing-1'
+OTHER_KEY = 'pn-example-sintra-tours-1'
+WITHDRAWAL_LIMIT_S = 4.0
+OUT_LIMIT_S = 3.0
+RECOVERY_LIMIT_S = 30.0
+
+
+@pytest.fixture(scope='module')
+def running(tmp_path_factory):
+    """Run six instances in three failure domains."""
+    folder = tmp_path_factory.mktemp('fleet')
+    with fleet.LocalFleet(EXAMPLE, folder, 6) as one:
+        yield one
+
+
+def _get(one, member, path='/events', key=KEY, method='GET', **fields):
+    headers = {'X-Api-Key': key} if key else {}
+    headers |= fields.pop('headers', {})
+    return one.http.request(
+        method,
+        f'http://{member.callers}{path}',
+        headers=headers,
+        timeout=10,
+        **fields,
+    )
+
+
+def _read_servers(one):
+    url = f'http://127.0.0.1:{one.backend_port}/servers'
+    return json.loads(one.http.request('GET', url).data)
+
+
+def _wait_until(check, limit_s):
+    began = time.monotonic()
+    while not check():
+        if time.monotonic() - began > limit_s:
+            pytest.fail(f'not within {limit_s} s')
+        time.sleep(0.05)
+    return time.monotonic() - began
+
+
+def test_every_service_answers_at_every_instance(running):
+    """A break anywhere between caller and backend server."""
+    for member in running.members:
+        for path, key in (
+            ('/guides/x', KEY),
+            ('/bookings/1', OTHER_KEY),
+            ('/events', KEY),
+            ('/events/today', None),
+        ):
+            answer = _get(running, member, path, key)
+            assert answer.status == 200, (member.name, path, answer.data)
+
+
+def test_no_key_reaches_a_backend_server_or_a_log(running):
+    """A key in a backend server's input or in a log is a leaked key."""
+    member = running.members[0]
+    for place in (
+        {'headers': {'Authorization': f'Bearer {KEY}'}, 'key': None},
+        {'headers': {'Cookie': f'api_key={KEY}; a=b'}, 'key': None},
+        {'path': f'/events?api_key={KEY}&a=b', 'key': None},
+        {'key': KEY},
+        {'key': 'pn-example-unknown-9'},
+    ):
+        assert _get(running, member, **place).status in (200, 401)
+    received = json.dumps(_read_servers(running))
+    logs = ''.join(p.read_text() for p in running.folder.glob('*.log'))
+    assert 'tejo-sailing' in logs
+    for secret in (KEY, 'pn-example-unknown-9'):
+        assert secret not in received
+        assert secret not in logs
+
+
+def test_which_names_live_instances_of_several_domains(running):
+    """Callers have no balancer: a bad answer sends them nowhere."""
+    member = running.members[0]
+    answer = _get(
+        running, member, '/.well-known/cranberryscale/which?service=events'
+    )
+    found = json.loads(answer.data)
+    assert answer.status == 200
+    known = {m.callers: m.domain for m in running.members}
+    assert len({known[a] for a in found['addresses'][:3]}) == 3
+    assert found['lifetime_s'] > 0
+
+
+def test_a_withdrawn_key_stops_on_an_open_connection(running):
+    """A caller that stays connected must not outlive its key."""
+    member = running.members[-1]
+    text = running.read_document('accounts', 'keys.toml')
+    host, port = member.callers.split(':')
+    connection = urllib3.HTTPConnectionPool(host, int(port), maxsize=1)
+
+    def is_refused():
+        answer = connection.request(
+            'GET', '/events', headers={'X-Api-Key': OTHER_KEY}
+        )
+        return answer.status == 401
+
+    assert not is_refused()
+    withdrawn = re.sub(
+        r'(customer = "sintra-tours")', r'\1\nwithdrawn = true', text, count=1
+    )
+    running.put_subtree('accounts', 'keys.toml', withdrawn)
+    _wait_until(is_refused, WITHDRAWAL_LIMIT_S)
+    assert connection.num_connections == 1
+    running.put_subtree('accounts', 'keys.toml', text)
+    _wait_until(lambda: not is_refused(), WITHDRAWAL_LIMIT_S)
+
+
+def _count_runs(one, domain):
+    servers = one.configuration.servers
+    return sum(
+        sum(found['runs'].values())
+        for name, found in _read_servers(one).items()
+        if servers[name].domain == domain
+    )
+
+
+def test_a_domain_taken_out_gets_no_new_work(running):
+    """Work sent to a domain that is being emptied is lost with it."""
+    text = running.read_document('platform', 'domains.toml')
+    out = re.sub(
+        r'(name = "belem"\n)(state = "in")?', r'\1state = "out"', text, count=1
+    )
+    running.put_subtree('platform', 'domains.toml', out)
+    time.sleep(OUT_LIMIT_S)
+    before = _count_runs(running, 'belem')
+    for number in range(60):
+        member = running.members[number % 6]
+        assert _get(running, member).status == 200
+    assert _count_runs(running, 'belem') == before
+    running.put_subtree('platform', 'domains.toml', text)
+
+    def is_back():
+        for member in running.members:
+            assert _get(running, member).status == 200
+        return _count_runs(running, 'belem') > before
+
+    _wait_until(is_back, RECOVERY_LIMIT_S)
+
+
+def test_the_fleet_serves_while_the_platform_is_away(running):
+    """Keys must go on working while nobody can reach the service."""
+    running.control('PUT', '/faults', {'down': True})
+    time.sleep(6)
+    codes = {_get(running, m).status for m in running.members}
+    running.control('PUT', '/faults', {})
+    assert codes == {200}
+
+
+def test_a_killed_holder_is_replaced(running):
+    """Shares and pools of a lost instance must be held again."""
+    victim = running.members[1]
+    others = [m for m in running.members if m != victim]
+    running.send_signal(victim.name, signal.SIGKILL)
+
+    def is_held():
+        pools = set()
+        for member in others:
+            found = running.fetch_status(member)
+            pools |= {(p['service'], p['domain']) for p in found['pools']}
+        return len(pools) == 9
+
+    _wait_until(is_held, RECOVERY_LIMIT_S)
+    for member in others:
+        assert _get(running, member).status == 200
+    running.processes[victim.name].wait()
+    running.start_instance(victim)
+    _wait_until(
+        lambda: (running.fetch_status(victim) or {}).get('ready'),
+        RECOVERY_LIMIT_S,
+    )
+
+
+def test_a_suspended_instance_spends_nothing_when_it_wakes(running):
+    """A process that sleeps must not act on leases that were taken over."""
+    victim = running.members[2]
+    running.send_signal(victim.name, signal.SIGSTOP)
+    time.sleep(20)
+    running.send_signal(victim.name, signal.SIGCONT)
+    found = running.fetch_status(victim)
+    holders = {}
+    for member in running.members:
+        for pool in running.fetch_status(member)['pools']:
+            key = (pool['service'], pool['domain'])
+            assert key not in holders, (key, holders[key], member.name)
+            holders[key] = member.name
+    assert found['instance'] == victim.name
+
+
+def test_termination_cuts_no_request(running):
+    """SIGTERM during requests must let them finish."""
+    victim = running.members[3]
+    url = f'http://{victim.callers}/events'
+    pool = urllib3.PoolManager(retries=False)
+    running.send_signal(victim.name, signal.SIGTERM)
+    served = refused = 0
+    while running.processes[victim.name].poll() is None:
+        try:
+            answer = pool.request('GET', url, headers={'X-Api-Key': KEY})
+        except urllib3.exceptions.NewConnectionError:
+            break
+        if answer.status == 200:
+            served += 1
+        else:
+            assert json.loads(answer.data)['ran'] == 'not run'
+            refused += 1
+        time.sleep(0.01)
+    assert running.processes[victim.name].wait(30) == 0
+    assert served > 20
