Remember idempotency keys at the holder of a customer's first share

Cause: a caller's repeat at another instance could run a second time. Change: memory of keys with bounded size and time, dropped with the lease; a full memory refuses instead of forgetting. The stand-in backend server shows the heads it received, for tests that look for keys.

--- a/cranberryscale/process/holding.py
+++ b/cranberryscale/process/holding.py
@@ -25,6 +25,7 @@
 SURVEY_PAUSE = datetime.timedelta(seconds=0.25)
 SUMMARY_PAUSE = datetime.timedelta(seconds=1)
 RETURN_MARGIN = datetime.timedelta(milliseconds=20)
+ONCE_RETRY_S = 1.0
 
 
 class Fleet(NamedTuple):
@@ -168,6 +169,7 @@
     def drop_idle(self, now: datetime.timedelta) -> None:
         """Forget buckets that are full and unused."""
         self._budgets.drop_idle(self._fleet.find_lease, now)
+        self._once.drop_expired(now)
 
     def take_errands(self) -> list[calls.Plan]:
         """Return the plans that are to be driven, once."""
@@ -185,8 +187,22 @@
             holder = self._fleet.find_holder(ask.share.resource)
             yield calls.ask(holder, ask.message, self._fleet.peer_timeout, now)
 
-    def _begin_once(self, message, lease, now):
-        return self._once.begin(message, lease, now)
+    def _begin_once(
+        self, message: messages.TakeTokens, lease, now
+    ) -> messages.TokenDenial | None:
+        begun = self._once.begin(
+            message.customer,
+            message.once_key,
+            message.request_id.partition('/')[0],
+            lease,
+            now,
+        )
+        match begun:
+            case once.Refused('budget_unavailable'):
+                return messages.TokenDenial('not_holder', 0.0)
+            case once.Refused(code):
+                return messages.TokenDenial(code, ONCE_RETRY_S)
+        return None
 
     def _find_lease(self, pool: ledger.Pool, now) -> leases.Lease | None:
         return self._fleet.find_lease(placement.make_pool(*pool), now)
@@ -283,8 +299,24 @@
 
     def finish_once(self, message: messages.FinishOnce, now) -> messages.Done:
         """Record how a request with an idempotency key ended."""
+        self._once.finish(
+            message.customer,
+            message.once_key,
+            message.request_id,
+            message.ran,
+            now,
+        )
         return messages.Done()
 
     def report_budgets(self, now) -> list[status.BudgetStatus]:
-        """Return the shares held here, for operators."""
-        return []
+        """Return the shares held and in use here, for operators."""
+        return [
+            status.BudgetStatus(
+                customer=bucket.share.customer,
+                share=bucket.share.index,
+                rate_per_s=bucket.share.rate_per_s,
+                burst_requests=bucket.share.burst_requests,
+                tokens=bucket.tokens,
+            )
+            for bucket in self._budgets.list_buckets()
+        ]
--- a/standins/behavior.py
+++ b/standins/behavior.py
@@ -184,4 +184,5 @@
                 'cold': self.is_cold,
                 'mode': self.mode._asdict(),
                 'draining': self.is_draining,
+                'received': [head.decode('latin-1') for head in self.headers],
             }
