--- a/cranberryscale/instance.py
+++ b/cranberryscale/instance.py
@@ -160,7 +160,7 @@
                     pull_at = now + self.node.pull_interval
                     plans.extend(self.node.plan_confirmations(now))
                 if now >= gossip_at:
-                    gossip_at = now + self.node.gossip_interval
+                    gossip_at = now + self.node.find_gossip_interval(now)
                     plans.extend(self.node.plan_gossip(now))
                 if now >= idle_at:
                     idle_at = now + datetime.timedelta(seconds=IDLE_S)
--- a/cranberryscale/node.py
+++ b/cranberryscale/node.py
@@ -4,7 +4,7 @@
 `Node` and nothing else:
 
 - `load_list` and `load_subtrees` bring in what the platform published;
-- `advance` every 50 ms, `plan_gossip` every `gossip_interval`,
+- `advance` every 50 ms, `plan_gossip` every `find_gossip_interval`,
   `plan_confirmations` every `pull_interval` and `drop_idle` every few
   seconds keep it going; `take_errands` returns plans;
 - `answer` answers a message of another instance, `take_resolved` returns
@@ -84,7 +84,11 @@
 
     def _make_upkeep(self, now: datetime.timedelta) -> upkeep.Upkeep:
         confirm = _seconds(self.options.timeouts.confirm_s)
-        terms = confirmation.SpreadTerms(confirm=confirm)
+        terms = confirmation.SpreadTerms(
+            confirm=confirm,
+            watch=_seconds(self.options.platform.subtrees_watch_s),
+            drift_ratio=self.options.leases.drift_ratio,
+        )
         return upkeep.Upkeep(
             membership.Membership(self._table, now),
             spread.Spread(self.options.name, terms, now),
@@ -126,10 +130,16 @@
         """Return the time between two calls of `plan_confirmations`."""
         return self.upkeep.spread.interval
 
-    @property
-    def gossip_interval(self) -> datetime.timedelta:
-        """Return the time between two calls of `plan_gossip`."""
-        return _seconds(self.options.leases.gossip_s)
+    def find_gossip_interval(
+        self, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return the time between two calls of `plan_gossip`.
+
+        Half as long just after the service was lost, since keyed requests
+        then depend on fresh signs of a quorum.
+        """
+        hurried = self.upkeep.spread.is_hurried(now)
+        return _seconds(self.options.leases.gossip_s) / (2 if hurried else 1)
 
     @property
     def not_ready_reason(self) -> str:
--- a/cranberryscale/process/holding.py
+++ b/cranberryscale/process/holding.py
@@ -88,7 +88,7 @@
             if denial is not None:
                 return denial
         reply = self._budgets.take_tokens(message, share, lease, now)
-        ask = self._budgets.plan_loan(shares, message.share, now)
+        ask = self._budgets.plan_loan(shares, message, now)
         if ask is not None:
             self._errands.append(self._plan_loan(ask, message.share, now))
         return reply
--- a/cranberryscale/process/upkeep.py
+++ b/cranberryscale/process/upkeep.py
@@ -89,8 +89,7 @@
     def plan_gossip(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
         """Yield the gossip pull of this turn."""
         self.advance(now)
-        parent = self.spread.find_parent(now)
-        target = self.membership.choose_peer(self._random, parent)
+        target = self.membership.choose_peer(self._random)
         if target is not None:
             yield self._plan_gossip(target, now)
 
--- a/cranberryscale/watcher.py
+++ b/cranberryscale/watcher.py
@@ -1,5 +1,6 @@
 """Reads of the platform, and records of what came of them."""
 
+import datetime
 import time
 from typing import Any
 from typing import Callable
@@ -106,7 +107,10 @@
         self.record_outcomes()
 
     def _read_list(self) -> None:
-        found = self._client.read_instances(self._list_index)
+        wait = datetime.timedelta(
+            seconds=self._instance.options.platform.watch_s
+        )
+        found = self._client.read_instances(self._list_index, wait)
         self._list_index = found.index
         with self._instance.driver.lock:
             node = self._instance.node
