--- /dev/null
+++ b/cranberryscale/process/budgets.py
@@ -0,0 +1,308 @@
+"""Shares of customers' budgets and the holder's side of them."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import datetime
+import random
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.process import accounts
+from cranberryscale.process import bucket as bucket_module
+from cranberryscale.version import configuration
+from cranberryscale.version import view as view_module
+
+
+__all__ = ['Ask', 'BudgetHolder', 'cut_shares']
+
+KIND = 'budget'
+# A holder answers about one TakeTokens a request, and a share of this rate
+# stays well under what one instance can answer.
+SHARE_RATE_PER_S = 200
+# The loss of a holder leaves its share idle for about 13 s, so customers
+# with enough burst get several regional shares and lose only a small part.
+REGIONAL_SHARES = 8
+SHARE_BURST_REQUESTS = 10
+DOMAIN_BURST_REQUESTS = 5
+# A holder below this part of its burst takes tokens from fuller shares.
+BORROW_BELOW_RATIO = 0.5
+
+
+class Ask(NamedTuple):
+    """Send a message to the holder of a share."""
+
+    share: bucket_module.Share
+    message: messages.TakeTokens | messages.ReturnTokens
+
+
+class BudgetHolder:
+    """Answer requests for tokens of the shares that this instance holds.
+
+    The caller passes the lease it holds for the share, or None. A bucket
+    starts empty at the start of its lease and is dropped with it. A bucket
+    that is not in memory is rebuilt as "empty at the start of the lease and
+    unused since", which is exact because only full buckets are dropped.
+    """
+
+    def __init__(self, terms: bucket_module.Terms, rng: random.Random):
+        self._terms = terms
+        self._accounts: dict[tuple[str, int], accounts.Account] = {}
+        self._random = rng
+        # Grant identifiers of an earlier process must not match.
+        self._next_id = rng.getrandbits(46) << 16
+
+    def __len__(self) -> int:
+        """Return the number of buckets in memory."""
+        return len(self._accounts)
+
+    def _find_account(
+        self, share: bucket_module.Share, lease, now: datetime.timedelta
+    ) -> accounts.Account | None:
+        key = (share.customer, share.index)
+        if lease is None or lease.until <= now:
+            self._accounts.pop(key, None)
+            return None
+        account = self._accounts.get(key)
+        if account is None or not account.fits(share, lease):
+            account = self._accounts[key] = accounts.Account(
+                share, lease.since, self._terms.rate_drift_ratio
+            )
+        if account.bucket.share != share:
+            account.bucket.change_share(share, now)
+        account.advance(now)
+        return account
+
+    def take_tokens(
+        self,
+        request: messages.TakeTokens,
+        share: bucket_module.Share,
+        lease,
+        now: datetime.timedelta,
+    ) -> messages.TokenGrant | messages.TokenDenial:
+        """Return a grant or a denial; the same request gets the same grant.
+
+        Denials carry `not_holder` or `rate_exceeded`.
+        """
+        account = self._find_account(share, lease, now)
+        if account is None:
+            return messages.TokenDenial('not_holder', 0.0)
+        for grant_id in request.spent:
+            account.bucket.close(grant_id)
+        if request.amount < 1:
+            valid_s = self._terms.grant.total_seconds()
+            return messages.TokenGrant(0, 0, valid_s, account.left)
+        known = account.grants.get(request.request_id)
+        if known is None:
+            known = self._make_grant(account, request, lease, now)
+        if known is None:
+            wait = account.bucket.find_wait(1)
+            seconds = wait.total_seconds() if wait is not None else 3600.0
+            return messages.TokenDenial('rate_exceeded', seconds, account.left)
+        valid_s = (known.expires - now).total_seconds()
+        return messages.TokenGrant(
+            known.grant_id, known.amount, valid_s, account.left
+        )
+
+    def _make_grant(
+        self,
+        account: accounts.Account,
+        request,
+        lease,
+        now: datetime.timedelta,
+    ) -> accounts.Grant | None:
+        borrowing = request.have_ratio >= 0
+        amount, lot = account.choose_amount(request)
+        if amount < 1:
+            return None
+        valid = (
+            account.limit_loan(self._terms) if borrowing else self._terms.grant
+        )
+        expires = min(now + valid, lease.until)
+        self._next_id += 1
+        if lot is not None:
+            expires = min(expires, lot.expires)
+            left = lot.amount - amount
+            account.lots[lot.grant_id] = lot._replace(amount=left)
+        else:
+            account.bucket.take(self._next_id, amount, expires)
+        source = lot.grant_id if lot else 0
+        grant = accounts.Grant(self._next_id, amount, expires, source)
+        account.grants[request.request_id] = grant
+        return grant
+
+    def return_tokens(
+        self, request: messages.ReturnTokens, now: datetime.timedelta
+    ) -> None:
+        """Credit tokens that are still outstanding, once for each grant."""
+        account = self._accounts.get((request.customer, request.share))
+        if account is None or request.amount < 1:
+            return
+        account.advance(now)
+        found = next(
+            (
+                (key, grant)
+                for key, grant in account.grants.items()
+                if grant.grant_id == request.grant_id and not grant.returned
+            ),
+            None,
+        )
+        if found is None:
+            return
+        key, grant = found
+        account.grants[key] = grant._replace(returned=True)
+        amount = min(request.amount, grant.amount)
+        lot = account.lots.get(grant.lot)
+        if lot is not None:
+            amount += lot.amount
+            account.lots[lot.grant_id] = lot._replace(amount=amount)
+        elif not grant.lot:
+            account.bucket.give_back(grant.grant_id, amount)
+
+    def plan_loan(
+        self,
+        shares: tuple[bucket_module.Share, ...],
+        request: messages.TakeTokens,
+        now: datetime.timedelta,
+    ) -> Ask | None:
+        """Return what to ask of the fullest other share, if it is fuller.
+
+        Call after take_tokens and send without delaying the answer; only
+        one loan for a share is under way at a time. A holder that is asked
+        for a loan does not borrow, or loans would chase each other.
+        """
+        index = request.share
+        if request.have_ratio >= 0 or len(shares) == 1:
+            return None
+        share = shares[index]
+        account = self._accounts.get((share.customer, index))
+        if account is None or account.pending or account.borrow_at > now:
+            return None
+        fill = account.fill_ratio
+        if fill >= BORROW_BELOW_RATIO:
+            return None
+        others = (other for other in shares if other.index != index)
+        lender = max(others, key=lambda s: account.guess_fill(s, now))
+        # With this amount both are equally full afterwards.
+        spare = account.guess_fill(lender, now) - fill
+        amount = int(
+            spare / (1 / lender.burst_requests + 1 / share.burst_requests)
+        )
+        if amount < 1:
+            return None
+        request_id = f'loan-{self._random.getrandbits(64):016x}'
+        account.pending[request_id] = now
+        return Ask(
+            lender,
+            messages.TakeTokens(
+                share.customer,
+                lender.index,
+                amount,
+                request_id,
+                have_ratio=fill,
+            ),
+        )
+
+    def take_loan_reply(
+        self,
+        ask: Ask,
+        index: int,
+        reply: messages.TokenGrant | messages.TokenDenial | None,
+        sent_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Credit a loan that is still valid counted from `sent_at`.
+
+        `reply` None means that the lender did not answer. A second reply to
+        the same request is ignored.
+        """
+        account = self._accounts.get((ask.share.customer, index))
+        if account is None or ask.message.request_id not in account.pending:
+            return
+        del account.pending[ask.message.request_id]
+        left = getattr(reply, 'left', 0.0)
+        account.estimates[ask.share.index] = accounts.Estimate(left, now)
+        account.count_loan(isinstance(reply, messages.TokenGrant), now)
+        match reply:
+            case messages.TokenGrant(grant_id, amount, valid_s):
+                valid_s *= 1 - self._terms.drift_ratio
+                expires = sent_at + datetime.timedelta(seconds=valid_s)
+                lot = accounts.Lot(ask.share, grant_id, amount, expires)
+                account.lots[grant_id] = lot
+        account.advance(now)
+
+    def collect_returns(
+        self, now: datetime.timedelta, margin: datetime.timedelta
+    ) -> tuple[Ask, ...]:
+        """Give back loans that expire within `margin`, debiting first."""
+        asks = []
+        for account in self._accounts.values():
+            account.advance(now)
+            for lot in list(account.lots.values()):
+                if lot.amount and lot.expires <= now + margin:
+                    del account.lots[lot.grant_id]
+                    message = messages.ReturnTokens(
+                        lot.lender.customer,
+                        lot.lender.index,
+                        lot.grant_id,
+                        lot.amount,
+                    )
+                    asks.append(Ask(lot.lender, message))
+        return tuple(asks)
+
+    def list_buckets(self) -> Iterable[bucket_module.Bucket]:
+        """Return the buckets in memory, for operators."""
+        return (account.bucket for account in self._accounts.values())
+
+    def drop_idle(
+        self,
+        find_lease: Callable[
+            [view_module.Resource, datetime.timedelta], object
+        ],
+        now: datetime.timedelta,
+    ) -> None:
+        """Drop buckets that are full and unused or whose lease ended."""
+        for key, account in list(self._accounts.items()):
+            lease = find_lease(account.bucket.share.resource, now)
+            account.advance(now)
+            ended = lease is None or lease.since != account.since
+            if ended or account.is_idle:
+                del self._accounts[key]
+
+
+def cut_shares(
+    customer: configuration.Customer,
+    domains: tuple[str, ...],
+    floor_fraction: float,
+) -> tuple[bucket_module.Share, ...]:
+    """Split a budget into regional shares, then failure domain shares.
+
+    The rates and bursts add up to the customer's. Bursts are whole, and a
+    customer whose domain part would be under one request has no domain
+    shares. Raises nothing; a burst of 0 gives one share that admits nothing.
+    """
+    count = len(domains)
+    part = int(customer.burst_requests * floor_fraction / max(count, 1))
+    floor = floor_fraction if part >= DOMAIN_BURST_REQUESTS else 0.0
+    burst = customer.burst_requests - part * count * (bool(floor))
+    rate = customer.rate_per_s * (1 - floor)
+    wanted = min(REGIONAL_SHARES, burst // SHARE_BURST_REQUESTS)
+    by_rate = int(-(-rate // SHARE_RATE_PER_S))
+    regional = max(min(max(by_rate, wanted), burst), 1)
+    cells = [
+        (view_module.REGION_CELL, f'{customer.name}/{n}', rate / regional,
+         burst // regional + (n < burst % regional))
+        for n in range(regional)
+    ]  # fmt: skip
+    if floor:
+        domain_rate = customer.rate_per_s * floor / count
+        cells += [(d, customer.name, domain_rate, part) for d in domains]
+    return tuple(
+        bucket_module.Share(
+            customer.name,
+            view_module.Resource(cell, KIND, name),
+            share_rate,
+            share_burst,
+            index,
+        )
+        for index, (cell, name, share_rate, share_burst) in enumerate(cells)
+    )
