Add membership, grants and leases

Cause: budgets and pools need one holder per resource without consensus, disks or shared state.

Change: a member reports whom it treats as eligible and which members changed within the waiting time. The best-ranked member of both sets holds the grant only if it is eligible and unchanged, which is the same as having mapped the resource to nobody else during that time, so no history of assignments is sent. Records name processes by hash and incarnation and do not depend on list versions. Replies leave identities out when both sides have the same.

Pulls go around the ring of members at doubling distances, every third to the configuration parent. Defaults are now 0.35 s gossip, 6 s suspicion and 7 s lease.

Conclusion: never two holders in the fault table and the random runs; every resource is held again within the stated bound.

--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -19,9 +19,9 @@
     'Failure',
     'FetchSubtrees',
     'FetchView',
-    'GossipEntry',
     'GossipPull',
     'GossipReply',
+    'GrantRecord',
     'PermitDenial',
     'PermitGrant',
     'PermitReport',
@@ -48,45 +48,49 @@
 PROTOCOL_VERSION = 1
 
 
-class AssignmentRecord(NamedTuple):
-    """Define an assignment: a view version and the suspected members."""
+class GrantRecord(NamedTuple):
+    """Say to whom a member grants, as bitmaps over GossipReply.identities.
 
-    view_version: int
-    suspected: tuple[str, ...]
+    `eligible` marks who may hold resources; `recent` marks members whose
+    eligibility or incarnation changed within the waiting time.
+    """
 
+    eligible: bytes
+    recent: bytes
 
-class GossipEntry(NamedTuple):
-    """Tell how long ago a member spoke and what it granted then.
 
-    `member` is a short hash of the name. `assignment` and `previous` index
-    GossipReply.assignments, -1 for none. Ages are in tenths of a second,
-    rounded up; `assignment_age` is the age of the current assignment when
-    the member spoke.
+class GossipPull(NamedTuple):
+    """Ask for the receiver's table of members.
+
+    `member` is a short hash of the sender's name and failure domain;
+    `roster` is the digest of the sender's identities.
     """
 
     member: int
     incarnation: int
-    age_ds: int
-    assignment: int
-    assignment_age_ds: int
-    previous: int
-    confirmed_age_ds: int
-
-
-class GossipPull(NamedTuple):
-    """Ask for the receiver's table of members."""
-
+    roster: int
     view_version: int
     subtree_versions: dict[str, int]
 
 
 class GossipReply(NamedTuple):
-    """Return the sender's table of members and what it has in force."""
+    """Return the sender's table of members and what it has in force.
+
+    `identities` packs member hashes and incarnations and is empty when the
+    roster is the one of the pull. The columns have one byte per identity:
+    `ages` since the member spoke and `confirmed_ages` of its configuration
+    at that moment in tenths of a second, rounded up, and the index of what
+    it granted in `records`; 255 means none.
+    """
 
     view_version: int
     subtree_versions: dict[str, int]
-    assignments: tuple[AssignmentRecord, ...]
-    entries: tuple[GossipEntry, ...]
+    roster: int
+    identities: bytes
+    ages: bytes
+    confirmed_ages: bytes
+    record_indexes: bytes
+    records: tuple[GrantRecord, ...]
 
 
 class FetchView(NamedTuple):
--- a/cranberryscale/version/settings.py
+++ b/cranberryscale/version/settings.py
@@ -40,9 +40,9 @@
 class Leases(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Set the terms of leases and gossip; equal on all instances."""
 
-    lease_s: Seconds = 8.0
-    suspect_s: Seconds = 5.0
-    gossip_s: Seconds = 0.5
+    lease_s: Seconds = 7.0
+    suspect_s: Seconds = 6.0
+    gossip_s: Seconds = 0.35
     drift_ratio: Annotated[float, msgspec.Meta(ge=0, le=0.1)] = 0.01
 
 
--- a/cranberryscale/version/view.py
+++ b/cranberryscale/version/view.py
@@ -18,6 +18,7 @@
     'count_quorum',
     'list_cell',
     'rank_members',
+    'score_member',
 ]
 
 REGION_CELL = ''
@@ -74,7 +75,8 @@
 
 
 @functools.lru_cache(maxsize=65536)
-def _score(member: str, resource: Resource) -> bytes:
+def score_member(member: str, resource: Resource) -> bytes:
+    """Return the rendezvous score of a member's name for a resource."""
     text = '\x00'.join((member, *resource))
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
 
@@ -92,7 +94,7 @@
     return tuple(
         sorted(
             list_cell(view, resource.cell),
-            key=lambda member: _score(member.name, resource),
+            key=lambda member: score_member(member.name, resource),
             reverse=True,
         )
     )
@@ -111,7 +113,7 @@
         if not member.leaving and member.name not in suspected
     )
     chosen = max(
-        eligible, key=lambda m: _score(m.name, resource), default=None
+        eligible, key=lambda m: score_member(m.name, resource), default=None
     )
     return chosen.name if chosen else None
 
--- /dev/null
+++ b/cranberryscale_bench/gossip_fleet.py
@@ -0,0 +1,237 @@
+"""A driver of Membership objects with an injected clock and network.
+
+It delivers pulls and replies after random delays, and loses, duplicates
+and reorders them on request. Every process has its own clock, with its
+own offset and rate, so a comparison of two clocks shows up as a fault.
+"""
+
+import datetime
+import heapq
+import itertools
+import random
+from typing import Any
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.process import leases
+from cranberryscale.process import membership
+from cranberryscale.version import settings
+from cranberryscale.version import view
+
+
+__all__ = ['Fleet', 'Process', 'make_terms', 'make_view', 'to_delta']
+
+
+def to_delta(seconds: float) -> datetime.timedelta:
+    """Return a duration."""
+    return datetime.timedelta(seconds=seconds)
+
+
+def make_terms(terms: settings.Leases) -> leases.LeaseTerms:
+    """Return the lease terms in the settings."""
+    return leases.LeaseTerms(
+        to_delta(terms.lease_s), to_delta(terms.suspect_s), terms.drift_ratio
+    )
+
+
+def make_view(count: int, version: int = 1, first: int = 0) -> view.View:
+    """Return a list of `count` members in three failure domains."""
+    return view.View(
+        version,
+        tuple(
+            view.Member(f'i{n:03}', f'd{n % 3}', '', '', '')
+            for n in range(first, first + count)
+        ),
+    )
+
+
+class Process(NamedTuple):
+    """Hold one incarnation of a member; `rate` and `offset` are its clock."""
+
+    name: str
+    member: membership.Membership
+    rate: float
+    offset: float
+
+    def read_clock(self, at: float) -> datetime.timedelta:
+        """Return what the process's clock shows at a time of the driver."""
+        return to_delta(self.offset + at * self.rate)
+
+
+class Fleet:
+    """Drive the membership of a fleet; times are seconds of the driver.
+
+    `blocked` holds (from, to) names between which nothing is delivered.
+    """
+
+    def __init__(
+        self, published: view.View, seed: int, terms: settings.Leases
+    ):
+        self.now = 0.0
+        self.terms = terms
+        self.random = random.Random(seed)
+        self.blocked: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.delay = (0.001, 0.01)
+        self.sent_bytes = 0
+        self.processes: dict[str, Process] = {}
+        self._asleep_until: dict[int, float] = {}
+        self._stopped: set[int] = set()
+        self._incarnations = itertools.count(1)
+        self._events: list[tuple[float, int, Any]] = []
+        self._sequence = itertools.count()
+        self._views: dict[int, view.View] = {}
+        for member in published.members:
+            self.start(member.name, published)
+
+    @property
+    def paused_until(self) -> float:
+        """Return when the last pause ends."""
+        return max(self._asleep_until.values(), default=0.0)
+
+    def start(self, name: str, published: view.View) -> Process:
+        """Start a new incarnation; an earlier one keeps running."""
+        drift = self.terms.drift_ratio / 2
+        rate = 1 + self.random.uniform(-drift, drift)
+        offset = self.random.uniform(1000, 100000)
+        now = to_delta(offset + self.now * rate)
+        table = leases.LeaseTable(
+            name, next(self._incarnations), make_terms(self.terms), now
+        )
+        member = membership.Membership(table, now)
+        process = Process(name, member, rate, offset)
+        self.processes[name] = process
+        member.load_view(published, now)
+        wait = self.random.uniform(0, self.terms.gossip_s)
+        self._schedule(wait, process, self._pull)
+        return process
+
+    def stop(self, process: Process) -> None:
+        """End a process at once."""
+        self._stopped.add(id(process.member))
+        if self.processes.get(process.name) is process:
+            del self.processes[process.name]
+
+    def pause(self, process: Process, seconds: float) -> None:
+        """Let a process sleep; it handles what arrived when it wakes."""
+        self._asleep_until[id(process.member)] = self.now + seconds
+
+    def publish(self, published: view.View, names: Any = None) -> None:
+        """Deliver a list to the processes with these names, or to all."""
+        for process in tuple(self.processes.values()):
+            if names is None or process.name in names:
+                self._schedule(0, process, self._load, published)
+
+    def cut(self, side: frozenset[str], other: frozenset[str]) -> None:
+        """Lose all messages between two sides of a partition."""
+        self.blocked |= {(a, b) for a in side for b in other}
+        self.blocked |= {(b, a) for a in side for b in other}
+
+    def run(self, seconds: float) -> None:
+        """Run all events of the next seconds."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            self.now, _, (process, action, arguments) = heapq.heappop(
+                self._events
+            )
+            wake = self._asleep_until.get(id(process.member), 0)
+            if id(process.member) in self._stopped:
+                continue
+            if wake > self.now:
+                self._schedule(wake - self.now, process, action, *arguments)
+            else:
+                action(process, *arguments)
+        self.now = until
+
+    def list_holders(
+        self, resource: view.Resource, extra: tuple[Process, ...] = ()
+    ) -> list[Process]:
+        """Return the processes, and those of `extra`, that hold now."""
+        return [
+            process
+            for process in (*self.processes.values(), *extra)
+            if process.member.table.find_lease(
+                resource, process.read_clock(self.now)
+            )
+        ]
+
+    def _schedule(
+        self, wait: float, process: Process, action: Any, *arguments: Any
+    ) -> None:
+        event = (process, action, arguments)
+        heapq.heappush(
+            self._events, (self.now + wait, next(self._sequence), event)
+        )
+
+    def _load(self, process: Process, published: view.View) -> None:
+        process.member.load_view(published, process.read_clock(self.now))
+
+    def _send(
+        self, source: str, target: Process, action: Any, *arguments: Any
+    ) -> None:
+        copies = 1 + (self.random.random() < self.duplicates)
+        for _ in range(copies):
+            if (source, target.name) in self.blocked:
+                continue
+            if self.random.random() >= self.loss:
+                wait = self.random.uniform(*self.delay)
+                self._schedule(wait, target, action, *arguments)
+
+    def _pull(self, process: Process) -> None:
+        self._schedule(self.terms.gossip_s, process, self._pull)
+        now = process.read_clock(self.now)
+        member = process.member
+        target = member.choose_peer(self.random, self._find_parent(process))
+        if target is None:
+            return
+        body = messages.encode(member.make_pull(target, now, {}))
+        self.sent_bytes += len(body)
+        receiver = self.processes.get(target)
+        if receiver is not None:
+            self._send(
+                process.name, receiver, self._answer, process, body, now
+            )
+        if member.wanted_list and member.wanted_list[0] in self.processes:
+            source = self.processes[member.wanted_list[0]]
+            if (source.name, process.name) not in self.blocked:
+                member.learn_view(source.member.table.view, now)
+
+    def _answer(
+        self,
+        process: Process,
+        sender: Process,
+        body: bytes,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        reply = process.member.answer_pull(
+            messages.decode(body), process.read_clock(self.now), {}
+        )
+        body = messages.encode(reply)
+        self.sent_bytes += len(body)
+        self._send(
+            process.name, sender, self._merge, process.name, body, sent_at
+        )
+
+    def _merge(
+        self,
+        process: Process,
+        sender: str,
+        body: bytes,
+        sent_at: datetime.timedelta,
+    ) -> None:
+        process.member.merge_reply(
+            sender,
+            messages.decode(body),
+            sent_at,
+            process.read_clock(self.now),
+        )
+
+    def _find_parent(self, process: Process) -> str | None:
+        """Return one of the two first members of the failure domain."""
+        published = process.member.table.view
+        own = published.find_member(process.name)
+        if own is None:
+            return None
+        first = [m.name for m in view.list_cell(published, own.domain)[:2]]
+        return None if process.name in first else self.random.choice(first)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,221 @@
+"""Guard single rules of grants and leases."""
+
+import datetime
+
+import pytest
+
+from cranberryscale.process import grants
+from cranberryscale.process import leases
+from cranberryscale.version import view
+
+
+TERMS = leases.LeaseTerms(
+    datetime.timedelta(seconds=8), datetime.timedelta(seconds=5), 0.01
+)
+NAMES = ('a', 'b', 'c', 'd')
+LIST = view.View(
+    1, tuple(view.Member(name, 'd0', '', '', '') for name in NAMES)
+)
+RESOURCES = tuple(view.Resource('', 'budget', str(n)) for n in range(40))
+
+
+def at(seconds):
+    """Return a time of the process under test."""
+    return datetime.timedelta(seconds=seconds)
+
+
+def make_table(name='a', published=LIST, incarnation=1):
+    """Return a table that started at 0 and sees everybody alive."""
+    table = leases.LeaseTable(name, incarnation, TERMS, at(0))
+    table.load_view(published, at(0))
+    table.set_alive(dict.fromkeys(NAMES, 1) | {name: incarnation}, at(0))
+    return table
+
+
+def find_resource(*ranking):
+    """Return a resource that prefers the members in this order."""
+    return next(
+        resource
+        for resource in RESOURCES
+        if [m.name for m in view.rank_members(LIST, resource)][: len(ranking)]
+        == list(ranking)
+    )
+
+
+def make_grants(eligible=NAMES, recent=(), incarnation=1):
+    """Return grants as another member would report them."""
+    return grants.Grants(
+        frozenset(
+            grants.Identity(grants.identify_member(name, 'd0'), incarnation)
+            for name in eligible
+        ),
+        frozenset(grants.identify_member(name, 'd0') for name in recent),
+    )
+
+
+def learn(table, name, seconds, given):
+    """Let a table learn what a member said."""
+    identity = grants.Identity(grants.identify_member(name, 'd0'), 1)
+    table.learn_grants(grants.Spoken(at(seconds), identity, given))
+
+
+def name_granted(table, resource, seconds):
+    """Return the name that a table grants to, or None."""
+    given = table.make_grants(at(seconds))
+    if given is None:
+        return None
+    answers = table.directory.find_answers(given)
+    granted = table.directory.choose_granted(answers, resource)
+    return granted and table.directory.get_name(granted.member)
+
+
+def test_new_process_grants_nothing_at_first():
+    """A restart without memory may have granted to somebody else."""
+    table = make_table()
+    assert table.make_grants(at(8.07)) is None
+    assert table.make_grants(at(8.08)) is not None
+
+
+def test_new_holder_waits_and_others_are_not_interrupted():
+    """Granting too early makes two holders, too broadly stops all."""
+    table = make_table()
+    moved, kept = find_resource('b', 'c'), find_resource('c', 'b')
+    assert name_granted(table, moved, 20) == 'b'
+    table.set_alive(dict.fromkeys('acd', 1), at(20))
+    assert name_granted(table, moved, 20) is None
+    assert name_granted(table, moved, 28.07) is None
+    assert name_granted(table, moved, 28.08) == 'c'
+    assert name_granted(table, kept, 20) == 'c'
+
+
+def test_return_within_the_wait_starts_it_again():
+    """A flapping member must not be granted to by two in turn."""
+    table = make_table()
+    moved = find_resource('b', 'c')
+    table.set_alive(dict.fromkeys('acd', 1), at(20))
+    table.set_alive(dict.fromkeys('abcd', 1), at(24))
+    assert name_granted(table, moved, 30) is None
+    assert name_granted(table, moved, 32.08) == 'b'
+
+
+def test_new_incarnation_of_a_holder_waits():
+    """The old process of that name may still hold its lease."""
+    table = make_table()
+    moved = find_resource('b', 'c')
+    table.set_alive(dict.fromkeys('acd', 1) | {'b': 2}, at(20))
+    assert name_granted(table, moved, 28.07) is None
+    assert name_granted(table, moved, 28.08) == 'b'
+
+
+def test_grants_to_an_earlier_incarnation_do_not_count():
+    """Members that do not know a successor still serve the old one."""
+    resource = find_resource('a')
+    table = make_table(incarnation=2)
+    for name in 'bcd':
+        learn(table, name, 20, make_grants())
+    table.renew(at(20))
+    assert table.find_lease(resource, at(20)) is None
+    for name in 'bcd':
+        learn(table, name, 21, make_grants(incarnation=2))
+    table.renew(at(21))
+    assert table.find_lease(resource, at(21)) is not None
+
+
+def test_lease_ends_with_the_quorum_of_grants():
+    """A lease longer than the grants it rests on can overlap another."""
+    resource = find_resource('a')
+    table = make_table()
+    for seconds, name in ((18, 'b'), (19, 'c'), (20, 'd')):
+        learn(table, name, seconds, make_grants())
+    table.renew(at(20))
+    assert view.count_quorum(4) == 3
+    lease = table.find_lease(resource, at(20))
+    assert (lease.since, lease.until) == (at(20), at(27))
+    assert table.find_lease(resource, at(26.9)) == lease
+    assert table.find_lease(resource, at(27)) is None
+
+
+def test_interrupted_lease_has_a_new_start():
+    """State of an earlier lease must not be used under a later one."""
+    resource = find_resource('a')
+    table = make_table()
+    for seconds in (20, 24, 40):
+        for name in 'bcd':
+            learn(table, name, seconds, make_grants())
+        table.renew(at(seconds))
+        since = table.find_lease(resource, at(seconds)).since
+        assert since == at(40 if seconds == 40 else 20)
+
+
+def test_no_grant_counts_while_a_better_member_changed():
+    """The better-ranked member may hold on grants of a moment ago."""
+    resource = find_resource('b', 'a')
+    table = make_table()
+    table.set_alive(dict.fromkeys('acd', 1), at(20))
+    for name in 'bcd':
+        learn(table, name, 40, make_grants('acd', recent='b'))
+    table.renew(at(40))
+    assert table.find_lease(resource, at(40)) is None
+    for name in 'bcd':
+        learn(table, name, 41, make_grants('acd'))
+    table.renew(at(41))
+    assert table.find_lease(resource, at(41)) is not None
+
+
+def test_leaving_member_grants_but_never_holds():
+    """A shutdown must cut no request, so it must take on nothing."""
+    leaving = LIST._replace(
+        members=tuple(
+            member._replace(leaving=member.name == 'a')
+            for member in LIST.members
+        )
+    )
+    table = make_table(published=leaving)
+    resource = find_resource('a', 'b')
+    for name in 'bcd':
+        learn(table, name, 20, make_grants())
+    table.renew(at(20))
+    assert table.find_lease(resource, at(20)) is None
+    assert table.find_holder(resource) == 'b'
+    assert name_granted(table, resource, 20) == 'b'
+
+
+def test_grants_naming_unknown_members_wait_for_their_list():
+    """An unknown member could rank first and hold already."""
+    resource = find_resource('a')
+    table = make_table()
+    for name in 'bcd':
+        learn(table, name, 20, make_grants((*NAMES, 'new')))
+    table.renew(at(20))
+    assert table.find_lease(resource, at(20)) is None
+    newer = LIST._replace(
+        members=(*LIST.members, view.Member('new', 'd0', '', '', ''))
+    )
+    table.learn_view(newer, at(21))
+    table.renew(at(21))
+    ranked = view.rank_members(newer, resource)[0].name
+    assert (table.find_lease(resource, at(21)) is None) == (ranked == 'new')
+
+
+def test_colliding_hashes_are_ignored(monkeypatch):
+    """A hash that stands for two members must stand for neither."""
+    monkeypatch.setattr(
+        grants, 'identify_member', lambda name, _: ord(name) | 1
+    )
+    table = make_table('d')
+    assert table.directory.ambiguous_members == 1
+    assert set(table.ids) == {'a', 'd'}
+
+
+@pytest.mark.parametrize('name', ['a', 'x'])
+def test_retired_or_unlisted_process_does_nothing(name):
+    """A process that woke late or is not listed must not hold."""
+    table = make_table(name)
+    for other in 'bcd':
+        learn(table, other, 20, make_grants())
+    if name == 'a':
+        assert any(table.find_lease(each, at(20)) for each in RESOURCES)
+        table.retire()
+        assert table.make_grants(at(20)) is None
+    table.renew(at(20))
+    assert not any(table.find_lease(each, at(20)) for each in RESOURCES)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,340 @@
+"""Guard the invariant of leases under faults of network and processes.
+
+At no instant do two processes hold the same resource, whatever the fault,
+and resources are held again within a bound after the fault ends.
+"""
+
+import random
+
+import pytest
+
+from cranberryscale import errors
+from cranberryscale import messages
+from cranberryscale.version import settings
+from cranberryscale.version import view
+from cranberryscale_bench import gossip_fleet
+
+
+TERMS = settings.Leases()
+TERMS_LEASE = gossip_fleet.to_delta(TERMS.lease_s)
+STEP_S = 0.25
+# A fresh fleet hears everybody, then waits for the lease time.
+WARM_UP_S = 16
+# Return of suspected members (suspicion, then twice that of freshness),
+# then the waiting time, and twice the slowest gossip of some 4 s.
+RECOVERY_S = 3 * TERMS.suspect_s + TERMS.lease_s * 1.01 + 8
+RESOURCES = tuple(
+    view.Resource(cell, 'budget', f'c{number}')
+    for cell in ('', 'd0', 'd1', 'd2')
+    for number in range(6)
+)
+
+
+def run_checked(fleet, seconds, extra=()):
+    """Run while checking that nothing is ever held twice."""
+    end = fleet.now + seconds
+    while fleet.now < end:
+        fleet.run(STEP_S)
+        for resource in RESOURCES:
+            holders = fleet.list_holders(resource, extra)
+            assert len(holders) <= 1, (fleet.now, resource, holders)
+
+
+def list_unheld(fleet):
+    """Return the resources that nobody holds now."""
+    return [each for each in RESOURCES if not fleet.list_holders(each)]
+
+
+def start_fleet(count=11, seed=1):
+    """Return a fleet after its start, everything held."""
+    fleet = gossip_fleet.Fleet(gossip_fleet.make_view(count), seed, TERMS)
+    run_checked(fleet, WARM_UP_S)
+    assert not list_unheld(fleet)
+    return fleet
+
+
+def find_holder(fleet, resource=RESOURCES[0]):
+    """Return the one process that holds a resource."""
+    (holder,) = fleet.list_holders(resource)
+    return holder
+
+
+def list_domain(fleet, *domains):
+    """Return the names of the members in failure domains."""
+    published = next(iter(fleet.processes.values())).member.table.view
+    return frozenset(
+        member.name for member in published.members if member.domain in domains
+    )
+
+
+def lose_messages(fleet):
+    """Lose a fifth of all messages."""
+    fleet.loss = 0.2
+
+
+def duplicate_and_reorder(fleet):
+    """Deliver half of the messages twice, up to two seconds late."""
+    fleet.duplicates = 0.5
+    fleet.delay = (0.001, 2.0)
+
+
+def cut_one_way(fleet):
+    """Let a holder be heard by few while it hears everybody."""
+    holder = find_holder(fleet).name
+    fleet.blocked |= {
+        (holder, other)
+        for number, other in enumerate(sorted(fleet.processes))
+        if number % 10
+    }
+
+
+def pause_holder(fleet):
+    """Let a holder and a follower sleep for 30 s."""
+    fleet.pause(find_holder(fleet), 30)
+    fleet.pause(fleet.processes['i004'], 30)
+
+
+def restart_holder(fleet):
+    """Start a new incarnation of a holder right after its end."""
+    holder = find_holder(fleet)
+    published = holder.member.table.view
+    fleet.stop(holder)
+    fleet.start(holder.name, published)
+
+
+def lose_holder(fleet):
+    """End a holder for good, the list still has it."""
+    fleet.stop(find_holder(fleet))
+
+
+def revert_list(fleet):
+    """Go back to a list without the last members on some instances."""
+    older = gossip_fleet.make_view(len(fleet.processes) * 10 // 11, 0)
+    fleet.publish(older, sorted(fleet.processes)[::2])
+
+
+def cut_domain(fleet):
+    """Cut one failure domain off."""
+    fleet.cut(list_domain(fleet, 'd0'), list_domain(fleet, 'd1', 'd2'))
+
+
+def cut_across(fleet):
+    """Cut the fleet in two halves across all failure domains."""
+    names = sorted(fleet.processes)
+    half = len(names) // 2
+    fleet.cut(frozenset(names[:half]), frozenset(names[half:]))
+
+
+def replace_many(fleet):
+    """Replace 10 of 44 at once, the old ones live three seconds more."""
+    count = len(fleet.processes)
+    replaced = count * 10 // 44
+    published = gossip_fleet.make_view(count, version=2, first=replaced)
+    for member in published.members[-replaced:]:
+        fleet.start(member.name, published)
+    fleet.publish(published)
+    run_checked(fleet, 3)
+    for member in gossip_fleet.make_view(replaced).members:
+        fleet.stop(fleet.processes[member.name])
+
+
+def heal(fleet):
+    """End all faults of the network and publish the newest list."""
+    fleet.loss = fleet.duplicates = 0.0
+    fleet.delay = (0.001, 0.01)
+    fleet.blocked.clear()
+    newest = max(
+        (process.member.table.view for process in fleet.processes.values()),
+        key=lambda published: published.version,
+    )
+    fleet.publish(newest)
+
+
+def check_recovery(fleet):
+    """Check that all is held again within the bound after all faults."""
+    heal(fleet)
+    run_checked(fleet, max(0.0, fleet.paused_until - fleet.now))
+    run_checked(fleet, RECOVERY_S)
+    assert not list_unheld(fleet)
+
+
+FAULTS = (
+    (lose_messages, 22),
+    (duplicate_and_reorder, 11),
+    (cut_one_way, 22),
+    (pause_holder, 11),
+    (restart_holder, 11),
+    (lose_holder, 11),
+    (revert_list, 11),
+    (cut_domain, 22),
+    (cut_across, 22),
+    (replace_many, 44),
+    (cut_domain, pause_holder, 11),
+    (replace_many, lose_messages, 22),
+    (cut_one_way, restart_holder, 11),
+)
+
+
+@pytest.mark.parametrize(
+    'case', FAULTS, ids=lambda case: '+'.join(f.__name__ for f in case[:-1])
+)
+def test_one_holder_under_faults(case):
+    """Two holders spend one budget twice; none for long refuses all."""
+    *faults, count = case
+    fleet = start_fleet(count)
+    for fault in faults:
+        fault(fleet)
+    run_checked(fleet, 16)
+    check_recovery(fleet)
+
+
+def test_partition_keeps_the_cells_inside_each_side():
+    """A cut by domain must leave each domain and the quorum side served."""
+    fleet = start_fleet()
+    cut_domain(fleet)
+    run_checked(fleet, RECOVERY_S)
+    sides = {
+        resource: [each.name for each in fleet.list_holders(resource)]
+        for resource in RESOURCES
+    }
+    assert all(sides.values())
+    lonely = list_domain(fleet, 'd0')
+    assert all(
+        (names[0] in lonely) == (resource.cell == 'd0')
+        for resource, names in sides.items()
+    )
+
+
+def test_lost_holder_is_replaced_in_time():
+    """The wait after a loss is suspicion plus waiting time plus gossip."""
+    fleet = start_fleet()
+    resource = RESOURCES[0]
+    others = {
+        each: fleet.list_holders(each)[0]
+        for each in RESOURCES
+        if fleet.list_holders(each) != fleet.list_holders(resource)
+    }
+    fleet.stop(find_holder(fleet))
+    lost_at = fleet.now
+    while not fleet.list_holders(resource):
+        run_checked(fleet, STEP_S)
+        for each, holder in others.items():
+            assert fleet.list_holders(each) == [holder]
+        assert fleet.now - lost_at < (
+            TERMS.suspect_s + TERMS.lease_s * 1.01 + 4
+        )
+
+
+def test_paused_process_with_a_successor_stops_for_good():
+    """A process that wakes late under a name in use must do nothing."""
+    fleet = start_fleet()
+    late = find_holder(fleet)
+    fleet.pause(late, 30)
+    successor = fleet.start(late.name, late.member.table.view)
+    run_checked(fleet, 40, extra=(late,))
+    assert late.member.superseded
+    assert late.member.table.make_grants(late.read_clock(fleet.now)) is None
+    assert not successor.member.superseded
+    assert fleet.list_holders(RESOURCES[0]) == [successor]
+
+
+def test_members_heard_only_through_others_are_listed():
+    """A one-way loss must be visible although everybody looks alive."""
+    fleet = start_fleet(12)
+    fleet.blocked.add(('i003', 'i002'))
+    run_checked(fleet, 60)
+    process = fleet.processes['i002']
+    now = process.read_clock(fleet.now)
+    assert process.member.list_indirect(now) == ('i003',)
+    other = fleet.processes['i004']
+    assert not other.member.list_indirect(other.read_clock(fleet.now))
+
+
+def test_confirmed_ages_travel():
+    """An old confirmation must not look younger elsewhere."""
+    fleet = start_fleet(12)
+    source = fleet.processes['i001']
+    source.member.set_confirmed(source.read_clock(fleet.now))
+    fleet.run(6)
+    other = fleet.processes['i008']
+    ages = other.member.list_confirmed_ages(
+        other.read_clock(fleet.now), gossip_fleet.to_delta(5)
+    )
+    assert len(ages) == 12
+    assert {name for name, age in ages.items() if age} == {'i001'}
+    assert 6 <= ages['i001'].total_seconds() < 7
+
+
+def test_malformed_reply_changes_nothing():
+    """A reply that does not fit its roster must not alter the table."""
+    fleet = start_fleet(4)
+    process = fleet.processes['i001']
+    now = process.read_clock(fleet.now)
+    pull = process.member.make_pull('i002', now, {})
+    other = fleet.processes['i002']
+    reply = other.member.answer_pull(pull, other.read_clock(fleet.now), {})
+    before = process.member.list_confirmed_ages(now, TERMS_LEASE)
+    for bad in (
+        reply._replace(ages=b'\x00'),
+        reply._replace(identities=b'\x00'),
+        reply._replace(roster=1),
+        reply._replace(record_indexes=bytes([7] * len(reply.ages))),
+        reply._replace(records=(messages.GrantRecord(b'\xff' * 9, b''),)),
+    ):
+        with pytest.raises(errors.PeerError):
+            process.member.merge_reply('i002', bad, now, now)
+    assert process.member.list_confirmed_ages(now, TERMS_LEASE) == before
+
+
+def make_trouble(fleet, source):
+    """Start one fault at random; a pause may meet a replacement."""
+    name = source.choice(sorted(fleet.processes))
+    process = fleet.processes[name]
+    match source.randrange(9):
+        case 0:
+            lose_messages(fleet)
+        case 1:
+            duplicate_and_reorder(fleet)
+        case 2:
+            cut_domain(fleet)
+        case 3:
+            names = sorted(fleet.processes)
+            source.shuffle(names)
+            side = source.randrange(1, len(names) // 2)
+            fleet.cut(frozenset(names[:side]), frozenset(names[side:]))
+        case 4:
+            targets = source.sample(
+                sorted(fleet.processes), len(fleet.processes) // 2
+            )
+            fleet.blocked |= {(name, target) for target in targets}
+        case 5:
+            fleet.pause(process, source.uniform(5, 30))
+        case 6:
+            fleet.stop(process)
+            fleet.start(name, process.member.table.view)
+        case 7:
+            published = process.member.table.view
+            older = published._replace(
+                version=published.version - 1, members=published.members[:-4]
+            )
+            fleet.publish(
+                older,
+                source.sample(
+                    sorted(fleet.processes), len(fleet.processes) // 3
+                ),
+            )
+        case 8:
+            heal(fleet)
+
+
+@pytest.mark.parametrize(
+    'count, seed, faults', [(11, 1, 16), (11, 2, 16), (11, 3, 16), (44, 4, 8)]
+)
+def test_one_holder_under_random_faults(count, seed, faults):
+    """Faults in any combination must not create a second holder."""
+    fleet = start_fleet(count, seed)
+    source = random.Random(seed)
+    for _ in range(faults):
+        make_trouble(fleet, source)
+        run_checked(fleet, source.uniform(1, 8))
+    check_recovery(fleet)
