Add specifications of leases, quorums, incarnations and budgets

Cause: tests visit some interleavings; a violation of the one-holder rule may need a rare one.

Change: four specifications checked exhaustively by minicheck. The first three call the grant, wait, quorum and ordering functions of the code. `python -m model.check` prints all cases.

--- /dev/null
+++ b/model/budgets.py
@@ -0,0 +1,129 @@
+"""Specification of the transfer of tokens from a holder to an entry.
+
+A monitor bucket that is full at first and pays for every spent token must
+never be overdrawn: that is the bound rate x window + burst for all windows.
+The specification stands for itself, no code is shared with it.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import minicheck
+
+
+__all__ = ['Rules', 'State', 'build_protocol']
+
+BURST = 2
+VALID = 1
+# One token is refilled per tick; this many grants are under way at most.
+GRANTS = 4
+
+
+class Rules(NamedTuple):
+    """Switch single rules off, for defects."""
+
+    debit_first: bool = True
+    count_outstanding: bool = True
+
+
+class Grant(NamedTuple):
+    """Hold one token on its way.
+
+    `age` counts from the grant, `asked` from the request. `place` is
+    "reply", "entry", "spent" or "return"; `owed` says that the holder still
+    counts it as outstanding. A `copy` of the message is still on its way.
+    """
+
+    age: int
+    asked: int
+    place: str
+    owed: bool
+    copy: bool
+
+
+class State(NamedTuple):
+    """Hold the holder's tokens, the monitor and the grants under way."""
+
+    tokens: int
+    monitor: int
+    grants: tuple[Grant, ...]
+
+
+def _count_owed(state: State) -> int:
+    return sum(grant.owed for grant in state.grants)
+
+
+def _tick(state: State, rules: Rules) -> State:
+    grants = (
+        grant._replace(
+            age=min(grant.age + 1, VALID + 1),
+            asked=min(grant.asked + 1, VALID + 1),
+            owed=grant.owed and grant.age < VALID,
+        )
+        for grant in state.grants
+    )
+    # Nothing can happen any more to a token that is not owed nor valid.
+    kept = tuple(
+        sorted(grant for grant in grants if grant.owed or grant.asked <= VALID)
+    )
+    state = state._replace(grants=kept, monitor=min(state.monitor + 1, BURST))
+    room = BURST - (_count_owed(state) if rules.count_outstanding else 0)
+    return state._replace(tokens=max(0, min(state.tokens + 1, room)))
+
+
+def _step_grant(
+    state: State, grant: Grant, rules: Rules
+) -> Iterable[tuple[str, State]]:
+    rest = list(state.grants)
+    rest.remove(grant)
+
+    def put(changed: Grant, **fields: int) -> State:
+        grants = tuple(sorted((*rest, changed)))
+        return state._replace(grants=grants, **fields)
+
+    valid = grant.asked <= VALID
+    match grant.place:
+        case 'reply' if valid:
+            yield 'receive', put(grant._replace(place='entry'))
+        case 'entry' if valid:
+            spent = grant._replace(place='spent')
+            yield 'spend', put(spent, monitor=state.monitor - 1)
+            # The entry debits itself before it sends the return.
+            place = 'return' if rules.debit_first else 'entry'
+            yield 'return', put(grant._replace(place=place, copy=True))
+    if grant.copy and grant.owed:
+        credited = grant._replace(owed=False, copy=False)
+        yield 'credit', put(credited, tokens=state.tokens + 1)
+
+
+def build_protocol(rules: Rules) -> minicheck.Protocol:
+    """Return the specification under these rules."""
+
+    def list_steps(values: tuple) -> list:
+        state = State(*values)
+        if state.monitor < 0:
+            # A violation is found; its consequences are unbounded.
+            return []
+        steps = [('tick', _tick(state, rules))]
+        if state.tokens and len(state.grants) < GRANTS:
+            # The request may have been on its way for a tick already.
+            for asked in range(VALID + 1):
+                grant = Grant(0, asked, 'reply', True, False)
+                grants = tuple(sorted((*state.grants, grant)))
+                steps.append(
+                    ('grant', State(state.tokens - 1, state.monitor, grants))
+                )
+        for grant in set(state.grants):
+            steps.extend(_step_grant(state, grant, rules))
+        return steps
+
+    return minicheck.Protocol(
+        name='budgets',
+        candidate=False,
+        fields=State._fields,
+        initial=State(0, BURST, ()),
+        transitions=list_steps,
+        invariants={
+            'inside rate and burst': lambda state: state['monitor'] >= 0
+        },
+    )
--- /dev/null
+++ b/model/check.py
@@ -0,0 +1,128 @@
+"""Check the specifications and print what the seeded defects lead to."""
+
+from collections.abc import Iterable
+import sys
+import time
+from typing import NamedTuple
+
+import minicheck
+
+from cranberryscale.process import gossip
+from model import budgets
+from model import incarnations
+from model import leases
+from model import quorums
+
+
+__all__ = ['Case', 'Found', 'check_case', 'list_cases', 'main']
+
+MAX_STATES = 2_000_000
+
+
+class Case(NamedTuple):
+    """Name a specification and say whether its invariant must hold."""
+
+    name: str
+    protocol: minicheck.Protocol
+    holds: bool
+
+
+class Found(NamedTuple):
+    """Hold a result; `steps` is the length of the counterexample, or 0."""
+
+    holds: bool | None
+    steps: int
+    states: int
+    seconds: float
+
+
+def _is_newer_reversed(sign: gossip.Sign, known: gossip.Sign | None) -> bool:
+    return known is None or gossip.is_newer(known, sign)
+
+
+def _list_sound() -> Iterable[Case]:
+    for name, rules in (
+        ('leases of two members, reordering', leases.Rules(slots=2)),
+        ('leases of a process and its successor', leases.Rules(True)),
+        ('leases with relayed grants', leases.Rules(relayed=True)),
+    ):
+        yield Case(name, leases.build_protocol(rules), True)
+    for members, replaced in ((11, 2), (44, 11)):
+        rules = quorums.Rules(members, replaced)
+        name = f'quorums, {replaced} of {members} replaced and alive'
+        yield Case(name, quorums.build_protocol(rules), True)
+    yield Case('incarnations', incarnations.build_protocol(), True)
+    yield Case('budgets', budgets.build_protocol(budgets.Rules()), True)
+
+
+def _list_defects() -> Iterable[Case]:
+    for name, rules in (
+        ('no wait before taking over', leases.Rules(wait=0)),
+        (
+            'no wait after a restart',
+            leases.Rules(wait_after_restart=False),
+        ),
+        (
+            'freshness counted from arrival',
+            leases.Rules(count_from_sending=False),
+        ),
+        (
+            'relayed age not increased',
+            leases.Rules(relayed=True, grow_relayed_age=False),
+        ),
+        (
+            'lease checked only before a pause',
+            leases.Rules(check_before_effect=False),
+        ),
+    ):
+        yield Case(name, leases.build_protocol(rules), False)
+    half = quorums.Rules(4, 0, half=True)
+    yield Case('quorum of one half', quorums.build_protocol(half), False)
+    reversed_order = incarnations.build_protocol(_is_newer_reversed)
+    yield Case('version compare reversed', reversed_order, False)
+    for name, rules in (
+        ('credit before debit', budgets.Rules(debit_first=False)),
+        ('outstanding not counted', budgets.Rules(count_outstanding=False)),
+    ):
+        yield Case(name, budgets.build_protocol(rules), False)
+    for members, replaced in ((11, 3), (44, 12)):
+        rules = quorums.Rules(members, replaced)
+        name = f'limit: {replaced} of {members} replaced and alive'
+        yield Case(name, quorums.build_protocol(rules), False)
+
+
+def list_cases() -> tuple[Case, ...]:
+    """Return the sound specifications, then defects and the known limit."""
+    return (*_list_sound(), *_list_defects())
+
+
+def check_case(case: Case) -> Found:
+    """Search all states of a specification for a violation."""
+    started = time.perf_counter()
+    result = minicheck.check_safety(case.protocol, max_states=MAX_STATES)
+    (found,) = result['properties'].values()
+    trace = found['counterexample'] or ()
+    return Found(
+        found['holds'],
+        max(0, len(trace) - 1),
+        result['reachable_states'],
+        time.perf_counter() - started,
+    )
+
+
+def main() -> int:
+    """Print a table of all cases; return 1 when one is not as expected."""
+    unexpected = 0
+    print(f'{"case":52} {"holds":>6} {"steps":>6} {"states":>8} {"s":>6}')
+    for case in list_cases():
+        found = check_case(case)
+        unexpected += found.holds is not case.holds
+        print(
+            f'{case.name:52} {found.holds!s:>6} {found.steps:6}'
+            f' {found.states:8} {found.seconds:6.1f}'
+        )
+    return 1 if unexpected else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
