--- /dev/null
+++ b/cranberryscale_bench/interruptions.py
@@ -0,0 +1,112 @@
+"""Measure how long resources are not held through faults of members."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cranberryscale.version import view
+from cranberryscale_bench import gossip_fleet
+
+
+__all__ = ['FAULTS', 'Interruption', 'measure_fault']
+
+WATCH_S = 45
+STEP_S = 0.1
+
+
+class Interruption(NamedTuple):
+    """Say how many of the watched resources were not held, how long."""
+
+    watched: int
+    interrupted: int
+    longest_s: float
+    largest_holders: int
+
+
+def _find_holder(fleet: gossip_fleet.Fleet) -> gossip_fleet.Process:
+    return fleet.list_holders(view.Resource('', 'budget', 'customer-0'))[0]
+
+
+def _lose_holder(fleet: gossip_fleet.Fleet) -> None:
+    fleet.stop(_find_holder(fleet))
+
+
+def _restart_holder(fleet: gossip_fleet.Fleet) -> None:
+    holder = _find_holder(fleet)
+    published = holder.member.table.view
+    fleet.stop(holder)
+    fleet.start(holder.name, published)
+
+
+def _pause_holder(fleet: gossip_fleet.Fleet) -> None:
+    fleet.pause(_find_holder(fleet), 30)
+
+
+def _replace_ten(fleet: gossip_fleet.Fleet) -> None:
+    count = len(fleet.processes)
+    published = gossip_fleet.make_view(count, version=2, first=10)
+    for member in gossip_fleet.make_view(10).members:
+        fleet.stop(fleet.processes[member.name])
+    for member in published.members[-10:]:
+        fleet.start(member.name, published)
+    fleet.publish(published)
+
+
+def _lose_domain(fleet: gossip_fleet.Fleet) -> None:
+    for process in tuple(fleet.processes.values()):
+        own = process.member.table.view.find_member(process.name)
+        if own.domain == 'd0':
+            fleet.stop(process)
+
+
+def _cut_domain(fleet: gossip_fleet.Fleet) -> None:
+    published = gossip_fleet.make_view(len(fleet.processes))
+    inside = frozenset(m.name for m in view.list_cell(published, 'd0'))
+    fleet.cut(inside, published.names - inside)
+
+
+def _revert_list(fleet: gossip_fleet.Fleet) -> None:
+    count = len(fleet.processes)
+    older = gossip_fleet.make_view(count - 4, version=0)
+    fleet.publish(older, sorted(fleet.processes)[::4])
+
+
+# Faults with the cells that they leave without members.
+FAULTS: dict[
+    str, tuple[Callable[[gossip_fleet.Fleet], None], frozenset[str]]
+] = {
+    'lose_holder': (_lose_holder, frozenset()),
+    'restart_holder': (_restart_holder, frozenset()),
+    'pause_holder_30_s': (_pause_holder, frozenset()),
+    'replace_10': (_replace_ten, frozenset()),
+    'lose_domain': (_lose_domain, frozenset(['d0'])),
+    'cut_domain': (_cut_domain, frozenset()),
+    'revert_list_on_a_quarter': (_revert_list, frozenset()),
+}
+
+
+def measure_fault(
+    name: str, fleet: gossip_fleet.Fleet, resources: Iterable[view.Resource]
+) -> Interruption:
+    """Return what a fault at this moment interrupts."""
+    fault, lost_cells = FAULTS[name]
+    watched = [each for each in resources if each.cell not in lost_cells]
+    for resource in watched:
+        fleet.list_holders(resource)
+    fault(fleet)
+    idle = dict.fromkeys(watched, 0.0)
+    longest = dict.fromkeys(watched, 0.0)
+    most = 0
+    for _ in range(round(WATCH_S / STEP_S)):
+        fleet.run(STEP_S)
+        for resource in watched:
+            holders = len(fleet.list_holders(resource))
+            most = max(most, holders)
+            idle[resource] = 0.0 if holders else idle[resource] + STEP_S
+            longest[resource] = max(longest[resource], idle[resource])
+    return Interruption(
+        len(watched),
+        sum(seconds > 0 for seconds in longest.values()),
+        max(longest.values()),
+        most,
+    )
--- /dev/null
+++ b/cranberryscale_bench/membership.py
@@ -0,0 +1,206 @@
+"""Measure gossip and leases: bytes, freshness, interruptions, look-ups."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import statistics
+import time
+import timeit
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.version import settings
+from cranberryscale.version import view
+from cranberryscale_bench import gossip_fleet
+from cranberryscale_bench import interruptions
+
+
+__all__ = ['Result', 'list_cases']
+
+TERMS = settings.Leases()
+SEED = 1
+MEMBERS = 44
+# Bytes of HTTP/2 frames, headers and the signature of one call, estimated.
+CALL_OVERHEAD_BYTES = 250
+SENT_BOUND_BYTES_PER_S = 1536
+# Of all control work of an instance.
+CPU_BOUND = 1.2
+LOOKUP_BOUND_US = 20
+# Of the requests inside their rate, at most 0.1% may be refused.
+HELD_BOUND_RATIO = 0.999
+# Suspicion and the waiting time, then two rounds of the slowest gossip.
+HELD_AGAIN_BOUND_S = TERMS.suspect_s + TERMS.lease_s * 1.01 + 4
+WARM_UP_S = 20
+SUBTREES = {'entry': 17, 'guides': 4, 'bookings': 9, 'events': 21}
+
+
+class Result(NamedTuple):
+    """Hold one measured value; `bound` is the target it must not miss."""
+
+    case: str
+    measure: str
+    value: float
+    baseline: float | None
+    bound: float | None
+    unit: str
+
+
+def _list_resources(count: int) -> tuple[view.Resource, ...]:
+    return tuple(
+        view.Resource(cell, 'budget', f'customer-{number}')
+        for cell in ('', 'd0', 'd1', 'd2')
+        for number in range(count)
+    )
+
+
+def _start_fleet(count: int, seed: int = SEED) -> gossip_fleet.Fleet:
+    fleet = gossip_fleet.Fleet(gossip_fleet.make_view(count), seed, TERMS)
+    fleet.run(WARM_UP_S)
+    return fleet
+
+
+def measure_bytes() -> Iterable[Result]:
+    """Yield encoded sizes and what one instance sends a second.
+
+    The baseline of a reply is one that repeats all identities.
+    """
+    for count in (4, 11, 22, 44):
+        fleet = _start_fleet(count)
+        one, other = (fleet.processes[name] for name in ('i001', 'i002'))
+        pull = one.member.make_pull(
+            'i002', one.read_clock(fleet.now), SUBTREES
+        )
+        now = other.read_clock(fleet.now)
+        reply, full = (
+            len(messages.encode(other.member.answer_pull(each, now, SUBTREES)))
+            for each in (pull, pull._replace(roster=0))
+        )
+        size = len(messages.encode(pull))
+        calls_per_s = 1 / TERMS.gossip_s
+        sent, sent_full = (
+            calls_per_s * (size + each + CALL_OVERHEAD_BYTES)
+            for each in (reply, full)
+        )
+        case = f'gossip_bytes_{count}'
+        yield Result(case, 'pull', size, None, None, 'bytes')
+        yield Result(case, 'reply', reply, full, None, 'bytes')
+        yield Result(
+            case, 'sent', sent, sent_full, SENT_BOUND_BYTES_PER_S, 'bytes/s'
+        )
+
+
+def measure_freshness() -> Iterable[Result]:
+    """Yield the distribution of entry ages in a fleet without faults."""
+    fleet = _start_fleet(MEMBERS)
+    ages = []
+    for _ in range(60):
+        fleet.run(0.5)
+        for process in fleet.processes.values():
+            known = process.member.list_ages(process.read_clock(fleet.now))
+            ages.extend(age.total_seconds() for age in known.values())
+    cuts = statistics.quantiles(ages, n=1000)
+    case = 'gossip_age'
+    yield Result(case, 'median', cuts[499], None, None, 's')
+    yield Result(case, 'p99', cuts[989], None, None, 's')
+    yield Result(case, 'p999', cuts[998], None, None, 's')
+    yield Result(case, 'largest', max(ages), None, TERMS.suspect_s, 's')
+
+
+def measure_holding() -> Iterable[Result]:
+    """Yield the share of time that resources are held without faults."""
+    fleet = _start_fleet(MEMBERS)
+    resources = _list_resources(10)
+    held = []
+    for _ in range(240):
+        fleet.run(0.25)
+        held.extend(len(fleet.list_holders(each)) for each in resources)
+    case = 'lease_without_faults'
+    ratio = sum(count == 1 for count in held) / len(held)
+    yield Result(case, 'held', ratio, None, HELD_BOUND_RATIO, 'ratio')
+    yield Result(case, 'largest_holders', max(held), None, 1, 'count')
+
+
+def measure_cpu() -> Iterable[Result]:
+    """Yield the processor time of gossip for one instance.
+
+    It covers both sides of each pull and the work of the driver.
+    """
+    fleet = _start_fleet(MEMBERS)
+    seconds = 20
+    started = time.process_time()
+    fleet.run(seconds)
+    used = time.process_time() - started
+    percent = 100 * used / seconds / MEMBERS
+    yield Result('gossip_cpu', 'core', percent, None, CPU_BOUND, 'percent')
+
+
+def measure_takeover() -> Iterable[Result]:
+    """Yield the time from the loss of a holder until the next holds."""
+    times = []
+    for seed in range(8):
+        fleet = _start_fleet(MEMBERS, seed)
+        resource = _list_resources(1)[0]
+        fleet.stop(fleet.list_holders(resource)[0])
+        lost_at = fleet.now
+        while not fleet.list_holders(resource) and fleet.now < lost_at + 60:
+            fleet.run(0.1)
+        times.append(fleet.now - lost_at)
+    case = 'lost_holder'
+    yield Result(case, 'median', statistics.median(times), None, None, 's')
+    yield Result(case, 'largest', max(times), None, HELD_AGAIN_BOUND_S, 's')
+
+
+def measure_interruptions() -> Iterable[Result]:
+    """Yield which part of the resources a fault interrupts, how long.
+
+    A fault at one holder must not interrupt the resources of others.
+    """
+    for name in interruptions.FAULTS:
+        found = interruptions.measure_fault(
+            name, _start_fleet(MEMBERS), _list_resources(10)
+        )
+        ratio = found.interrupted / found.watched
+        case = f'interruption_{name}'
+        yield Result(case, 'interrupted', ratio, None, None, 'ratio')
+        yield Result(case, 'longest', found.longest_s, None, None, 's')
+        yield Result(
+            case, 'largest_holders', found.largest_holders, None, 1, 'count'
+        )
+
+
+def measure_lookups() -> Iterable[Result]:
+    """Yield the time of look-ups on the request path.
+
+    The baseline evaluates all grants anew.
+    """
+    fleet = _start_fleet(MEMBERS)
+    resource = _list_resources(1)[0]
+    holder = fleet.list_holders(resource)[0]
+    table = holder.member.table
+    now = holder.read_clock(fleet.now)
+
+    def measure(action: Callable[[], object], count: int) -> float:
+        return min(timeit.repeat(action, number=count)) / count * 1e6
+
+    def renew() -> None:
+        table.renew(now)
+        table.find_lease(resource, now)
+
+    lease = measure(lambda: table.find_lease(resource, now), 10000)
+    found = measure(lambda: table.find_holder(resource), 10000)
+    anew = measure(renew, 500)
+    case = f'lease_lookup_{MEMBERS}'
+    yield Result(case, 'find_lease', lease, anew, LOOKUP_BOUND_US, 'us')
+    yield Result(case, 'find_holder', found, None, LOOKUP_BOUND_US, 'us')
+
+
+def list_cases() -> dict[str, Callable[[], Iterable[Result]]]:
+    """Return the measurements by name."""
+    return {
+        'gossip_bytes': measure_bytes,
+        'gossip_age': measure_freshness,
+        'lease_without_faults': measure_holding,
+        'gossip_cpu': measure_cpu,
+        'lost_holder': measure_takeover,
+        'lease_interruptions': measure_interruptions,
+        'lease_lookup': measure_lookups,
+    }
