--- a/cranberryscale/process/leases.py
+++ b/cranberryscale/process/leases.py
@@ -45,7 +45,10 @@
 
 
 class LeaseTable:
-    """Own the grants that this instance gives and the leases it holds."""
+    """Own the grants that this instance gives and the leases it holds.
+
+    It is not safe for concurrent calls; its owner serializes them.
+    """
 
     def __init__(
         self,
@@ -244,12 +247,13 @@
         The instance also has to be the holder under its own assignment, so
         it never holds what it would ask another instance for.
         """
-        before = self._leases.pop(resource, None)
+        before = self._leases.get(resource)
         until = None
         if self._identity is not None and not self._retired:
             if self.find_holder(resource) == self.name:
                 until = self._count_until(resource)
         if until is None or until <= now:
+            self._leases.pop(resource, None)
             self._missed.add(resource)
             return None
         continued = before is not None and now < before.until
