--- a/cranberryscale/process/gossip.py
+++ b/cranberryscale/process/gossip.py
@@ -4,6 +4,7 @@
 the same, and all members share one grant record.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 import datetime
@@ -18,21 +19,23 @@
 
 
 __all__ = [
+    'Decoder',
     'LONGEST_AGE',
     'Sign',
-    'decode_signs',
     'digest_roster',
     'encode_signs',
     'is_newer',
     'list_roster',
     'round_age',
-    'unpack_roster',
 ]
 
 # The longest age that one byte carries; older signs are not relayed.
 LONGEST_AGE = datetime.timedelta(seconds=25)
 _AGE_UNIT = datetime.timedelta(milliseconds=100)
 _NONE = 255
+# How many rosters and records are kept for replies that refer to them.
+_KEPT_ROSTERS = 16
+_KEPT_RECORDS = 512
 _IDENTITY = struct.Struct('>IQ')
 
 
@@ -81,15 +84,7 @@
 
 def digest_roster(roster: tuple[grants.Identity, ...]) -> int:
     """Return a 64-bit digest of the identities."""
-    digest = hashlib.blake2b(_pack_roster(roster), digest_size=8).digest()
-    return int.from_bytes(digest, 'big')
-
-
-def unpack_roster(body: bytes) -> tuple[grants.Identity, ...]:
-    """Return the identities of a reply, or raise MessageUndecodable."""
-    if len(body) % _IDENTITY.size:
-        raise errors.make_error('message_undecodable', len(body))
-    return tuple(map(grants.Identity._make, _IDENTITY.iter_unpack(body)))
+    return _digest(_pack_roster(roster))
 
 
 def encode_signs(
@@ -108,6 +103,10 @@
     # Grants beyond the index range are left out, which is safe.
     chosen = tuple(itertools.islice(distinct, _NONE))
     index = {record: place for place, record in enumerate(chosen)}
+    bits = {identity: 1 << place for place, identity in enumerate(roster)}
+    member_bits = collections.Counter()
+    for identity, bit in bits.items():
+        member_bits[identity.member] += bit
     grow = 1 + drift_ratio
     return messages.GossipReply(
         pull.view_version,
@@ -127,35 +126,13 @@
         bytes(
             index.get(sign.given, _NONE) if sign else _NONE for sign in column
         ),
-        tuple(_encode_record(record, roster) for record in chosen),
+        tuple(_encode_record(record, bits, member_bits) for record in chosen),
     )
 
 
-def decode_signs(
-    reply: messages.GossipReply,
-    roster: tuple[grants.Identity, ...],
-    sent_at: datetime.timedelta,
-) -> tuple[Sign, ...]:
-    """Return the signs in a reply to a pull that was sent at `sent_at`.
-
-    Raises MessageUndecodable when the columns do not fit the roster.
-    """
-    columns = (reply.ages, reply.confirmed_ages, reply.record_indexes)
-    if any(len(column) != len(roster) for column in columns):
-        raise errors.make_error('message_undecodable', len(roster))
-    records = tuple(_decode_record(each, roster) for each in reply.records)
-    if any(len(records) <= index < _NONE for index in reply.record_indexes):
-        raise errors.make_error('message_undecodable', len(records))
-    return tuple(
-        Sign(
-            sent_at - age * _AGE_UNIT,
-            identity,
-            None if index == _NONE else records[index],
-            None if confirmed == _NONE else confirmed * _AGE_UNIT,
-        )
-        for identity, age, confirmed, index in zip(roster, *columns)
-        if age != _NONE
-    )
+def _digest(body: bytes) -> int:
+    digest = hashlib.blake2b(body, digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
 
 
 def _pack_roster(roster: tuple[grants.Identity, ...]) -> bytes:
@@ -163,25 +140,17 @@
 
 
 def _encode_record(
-    record: grants.Grants, roster: tuple[grants.Identity, ...]
+    record: grants.Grants,
+    bits: Mapping[grants.Identity, int],
+    member_bits: Mapping[int, int],
 ) -> messages.GrantRecord:
     return messages.GrantRecord(
-        _pack_bits(identity in record.eligible for identity in roster),
-        _pack_bits(identity.member in record.recent for identity in roster),
+        _pack_bits(sum(bits[identity] for identity in record.eligible)),
+        _pack_bits(sum(member_bits[member] for member in record.recent)),
     )
 
 
-def _decode_record(
-    record: messages.GrantRecord, roster: tuple[grants.Identity, ...]
-) -> grants.Grants:
-    return grants.Grants(
-        frozenset(_select(roster, record.eligible)),
-        frozenset(each.member for each in _select(roster, record.recent)),
-    )
-
-
-def _pack_bits(bits: Iterable[bool]) -> bytes:
-    number = sum(1 << place for place, bit in enumerate(bits) if bit)
+def _pack_bits(number: int) -> bytes:
     return number.to_bytes(-(-number.bit_length() // 8), 'little')
 
 
@@ -196,3 +165,82 @@
         for place, identity in enumerate(roster)
         if number >> place & 1
     )
+
+
+class Decoder:
+    """Decode replies, keeping the rosters and records seen lately."""
+
+    def __init__(self):
+        self._rosters: dict[int, tuple[grants.Identity, ...]] = {}
+        self._records: dict[
+            tuple[int, messages.GrantRecord], grants.Grants
+        ] = {}
+
+    def keep_roster(self, roster: tuple[grants.Identity, ...]) -> int:
+        """Keep the roster of a pull for its reply and return its digest."""
+        digest = digest_roster(roster)
+        self._rosters.pop(digest, None)
+        self._rosters[digest] = roster
+        if len(self._rosters) > _KEPT_ROSTERS:
+            del self._rosters[next(iter(self._rosters))]
+        if len(self._records) > _KEPT_RECORDS:
+            self._records.clear()
+        return digest
+
+    def find_roster(
+        self, reply: messages.GossipReply
+    ) -> tuple[grants.Identity, ...]:
+        """Return the roster of a reply, or raise MessageUndecodable."""
+        body = reply.identities
+        if not body and reply.roster in self._rosters:
+            return self._rosters[reply.roster]
+        if len(body) % _IDENTITY.size or reply.roster != _digest(body):
+            raise errors.make_error('message_undecodable', reply.roster)
+        return tuple(map(grants.Identity._make, _IDENTITY.iter_unpack(body)))
+
+    def decode_signs(
+        self,
+        reply: messages.GossipReply,
+        roster: tuple[grants.Identity, ...],
+        sent_at: datetime.timedelta,
+    ) -> tuple[Sign, ...]:
+        """Return the signs in a reply to a pull that was sent at `sent_at`.
+
+        Raises MessageUndecodable when the columns do not fit the roster.
+        """
+        columns = (reply.ages, reply.confirmed_ages, reply.record_indexes)
+        if any(len(column) != len(roster) for column in columns):
+            raise errors.make_error('message_undecodable', len(roster))
+        records = tuple(
+            self._decode_record(reply.roster, record, roster)
+            for record in reply.records
+        )
+        if any(len(records) <= i < _NONE for i in reply.record_indexes):
+            raise errors.make_error('message_undecodable', len(records))
+        return tuple(
+            Sign(
+                sent_at - age * _AGE_UNIT,
+                identity,
+                None if index == _NONE else records[index],
+                None if confirmed == _NONE else confirmed * _AGE_UNIT,
+            )
+            for identity, age, confirmed, index in zip(roster, *columns)
+            if age != _NONE
+        )
+
+    def _decode_record(
+        self,
+        digest: int,
+        record: messages.GrantRecord,
+        roster: tuple[grants.Identity, ...],
+    ) -> grants.Grants:
+        given = self._records.get((digest, record))
+        if given is None:
+            given = grants.Grants(
+                frozenset(_select(roster, record.eligible)),
+                frozenset(
+                    each.member for each in _select(roster, record.recent)
+                ),
+            )
+            self._records[digest, record] = given
+        return given
--- a/cranberryscale/process/grants.py
+++ b/cranberryscale/process/grants.py
@@ -6,9 +6,9 @@
 other resources are not interrupted.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 import datetime
 import hashlib
 from typing import NamedTuple
@@ -17,6 +17,7 @@
 
 
 __all__ = [
+    'Answers',
     'Directory',
     'Grants',
     'Identity',
@@ -92,22 +93,21 @@
 
 
 def choose_granted(
-    grants: Grants, score: Callable[[int], bytes | None]
+    current: Mapping[int, int], recent: Set[int], ranking: Iterable[int]
 ) -> Identity | None:
     """Return who is granted a resource, or None.
 
-    `score` gives a member's rank for the resource, None outside its cell.
-    The holder was the same during the whole waiting time exactly if the
-    best of all who were eligible then is eligible now and did not change.
+    `current` maps eligible members to incarnations, `ranking` holds the
+    members of the resource's cell, best first. The holder was the same
+    during the whole waiting time exactly if the best of all who were
+    eligible then is eligible now and did not change.
     """
-    current = {each.member: each for each in grants.eligible}
-    ranked = (
-        (rank, member)
-        for member in current.keys() | grants.recent
-        if (rank := score(member)) is not None
+    best = next(
+        (each for each in ranking if each in current or each in recent), None
     )
-    _, best = max(ranked, default=(None, None))
-    return None if best in grants.recent else current.get(best)
+    if best is None or best in recent:
+        return None
+    return Identity(best, current[best])
 
 
 def count_until(ats: Iterable, quorum: int, lease):
@@ -119,6 +119,14 @@
     return latest[quorum - 1] + lease if 0 < quorum <= len(latest) else None
 
 
+class Answers(NamedTuple):
+    """Hold grants and the resources evaluated so far."""
+
+    current: Mapping[int, int]
+    recent: Set[int]
+    found: dict[view.Resource, Identity | None]
+
+
 class _Place(NamedTuple):
     name: str
     domain: str
@@ -135,8 +143,9 @@
         self._listed_at: dict[int, datetime.timedelta] = {}
         self._ambiguous: set[int] = set()
         self._latest: Grants | None = None
-        self._latest_answers: dict[view.Resource, Identity | None] = {}
-        self._answers: dict[Grants, dict[view.Resource, Identity | None]] = {}
+        self._latest_answers: Answers | None = None
+        self._answers: dict[Grants, Answers] = {}
+        self._rankings: dict[view.Resource, tuple[int, ...]] = {}
 
     @property
     def ambiguous_members(self) -> int:
@@ -171,10 +180,8 @@
         """Return the name behind a known hash."""
         return self._places[member].name
 
-    def find_answers(
-        self, given: Grants
-    ) -> dict[view.Resource, Identity | None] | None:
-        """Return the cache of these grants' evaluation.
+    def find_answers(self, given: Grants) -> Answers | None:
+        """Return the cached evaluation of these grants.
 
         None when the grants name unknown members. Most members of a reply
         share one object, which is compared first.
@@ -188,23 +195,34 @@
                 return None
             if len(self._answers) > 4 * len(self._places) + 16:
                 self._forget_answers()
-            answers = self._answers[given] = {}
+            answers = Answers(dict(given.eligible), given.recent, {})
+            self._answers[given] = answers
         self._latest, self._latest_answers = given, answers
         return answers
 
     def choose_granted(
-        self, grants: Grants, resource: view.Resource
+        self, answers: Answers, resource: view.Resource
     ) -> Identity | None:
         """Return who is granted a resource by resolvable grants."""
-
-        def score(member: int) -> bytes | None:
-            place = self._places[member]
-            if resource.cell not in (view.REGION_CELL, place.domain):
-                return None
-            return view.score_member(place.name, resource)
-
-        return choose_granted(grants, score)
+        if resource not in answers.found:
+            answers.found[resource] = choose_granted(
+                answers.current, answers.recent, self._rank(resource)
+            )
+        return answers.found[resource]
+
+    def _rank(self, resource: view.Resource) -> tuple[int, ...]:
+        ranking = self._rankings.get(resource)
+        if ranking is None:
+            cell = (
+                (view.score_member(place.name, resource), member)
+                for member, place in self._places.items()
+                if resource.cell in (view.REGION_CELL, place.domain)
+            )
+            ranking = tuple(member for _, member in sorted(cell, reverse=True))
+            self._rankings[resource] = ranking
+        return ranking
 
     def _forget_answers(self) -> None:
         self._answers.clear()
+        self._rankings.clear()
         self._latest = None
--- a/cranberryscale/process/leases.py
+++ b/cranberryscale/process/leases.py
@@ -40,14 +40,15 @@
 
 
 class _Known(NamedTuple):
-    """Hold known grants and the resources evaluated so far."""
-
     spoken: grants.Spoken
-    answers: dict[view.Resource, grants.Identity | None]
+    answers: grants.Answers
 
 
 class LeaseTable:
-    """Own the grants that this instance gives and the leases it holds."""
+    """Own the grants that this instance gives and the leases it holds.
+
+    It is not safe for concurrent calls; its owner serializes them.
+    """
 
     def __init__(
         self,
@@ -228,12 +229,9 @@
         self._given = None
 
     def _is_granted(self, known: _Known, resource: view.Resource) -> bool:
-        try:
-            return known.answers[resource] == self._identity
-        except KeyError:
-            pass
-        found = self.directory.choose_granted(known.spoken.grants, resource)
-        known.answers[resource] = found
+        found = known.answers.found.get(resource)
+        if found is None:
+            found = self.directory.choose_granted(known.answers, resource)
         return found == self._identity
 
     def _learn_own(self, now: datetime.timedelta) -> None:
@@ -249,12 +247,13 @@
         The instance also has to be the holder under its own assignment, so
         it never holds what it would ask another instance for.
         """
-        before = self._leases.pop(resource, None)
+        before = self._leases.get(resource)
         until = None
         if self._identity is not None and not self._retired:
             if self.find_holder(resource) == self.name:
                 until = self._count_until(resource)
         if until is None or until <= now:
+            self._leases.pop(resource, None)
             self._missed.add(resource)
             return None
         continued = before is not None and now < before.until
--- a/cranberryscale/process/membership.py
+++ b/cranberryscale/process/membership.py
@@ -5,7 +5,10 @@
 in either direction only make it older.
 """
 
+<<<<<<< HEAD
 import collections
+=======
+>>>>>>> leases
 from collections.abc import Mapping
 import datetime
 import random
@@ -21,9 +24,12 @@
 
 __all__ = ['Membership']
 
+<<<<<<< HEAD
 # How many of this instance's own rosters are kept for late replies.
 _KEPT_ROSTERS = 16
 
+=======
+>>>>>>> leases
 
 class Membership:
     """Own the table of members and feed the leases from it."""
@@ -38,9 +44,13 @@
         self._signs: dict[int, gossip.Sign] = {}
         self._health: dict[str, suspicion.Health] = {}
         self._confirmed_at: datetime.timedelta | None = None
+<<<<<<< HEAD
         self._rosters: collections.OrderedDict[
             int, tuple[grants.Identity, ...]
         ] = collections.OrderedDict()
+=======
+        self._decoder = gossip.Decoder()
+>>>>>>> leases
         self._peers = peering.PeerChoice()
         self._wanted: tuple[str, int] | None = None
         self._wanted_at = now - table.terms.lease
@@ -134,12 +144,29 @@
         self, source: random.Random, parent: str | None = None
     ) -> str | None:
         """Return whom to pull from next, None when there is nobody."""
+<<<<<<< HEAD
         ring = sorted(self.alive | {self.table.name})
         stale = sorted(self._health.keys() - set(ring))
         if parent not in self._health:
             parent = None
         return self._peers.choose_peer(
             self.table.name, ring, stale, parent, source
+=======
+        ring = {self.table.name} | {
+            name
+            for name, health in self._health.items()
+            if health.alive or health.fresh_since is not None
+        }
+        stale = self._health.keys() - ring
+        if parent not in self._health:
+            parent = None
+        return self._peers.choose_peer(
+            self.table.name,
+            sorted(ring),
+            sorted(stale),
+            parent,
+            source,
+>>>>>>> leases
         )
 
     def make_pull(
@@ -152,6 +179,7 @@
         self._peers.note_pull(target)
         self.advance(now)
         roster = gossip.list_roster(self._list_signs(now).values())
+<<<<<<< HEAD
         digest = gossip.digest_roster(roster)
         self._rosters[digest] = roster
         self._rosters.move_to_end(digest)
@@ -161,6 +189,12 @@
             self.table.ids.get(self.table.name, 0),
             self.table.incarnation,
             digest,
+=======
+        return messages.GossipPull(
+            self.table.ids.get(self.table.name, 0),
+            self.table.incarnation,
+            self._decoder.keep_roster(roster),
+>>>>>>> leases
             self.table.view.version,
             dict(subtree_versions),
         )
@@ -197,6 +231,7 @@
 
         Raises MessageUndecodable, changing nothing, when it makes no sense.
         """
+<<<<<<< HEAD
         roster = self._rosters.get(reply.roster, ())
         if reply.identities:
             roster = gossip.unpack_roster(reply.identities)
@@ -204,6 +239,14 @@
         self._peers.note_reply(sender)
         self._note_list(sender, reply.view_version, roster, now)
         for identity in roster:
+=======
+        roster = self._decoder.find_roster(reply)
+        signs = self._decoder.decode_signs(reply, roster, sent_at)
+        self._peers.note_reply(sender)
+        self._note_list(sender, reply.view_version, roster, now)
+        # Without identities the roster is one of this instance's own.
+        for identity in roster if reply.identities else ():
+>>>>>>> leases
             self._learn_incarnation(identity, now)
         own = self.table.ids.get(self.table.name)
         for sign in signs:
@@ -217,12 +260,29 @@
         """Return the fresh members that do not answer this instance."""
         return tuple(
             name
+<<<<<<< HEAD
             for name, health in sorted(self._health.items())
             if health.alive
             and self._peers.is_silent(name)
             and self._is_fresh(name, now, self.terms.suspect)
         )
 
+=======
+            for name, age in sorted(self.list_ages(now).items())
+            if age <= self.terms.suspect and self._peers.is_silent(name)
+        )
+
+    def list_ages(
+        self, now: datetime.timedelta
+    ) -> dict[str, datetime.timedelta]:
+        """Return the ages of the other members' latest signs of life."""
+        return {
+            name: now - self._signs[self.table.ids[name]].at
+            for name in self._health
+            if self.table.ids[name] in self._signs
+        }
+
+>>>>>>> leases
     def list_confirmed_ages(
         self, now: datetime.timedelta, within: datetime.timedelta
     ) -> dict[str, datetime.timedelta | None]:
@@ -232,12 +292,19 @@
         """
         own = None if self._confirmed_at is None else now - self._confirmed_at
         ages = {self.table.name: own}
+<<<<<<< HEAD
         for name in self._health:
             if self._is_fresh(name, now, within):
                 sign = self._signs[self.table.ids[name]]
                 ages[name] = sign.confirmed_age
                 if sign.confirmed_age is not None:
                     ages[name] = sign.confirmed_age + now - sign.at
+=======
+        for name, age in self.list_ages(now).items():
+            if age <= within:
+                known = self._signs[self.table.ids[name]].confirmed_age
+                ages[name] = None if known is None else known + age
+>>>>>>> leases
         return ages
 
     def _note_list(
@@ -254,6 +321,7 @@
                 self._wanted = (sender, version)
                 self._wanted_at = now
 
+<<<<<<< HEAD
     def list_signs(
         self, now: datetime.timedelta
     ) -> dict[str, tuple[datetime.timedelta, datetime.timedelta | None]]:
@@ -275,6 +343,8 @@
         sign = self._signs.get(self.table.ids[name])
         return sign is not None and now - sign.at <= within
 
+=======
+>>>>>>> leases
     def _list_signs(self, now: datetime.timedelta) -> dict[int, gossip.Sign]:
         grow = 1 + self.terms.drift_ratio
         signs = {
--- a/cranberryscale/process/peering.py
+++ b/cranberryscale/process/peering.py
@@ -48,7 +48,21 @@
             return None
         self._hops += 1
         distance = 1 << self._hops % others.bit_length()
-        return ring[(ring.index(name) + distance) % len(ring)]
+        place = ring.index(name) + distance
+        onward = (
+            ring[(place + step) % len(ring)] for step in range(len(ring))
+        )
+        # A member that let the latest pull go unanswered is passed over in
+        # most rounds, so that a cut costs few pulls before suspicion.
+        patient = not source.randrange(_SUSPECTED_PULLS)
+        return next(
+            (
+                each
+                for each in onward
+                if each != name and (patient or not self._unanswered[each])
+            ),
+            ring[place % len(ring)],
+        )
 
     def note_pull(self, target: str) -> None:
         """Count a pull until its reply arrives."""
--- a/cranberryscale_bench/gossip_fleet.py
+++ b/cranberryscale_bench/gossip_fleet.py
@@ -85,6 +85,11 @@
         for member in published.members:
             self.start(member.name, published)
 
+    @property
+    def paused_until(self) -> float:
+        """Return when the last pause ends."""
+        return max(self._asleep_until.values(), default=0.0)
+
     def start(self, name: str, published: view.View) -> Process:
         """Start a new incarnation; an earlier one keeps running."""
         drift = self.terms.drift_ratio / 2
