--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -129,6 +129,7 @@
     `once_key` is the digest of an idempotency key, empty for none.
     `have_ratio` is how full the sender's own share is when it is a holder
     that asks for a loan, and negative when it is an entry instance.
+    `spent` lists grants of this share of which nothing is left to spend.
     """
 
     customer: str
@@ -137,6 +138,7 @@
     request_id: str
     once_key: str = ''
     have_ratio: float = -1.0
+    spent: tuple[int, ...] = ()
 
 
 class TokenGrant(NamedTuple):
--- a/cranberryscale/process/bucket.py
+++ b/cranberryscale/process/bucket.py
@@ -33,7 +33,7 @@
     closer than that.
     """
 
-    grant: datetime.timedelta = datetime.timedelta(milliseconds=100)
+    grant: datetime.timedelta = datetime.timedelta(milliseconds=50)
     loan_fraction: float = 0.25
     loan_limit: datetime.timedelta = datetime.timedelta(milliseconds=500)
     drift_ratio: float = 0.01
@@ -70,6 +70,7 @@
         self._drift = rate_drift_ratio
         self._at = since
         self._tokens = 0
+        self._ideal = 0
         self._outstanding = 0
         self._grants: dict[int, int] = {}
         self._expiries: list[tuple[datetime.timedelta, int]] = []
@@ -85,6 +86,15 @@
         """Return the tokens given away that may still be spent."""
         return self._outstanding / UNIT
 
+    @property
+    def ideal_tokens(self) -> float:
+        """Return what a bucket would have whose tokens are spent at once.
+
+        The difference to `tokens` is what outstanding tokens kept from
+        accruing; it is due to a caller within the validity of a grant.
+        """
+        return self._ideal / UNIT
+
     @property
     def is_full(self) -> bool:
         """Tell whether the bucket has its whole burst on hand."""
@@ -102,6 +112,7 @@
         added = self._rate * ((until - self._at) // MICROSECOND)
         ceiling = max(self._burst - self._outstanding, 0)
         self._tokens = min(self._tokens + added, ceiling)
+        self._ideal = min(self._ideal + added, self._burst)
         self._at = until
 
     def advance(self, now: datetime.timedelta) -> None:
@@ -119,6 +130,7 @@
         self._set_limits()
         ceiling = max(self._burst - self._outstanding, 0)
         self._tokens = min(self._tokens, ceiling)
+        self._ideal = min(self._ideal, self._burst)
 
     def take(
         self, grant_id: int, amount: int, expires: datetime.timedelta
@@ -127,6 +139,7 @@
         if amount * UNIT > self._tokens:
             return False
         self._tokens -= amount * UNIT
+        self._ideal -= amount * UNIT
         self._outstanding += amount * UNIT
         self._grants[grant_id] = amount * UNIT
         heapq.heappush(self._expiries, (expires, grant_id))
@@ -140,6 +153,13 @@
             self._grants[grant_id] = held - credit
             self._outstanding -= credit
             self._tokens += credit
+            self._ideal = min(self._ideal + credit, self._burst)
+
+    def close(self, grant_id: int) -> None:
+        """Stop counting a grant as outstanding: it was spent."""
+        self._outstanding -= self._grants.get(grant_id, 0)
+        if grant_id in self._grants:
+            self._grants[grant_id] = 0
 
     def find_wait(self, amount: int) -> datetime.timedelta | None:
         """Return how long until `amount` tokens are on hand.
--- a/cranberryscale/process/budgets.py
+++ b/cranberryscale/process/budgets.py
@@ -1,11 +1,12 @@
 """Shares of customers' budgets and the holder's side of them."""
 
+from collections.abc import Callable
 import datetime
 import random
-from collections.abc import Callable
 from typing import NamedTuple
 
 from cranberryscale import messages
+from cranberryscale.process import accounts
 from cranberryscale.process import bucket as bucket_module
 from cranberryscale.version import configuration
 from cranberryscale.version import view as view_module
@@ -20,10 +21,10 @@
 # The loss of a holder leaves its share idle for about 13 s, so customers
 # with enough burst get several regional shares and lose only a small part.
 REGIONAL_SHARES = 4
-SHARE_BURST_REQUESTS = 5
+SHARE_BURST_REQUESTS = 10
+DOMAIN_BURST_REQUESTS = 5
 # A holder below this part of its burst takes tokens from fuller shares.
-BORROW_BELOW_RATIO = 0.75
-SILENCE = datetime.timedelta(seconds=1)
+BORROW_BELOW_RATIO = 0.5
 
 
 class Ask(NamedTuple):
@@ -33,102 +34,6 @@
     message: messages.TakeTokens | messages.ReturnTokens
 
 
-class Grant(NamedTuple):
-    """Remember an answer; `lot` is the loan it was taken from, 0: none."""
-
-    grant_id: int
-    amount: int
-    expires: datetime.timedelta
-    lot: int
-    returned: bool = False
-
-
-class Lot(NamedTuple):
-    """Hold tokens taken from another share's holder."""
-
-    lender: bucket_module.Share
-    grant_id: int
-    amount: int
-    expires: datetime.timedelta
-
-
-class Estimate(NamedTuple):
-    """Remember what another share had left."""
-
-    left: float
-    at: datetime.timedelta
-
-
-class Account:
-    """Hold the bucket of one share under one lease and what goes with it."""
-
-    def __init__(
-        self,
-        share: bucket_module.Share,
-        since: datetime.timedelta,
-        rate_drift_ratio: float,
-    ):
-        self.since = since
-        self.bucket = bucket_module.Bucket(share, since, rate_drift_ratio)
-        self.grants: dict[str, Grant] = {}
-        self.lots: dict[int, Lot] = {}
-        self.estimates: dict[int, Estimate] = {}
-        self.pending: dict[str, datetime.timedelta] = {}
-
-    @property
-    def fill_ratio(self) -> float:
-        """Return tokens on hand, borrowed ones included, over the burst."""
-        lent = sum(lot.amount for lot in self.lots.values())
-        burst = self.bucket.share.burst_requests
-        return (self.bucket.tokens + lent) / burst if burst else 0.0
-
-    def fits(self, share: bucket_module.Share, lease) -> bool:
-        """Tell whether this is the account of the share under the lease."""
-        same = self.bucket.share.resource == share.resource
-        return same and self.since == lease.since
-
-    @property
-    def is_idle(self) -> bool:
-        """Tell whether dropping the account would lose nothing."""
-        return self.bucket.is_full and not (
-            self.grants or self.lots or self.pending
-        )
-
-    def advance(self, now: datetime.timedelta) -> None:
-        """Accrue tokens and forget what has expired."""
-        self.bucket.advance(now)
-        for request_id in [
-            key for key, g in self.grants.items() if g.expires <= now
-        ]:
-            del self.grants[request_id]
-        for grant_id in [
-            key for key, lot in self.lots.items() if lot.expires <= now
-        ]:
-            del self.lots[grant_id]
-        for request_id in [
-            key for key, at in self.pending.items() if at + SILENCE <= now
-        ]:
-            del self.pending[request_id]
-
-    def find_lot(self) -> Lot | None:
-        """Return the loan that expires first and has tokens left."""
-        return min(
-            (lot for lot in self.lots.values() if lot.amount),
-            key=lambda lot: lot.expires,
-            default=None,
-        )
-
-    def guess_fill(
-        self, share: bucket_module.Share, now: datetime.timedelta
-    ) -> float:
-        """Return the fill of another share, full when nothing is known."""
-        known = self.estimates.get(share.index)
-        if known is None:
-            return 1.0
-        gained = share.rate_per_s * (now - known.at).total_seconds()
-        return min((known.left + gained) / share.burst_requests, 1.0)
-
-
 class BudgetHolder:
     """Answer requests for tokens of the shares that this instance holds.
 
@@ -140,7 +45,7 @@
 
     def __init__(self, terms: bucket_module.Terms, rng: random.Random):
         self._terms = terms
-        self._accounts: dict[tuple[str, int], Account] = {}
+        self._accounts: dict[tuple[str, int], accounts.Account] = {}
         self._random = rng
         # Grant identifiers of an earlier process must not match.
         self._next_id = rng.getrandbits(46) << 16
@@ -151,14 +56,14 @@
 
     def _find_account(
         self, share: bucket_module.Share, lease, now: datetime.timedelta
-    ) -> Account | None:
+    ) -> accounts.Account | None:
         key = (share.customer, share.index)
         if lease is None or lease.until <= now:
             self._accounts.pop(key, None)
             return None
         account = self._accounts.get(key)
         if account is None or not account.fits(share, lease):
-            account = self._accounts[key] = Account(
+            account = self._accounts[key] = accounts.Account(
                 share, lease.since, self._terms.rate_drift_ratio
             )
         if account.bucket.share != share:
@@ -180,30 +85,37 @@
         account = self._find_account(share, lease, now)
         if account is None:
             return messages.TokenDenial('not_holder', 0.0)
+        for grant_id in request.spent:
+            account.bucket.close(grant_id)
         if request.amount < 1:
             valid_s = self._terms.grant.total_seconds()
-            return messages.TokenGrant(0, 0, valid_s, account.bucket.tokens)
+            return messages.TokenGrant(0, 0, valid_s, account.left)
         known = account.grants.get(request.request_id)
         if known is None:
             known = self._make_grant(account, request, lease, now)
-        tokens = account.bucket.tokens
         if known is None:
             wait = account.bucket.find_wait(1)
             seconds = wait.total_seconds() if wait is not None else 3600.0
-            return messages.TokenDenial('rate_exceeded', seconds, tokens)
+            return messages.TokenDenial('rate_exceeded', seconds, account.left)
         valid_s = (known.expires - now).total_seconds()
         return messages.TokenGrant(
-            known.grant_id, known.amount, valid_s, tokens
+            known.grant_id, known.amount, valid_s, account.left
         )
 
     def _make_grant(
-        self, account: Account, request, lease, now: datetime.timedelta
-    ) -> Grant | None:
+        self,
+        account: accounts.Account,
+        request,
+        lease,
+        now: datetime.timedelta,
+    ) -> accounts.Grant | None:
         borrowing = request.have_ratio >= 0
-        amount, lot = self._choose_amount(account, request)
+        amount, lot = account.choose_amount(request)
         if amount < 1:
             return None
-        valid = self._limit_loan(account) if borrowing else self._terms.grant
+        valid = (
+            account.limit_loan(self._terms) if borrowing else self._terms.grant
+        )
         expires = min(now + valid, lease.until)
         self._next_id += 1
         if lot is not None:
@@ -213,33 +125,10 @@
         else:
             account.bucket.take(self._next_id, amount, expires)
         source = lot.grant_id if lot else 0
-        grant = Grant(self._next_id, amount, expires, source)
+        grant = accounts.Grant(self._next_id, amount, expires, source)
         account.grants[request.request_id] = grant
         return grant
 
-    def _choose_amount(
-        self, account: Account, request: messages.TakeTokens
-    ) -> tuple[int, Lot | None]:
-        bucket = account.bucket
-        on_hand = int(bucket.tokens)
-        if request.have_ratio >= 0:
-            # Lends only down to the point where both are equally full.
-            spare = (account.fill_ratio - request.have_ratio) / 2
-            spare *= bucket.share.burst_requests
-            return min(request.amount, on_hand, int(spare)), None
-        lot = account.find_lot()
-        if lot is not None:
-            return min(request.amount, lot.amount), lot
-        # Batches only from plenty: what one entry keeps others cannot use.
-        return min(request.amount, on_hand, max(on_hand // 4, 1)), None
-
-    def _limit_loan(self, account: Account) -> datetime.timedelta:
-        share = account.bucket.share
-        refill_s = share.burst_requests / max(share.rate_per_s, 1e-6)
-        limit_s = self._terms.loan_limit.total_seconds()
-        valid_s = min(refill_s * self._terms.loan_fraction, limit_s)
-        return max(datetime.timedelta(seconds=valid_s), self._terms.grant)
-
     def return_tokens(
         self, request: messages.ReturnTokens, now: datetime.timedelta
     ) -> None:
@@ -271,25 +160,32 @@
     def plan_loan(
         self,
         shares: tuple[bucket_module.Share, ...],
-        index: int,
+        request: messages.TakeTokens,
         now: datetime.timedelta,
     ) -> Ask | None:
         """Return what to ask of the fullest other share, if it is fuller.
 
         Call after take_tokens and send without delaying the answer; only
-        one loan for a share is under way at a time.
+        one loan for a share is under way at a time. A holder that is asked
+        for a loan does not borrow, or loans would chase each other.
         """
+        index = request.share
+        if request.have_ratio >= 0 or len(shares) == 1:
+            return None
         share = shares[index]
         account = self._accounts.get((share.customer, index))
-        if account is None or account.pending or len(shares) == 1:
+        if account is None or account.pending:
             return None
         fill = account.fill_ratio
         if fill >= BORROW_BELOW_RATIO:
             return None
         others = (other for other in shares if other.index != index)
         lender = max(others, key=lambda s: account.guess_fill(s, now))
-        spare = (account.guess_fill(lender, now) - fill) / 2
-        amount = int(spare * lender.burst_requests)
+        # With this amount both are equally full afterwards.
+        spare = account.guess_fill(lender, now) - fill
+        amount = int(
+            spare / (1 / lender.burst_requests + 1 / share.burst_requests)
+        )
         if amount < 1:
             return None
         request_id = f'loan-{self._random.getrandbits(64):016x}'
@@ -323,12 +219,12 @@
             return
         del account.pending[ask.message.request_id]
         left = getattr(reply, 'left', 0.0)
-        account.estimates[ask.share.index] = Estimate(left, now)
+        account.estimates[ask.share.index] = accounts.Estimate(left, now)
         match reply:
             case messages.TokenGrant(grant_id, amount, valid_s):
                 valid_s *= 1 - self._terms.drift_ratio
                 expires = sent_at + datetime.timedelta(seconds=valid_s)
-                lot = Lot(ask.share, grant_id, amount, expires)
+                lot = accounts.Lot(ask.share, grant_id, amount, expires)
                 account.lots[grant_id] = lot
         account.advance(now)
 
@@ -380,8 +276,8 @@
     """
     count = len(domains)
     part = int(customer.burst_requests * floor_fraction / max(count, 1))
-    floor = floor_fraction if part >= 1 else 0.0
-    burst = customer.burst_requests - part * count * (part >= 1)
+    floor = floor_fraction if part >= DOMAIN_BURST_REQUESTS else 0.0
+    burst = customer.burst_requests - part * count * (bool(floor))
     rate = customer.rate_per_s * (1 - floor)
     wanted = min(REGIONAL_SHARES, burst // SHARE_BURST_REQUESTS)
     by_rate = int(-(-rate // SHARE_RATE_PER_S))
--- /dev/null
+++ b/cranberryscale/process/facts.py
@@ -0,0 +1,121 @@
+"""What an entry instance knows of a customer's shares."""
+
+from collections.abc import Sequence
+import datetime
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.process import bucket as bucket_module
+from cranberryscale.version import view as view_module
+
+
+__all__ = ['Answer', 'ShareFacts', 'guess_left', 'order_shares', 'update']
+
+ZERO = datetime.timedelta()
+# First and longest time for which a silent share is asked last only.
+SILENCE = datetime.timedelta(milliseconds=250)
+SILENCE_LIMIT = datetime.timedelta(seconds=4)
+# A holder that lost its lease sends the caller away for this long.
+NOT_HOLDER = datetime.timedelta(milliseconds=250)
+
+
+class Answer(NamedTuple):
+    """Tell the reply to an Ask, None when there was none in time."""
+
+    reply: messages.TokenGrant | messages.TokenDenial | None
+    sent_at: datetime.timedelta
+    now: datetime.timedelta
+
+
+class ShareFacts(NamedTuple):
+    """Hold what an entry instance knows of one share.
+
+    `left` tokens were on hand at `at`. The share is `denied` or silent
+    until `blocked_until`; `failures` counts silences in a row.
+    """
+
+    left: float | None = None
+    at: datetime.timedelta = ZERO
+    blocked_until: datetime.timedelta = ZERO
+    denied: bool = False
+    failures: int = 0
+
+
+def _guess_fill(
+    share: bucket_module.Share, facts: ShareFacts, now: datetime.timedelta
+) -> float:
+    if facts.left is None:
+        return 1.0
+    gained = share.rate_per_s * (now - facts.at).total_seconds()
+    return min((facts.left + gained) / max(share.burst_requests, 1), 1.0)
+
+
+def guess_left(
+    facts: dict[int, ShareFacts],
+    share: bucket_module.Share,
+    now: datetime.timedelta,
+) -> float:
+    """Return the tokens that the share probably has, 0 when unknown."""
+    known = facts.get(share.index)
+    if known is None or known.left is None:
+        return 0.0
+    return _guess_fill(share, known, now) * share.burst_requests
+
+
+def order_shares(
+    shares: Sequence[bucket_module.Share],
+    facts: dict[int, ShareFacts],
+    domain: str,
+    now: datetime.timedelta,
+    ties: Sequence[float],
+) -> tuple[bucket_module.Share, ...]:
+    """Return the shares worth asking now, the best first.
+
+    Regional shares come first, since their holders draw on the others; the
+    own failure domain's share comes before them once one was silent, and
+    other domains' shares come last. Within a tier the share that is
+    probably fullest is first. `ties` has one number a share and spreads
+    callers that know nothing. Shares that denied or were silent recently
+    are left out.
+    """
+    none = ShareFacts()
+    silent = any(fact.failures for fact in facts.values())
+
+    def rank(share):
+        fact = facts.get(share.index, none)
+        if share.resource.cell == view_module.REGION_CELL:
+            tier = 1
+        elif share.resource.cell == domain:
+            tier = 0 if silent else 2
+        else:
+            tier = 3
+        fill = _guess_fill(share, fact, now)
+        return fact.failures > 0, tier, -round(fill, 1), ties[share.index]
+
+    open_shares = (
+        share
+        for share in shares
+        if facts.get(share.index, none).blocked_until <= now
+    )
+    return tuple(sorted(open_shares, key=rank))
+
+
+def update(before: ShareFacts, answer: Answer) -> ShareFacts:
+    """Return what is known of a share after an answer."""
+    now = answer.now
+    match answer.reply:
+        case messages.TokenGrant(left=left):
+            return ShareFacts(left, now)
+        case messages.TokenDenial('rate_exceeded', retry_after_s, left):
+            retry = datetime.timedelta(seconds=min(retry_after_s, 3600))
+            return ShareFacts(left, now, now + retry, True)
+        case messages.TokenDenial():
+            return before._replace(
+                blocked_until=now + NOT_HOLDER, denied=False, failures=1
+            )
+    silence = SILENCE * 2 ** min(before.failures, 10)
+    return before._replace(
+        blocked_until=now + min(silence, SILENCE_LIMIT),
+        denied=False,
+        failures=before.failures + 1,
+    )
