--- a/cranberryscale/process/accounts.py
+++ b/cranberryscale/process/accounts.py
@@ -11,6 +11,11 @@
 
 # A loan that was not answered for this long is given up.
 SILENCE = datetime.timedelta(seconds=1)
+# Pause after the first loan that was denied; doubles up to 64 times. When
+# a customer is over its rate all its shares are empty, and loans would only
+# move messages.
+BORROW_PAUSE = datetime.timedelta(milliseconds=10)
+ZERO = datetime.timedelta()
 
 
 class Grant(NamedTuple):
@@ -54,6 +59,8 @@
         self.lots: dict[int, Lot] = {}
         self.estimates: dict[int, Estimate] = {}
         self.pending: dict[str, datetime.timedelta] = {}
+        self.borrow_at = since
+        self.fruitless = 0
 
     @property
     def borrowed(self) -> int:
@@ -132,6 +139,12 @@
         valid_s = min(refill_s * terms.loan_fraction, limit_s)
         return max(datetime.timedelta(seconds=valid_s), terms.grant)
 
+    def count_loan(self, granted: bool, now: datetime.timedelta) -> None:
+        """Set when to try the next loan: later when others have no spare."""
+        self.fruitless = 0 if granted else min(self.fruitless + 1, 6)
+        pause = BORROW_PAUSE * (2**self.fruitless) if not granted else ZERO
+        self.borrow_at = now + pause
+
     def guess_fill(
         self, share: bucket_module.Share, now: datetime.timedelta
     ) -> float:
--- a/cranberryscale/process/allotments.py
+++ b/cranberryscale/process/allotments.py
@@ -15,6 +15,9 @@
 BATCH_TIME = datetime.timedelta(milliseconds=20)
 BATCH_REQUESTS = 16
 SPENT_LIMIT = 16
+OUTCOME_WEIGHT = 0.2
+OVER_RATE_RATIO = 0.3
+FAR_OVER_RATE_RATIO = 0.6
 DEMAND_MEMORY = datetime.timedelta(seconds=1)
 IDLE = datetime.timedelta(seconds=10)
 
@@ -39,6 +42,7 @@
         self.asked: dict[str, int] = {}
         self.spent: dict[int, list[int]] = {}
         self.pausing = 0
+        self.refused_ratio = 0.0
 
     @property
     def held(self) -> int:
@@ -57,6 +61,25 @@
         self.demand_per_s = self.demand_per_s * kept + 1 / memory_s
         self.seen_at = now
 
+    def count_outcome(self, refused: bool) -> None:
+        """Update the part of recent requests that were over the rate."""
+        self.refused_ratio += (refused - self.refused_ratio) * OUTCOME_WEIGHT
+
+    @property
+    def is_over_rate(self) -> bool:
+        """Tell whether many recent requests were over the rate."""
+        return self.refused_ratio >= OVER_RATE_RATIO
+
+    def limit_denials(self, shares: int) -> int:
+        """Return after how many denials a request is refused.
+
+        Asking every share on behalf of a customer that is far over its rate
+        would cost several messages for each refusal.
+        """
+        if not self.is_over_rate:
+            return shares
+        return 2 if self.refused_ratio < FAR_OVER_RATE_RATIO else 1
+
     def choose_amount(self) -> int:
         """Return how many tokens to ask for: 1 for rare callers."""
         wanted = round(self.demand_per_s * BATCH_TIME.total_seconds())
--- a/cranberryscale/process/attempts.py
+++ b/cranberryscale/process/attempts.py
@@ -65,6 +65,7 @@
         self._silent: bucket_module.Share | None = None
         self._may_repeat = True
         self._waited = ZERO
+        self._denials = 0
 
     def run(
         self, now: datetime.timedelta, once_key: str = ''
@@ -89,8 +90,11 @@
                 continue
             delay = self._find_delay(state, now)
             if delay is None:
-                return _make_refusal(state, self._shares, now)
+                refusal = _make_refusal(state, self._shares, now)
+                state.count_outcome(refusal.code == 'rate_exceeded')
+                return refusal
             now = yield from self._pause(state, delay)
+        state.count_outcome(False)
         return Admitted(now)
 
     def _ask(
@@ -111,6 +115,8 @@
             self._allotments.give_up(ask)
         if answer.reply is None and self._may_repeat:
             self._silent = share
+        known = self._allotments.find_state(self._customer, answer.now).facts
+        self._denials += known[share.index].denied
         return answer
 
     def _pause(
@@ -125,11 +131,14 @@
             state.pausing -= 1
         self._waited += delay
         self._tried.clear()
+        self._denials = 0
         return now
 
     def _choose_share(
         self, state: allotments_module.CustomerState, now: datetime.timedelta
     ) -> bucket_module.Share | None:
+        if self._denials >= state.limit_denials(len(self._shares)):
+            return None
         ties = [self._random.random() for _ in self._shares]
         ordered = facts_module.order_shares(
             self._shares, state.facts, self._domain, now, ties
@@ -153,7 +162,7 @@
             default=None,
         )
         longest = self._terms.longest_wait
-        if due is None or self._waited + due > longest:
+        if due is None or self._waited + due > longest or state.is_over_rate:
             return None
         left = sum(
             facts_module.guess_left(state.facts, share, now)
--- a/cranberryscale/process/budgets.py
+++ b/cranberryscale/process/budgets.py
@@ -20,7 +20,7 @@
 SHARE_RATE_PER_S = 200
 # The loss of a holder leaves its share idle for about 13 s, so customers
 # with enough burst get several regional shares and lose only a small part.
-REGIONAL_SHARES = 4
+REGIONAL_SHARES = 8
 SHARE_BURST_REQUESTS = 10
 DOMAIN_BURST_REQUESTS = 5
 # A holder below this part of its burst takes tokens from fuller shares.
@@ -174,7 +174,7 @@
             return None
         share = shares[index]
         account = self._accounts.get((share.customer, index))
-        if account is None or account.pending:
+        if account is None or account.pending or account.borrow_at > now:
             return None
         fill = account.fill_ratio
         if fill >= BORROW_BELOW_RATIO:
@@ -220,6 +220,7 @@
         del account.pending[ask.message.request_id]
         left = getattr(reply, 'left', 0.0)
         account.estimates[ask.share.index] = accounts.Estimate(left, now)
+        account.count_loan(isinstance(reply, messages.TokenGrant), now)
         match reply:
             case messages.TokenGrant(grant_id, amount, valid_s):
                 valid_s *= 1 - self._terms.drift_ratio
