--- a/cranberryscale/process/accounts.py
+++ b/cranberryscale/process/accounts.py
@@ -11,7 +11,7 @@
 
 # A loan that was not answered for this long is given up.
 SILENCE = datetime.timedelta(seconds=1)
-# Pause after the first loan that was denied; doubles up to 64 times. When
+# Pause after the first loan that was denied; doubles up to 16 times. When
 # a customer is over its rate all its shares are empty, and loans would only
 # move messages.
 BORROW_PAUSE = datetime.timedelta(milliseconds=10)
@@ -141,7 +141,7 @@
 
     def count_loan(self, granted: bool, now: datetime.timedelta) -> None:
         """Set when to try the next loan: later when others have no spare."""
-        self.fruitless = 0 if granted else min(self.fruitless + 1, 6)
+        self.fruitless = 0 if granted else min(self.fruitless + 1, 4)
         pause = BORROW_PAUSE * (2**self.fruitless) if not granted else ZERO
         self.borrow_at = now + pause
 
--- a/cranberryscale/process/facts.py
+++ b/cranberryscale/process/facts.py
@@ -6,7 +6,6 @@
 
 from cranberryscale import messages
 from cranberryscale.process import bucket as bucket_module
-from cranberryscale.version import view as view_module
 
 
 __all__ = ['Answer', 'ShareFacts', 'guess_left', 'order_shares', 'update']
@@ -71,26 +70,24 @@
 ) -> tuple[bucket_module.Share, ...]:
     """Return the shares worth asking now, the best first.
 
-    Regional shares come first, since their holders draw on the others; the
-    own failure domain's share comes before them once one was silent, and
-    other domains' shares come last. Within a tier the share that is
-    probably fullest is first. `ties` has one number a share and spreads
-    callers that know nothing. Shares that denied or were silent recently
-    are left out.
+    The share that is probably fullest comes first. `ties` has a random
+    number from 0 to 1 for each share; among equally full shares it chooses
+    in proportion to the rates, so that callers who know nothing spread over
+    the shares as these accrue. Once a share was silent, the own failure
+    domain's share comes before the others, and silent ones come last.
+    Shares that denied or were silent recently are left out.
     """
     none = ShareFacts()
     silent = any(fact.failures for fact in facts.values())
 
     def rank(share):
         fact = facts.get(share.index, none)
-        if share.resource.cell == view_module.REGION_CELL:
-            tier = 1
-        elif share.resource.cell == domain:
-            tier = 0 if silent else 2
-        else:
-            tier = 3
-        fill = _guess_fill(share, fact, now)
-        return fact.failures > 0, tier, -round(fill, 1), ties[share.index]
+        near = silent and share.resource.cell == domain
+        fill = round(_guess_fill(share, fact, now), 1)
+        weight = max(share.rate_per_s, 1e-6)
+        # The largest of u ** (1 / weight) is a choice by weight.
+        chance = -(ties[share.index] ** (1 / weight))
+        return fact.failures > 0, not near, -fill, chance
 
     open_shares = (
         share
--- a/cranberryscale_bench/report.py
+++ b/cranberryscale_bench/report.py
@@ -38,7 +38,8 @@
     image = io.BytesIO()
     plot.savefig(image, format='png', dpi=80)
     data = base64.b64encode(image.getvalue()).decode('ascii')
-    return f'<img alt="{html.escape(measure)}" src="data:image/png;base64,{data}">'
+    source = f'data:image/png;base64,{data}'
+    return f'<img alt="{html.escape(measure)}" src="{source}">'
 
 
 def _make_table(rows: Iterable[results.Result]) -> Iterable[str]:
