--- a/cranberryscale/process/accounts.py
+++ b/cranberryscale/process/accounts.py
@@ -16,6 +16,8 @@
 # move messages.
 BORROW_PAUSE = datetime.timedelta(milliseconds=10)
 ZERO = datetime.timedelta()
+# A holder below this part of its burst takes tokens from fuller shares.
+BORROW_BELOW_RATIO = 0.5
 
 
 class Grant(NamedTuple):
@@ -131,6 +133,35 @@
         # Batches only from plenty: what one entry keeps others cannot use.
         return min(request.amount, on_hand, max(on_hand // 4, 1)), None
 
+    def make_grant(
+        self,
+        grant_id: int,
+        request: messages.TakeTokens,
+        terms: bucket_module.Terms,
+        until: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> Grant | None:
+        """Debit tokens and remember the grant; None when there are none.
+
+        The grant expires with the lease at `until` at the latest.
+        """
+        amount, lot = self.choose_amount(request)
+        if amount < 1:
+            return None
+        lending = request.have_ratio >= 0
+        valid = self.limit_loan(terms) if lending else terms.grant
+        expires = min(now + valid, until)
+        if lot is not None:
+            expires = min(expires, lot.expires)
+            left = lot.amount - amount
+            self.lots[lot.grant_id] = lot._replace(amount=left)
+        else:
+            self.bucket.take(grant_id, amount, expires)
+        source = lot.grant_id if lot else 0
+        grant = Grant(grant_id, amount, expires, source)
+        self.grants[request.request_id] = grant
+        return grant
+
     def limit_loan(self, terms: bucket_module.Terms) -> datetime.timedelta:
         """Return how long tokens of this share may be lent."""
         share = self.bucket.share
@@ -145,6 +176,25 @@
         pause = BORROW_PAUSE * (2**self.fruitless) if not granted else ZERO
         self.borrow_at = now + pause
 
+    def choose_loan(
+        self,
+        shares: tuple[bucket_module.Share, ...],
+        now: datetime.timedelta,
+    ) -> tuple[bucket_module.Share, int] | None:
+        """Return the fullest other share and how much to take from it."""
+        own, fill = self.bucket.share, self.fill_ratio
+        if fill >= BORROW_BELOW_RATIO or not own.burst_requests:
+            return None
+        others = (s for s in shares if s.index != own.index)
+        lender = max(others, key=lambda s: self.guess_fill(s, now))
+        spare = self.guess_fill(lender, now) - fill
+        # With this amount both are equally full afterwards.
+        amount = int(
+            spare
+            / (1 / max(lender.burst_requests, 1) + 1 / own.burst_requests)
+        )
+        return (lender, amount) if amount >= 1 else None
+
     def guess_fill(
         self, share: bucket_module.Share, now: datetime.timedelta
     ) -> float:
@@ -153,4 +203,5 @@
         if known is None:
             return 1.0
         gained = share.rate_per_s * (now - known.at).total_seconds()
-        return min((known.left + gained) / share.burst_requests, 1.0)
+        burst = max(share.burst_requests, 1)
+        return min((known.left + gained) / burst, 1.0)
--- a/cranberryscale/process/attempts.py
+++ b/cranberryscale/process/attempts.py
@@ -67,6 +67,11 @@
         self._waited = ZERO
         self._denials = 0
 
+    @property
+    def once_request_id(self) -> str:
+        """Return the identifier under which a once key is registered."""
+        return f'{self._request_id}/0'
+
     def run(
         self, now: datetime.timedelta, once_key: str = ''
     ) -> Generator[
@@ -79,6 +84,10 @@
         state.count_demand(now)
         if once_key:
             answer = yield from self._ask(self._shares[0], now, once_key)
+            if answer.reply is None:
+                # The same request is registered only once.
+                first, now = self._shares[0], answer.now
+                answer = yield from self._ask(first, now, once_key)
             now = answer.now
             refusal = _judge_once(answer)
             if refusal is not None:
@@ -115,8 +124,9 @@
             self._allotments.give_up(ask)
         if answer.reply is None and self._may_repeat:
             self._silent = share
-        known = self._allotments.find_state(self._customer, answer.now).facts
-        self._denials += known[share.index].denied
+        match answer.reply:
+            case messages.TokenDenial('rate_exceeded'):
+                self._denials += 1
         return answer
 
     def _pause(
--- a/cranberryscale/process/budgets.py
+++ b/cranberryscale/process/budgets.py
@@ -1,7 +1,9 @@
 """Shares of customers' budgets and the holder's side of them."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import datetime
+import math
 import random
 from typing import NamedTuple
 
@@ -23,8 +25,6 @@
 REGIONAL_SHARES = 8
 SHARE_BURST_REQUESTS = 10
 DOMAIN_BURST_REQUESTS = 5
-# A holder below this part of its burst takes tokens from fuller shares.
-BORROW_BELOW_RATIO = 0.5
 
 
 class Ask(NamedTuple):
@@ -92,7 +92,10 @@
             return messages.TokenGrant(0, 0, valid_s, account.left)
         known = account.grants.get(request.request_id)
         if known is None:
-            known = self._make_grant(account, request, lease, now)
+            self._next_id += 1
+            known = account.make_grant(
+                self._next_id, request, self._terms, lease.until, now
+            )
         if known is None:
             wait = account.bucket.find_wait(1)
             seconds = wait.total_seconds() if wait is not None else 3600.0
@@ -102,33 +105,6 @@
             known.grant_id, known.amount, valid_s, account.left
         )
 
-    def _make_grant(
-        self,
-        account: accounts.Account,
-        request,
-        lease,
-        now: datetime.timedelta,
-    ) -> accounts.Grant | None:
-        borrowing = request.have_ratio >= 0
-        amount, lot = account.choose_amount(request)
-        if amount < 1:
-            return None
-        valid = (
-            account.limit_loan(self._terms) if borrowing else self._terms.grant
-        )
-        expires = min(now + valid, lease.until)
-        self._next_id += 1
-        if lot is not None:
-            expires = min(expires, lot.expires)
-            left = lot.amount - amount
-            account.lots[lot.grant_id] = lot._replace(amount=left)
-        else:
-            account.bucket.take(self._next_id, amount, expires)
-        source = lot.grant_id if lot else 0
-        grant = accounts.Grant(self._next_id, amount, expires, source)
-        account.grants[request.request_id] = grant
-        return grant
-
     def return_tokens(
         self, request: messages.ReturnTokens, now: datetime.timedelta
     ) -> None:
@@ -176,18 +152,10 @@
         account = self._accounts.get((share.customer, index))
         if account is None or account.pending or account.borrow_at > now:
             return None
-        fill = account.fill_ratio
-        if fill >= BORROW_BELOW_RATIO:
-            return None
-        others = (other for other in shares if other.index != index)
-        lender = max(others, key=lambda s: account.guess_fill(s, now))
-        # With this amount both are equally full afterwards.
-        spare = account.guess_fill(lender, now) - fill
-        amount = int(
-            spare / (1 / lender.burst_requests + 1 / share.burst_requests)
-        )
-        if amount < 1:
+        chosen = account.choose_loan(shares, now)
+        if chosen is None:
             return None
+        lender, amount = chosen
         request_id = f'loan-{self._random.getrandbits(64):016x}'
         account.pending[request_id] = now
         return Ask(
@@ -197,7 +165,7 @@
                 lender.index,
                 amount,
                 request_id,
-                have_ratio=fill,
+                have_ratio=account.fill_ratio,
             ),
         )
 
@@ -264,6 +232,32 @@
                 del self._accounts[key]
 
 
+def _list_parts(
+    customer: configuration.Customer,
+    domains: tuple[str, ...],
+    floor_fraction: float,
+) -> Iterable[tuple[str, str, float, int]]:
+    """Yield (cell, name, rate, burst) of each share."""
+    count = max(len(domains), 1)
+    burst = customer.burst_requests
+    # The region keeps at least one request of the burst.
+    part = min(int(burst * floor_fraction / count), (burst - 1) // count)
+    if part < DOMAIN_BURST_REQUESTS or not domains:
+        part, floor_fraction, domains = 0, 0.0, ()
+    burst -= part * count
+    rate = customer.rate_per_s * (1 - floor_fraction)
+    wanted = min(REGIONAL_SHARES, burst // SHARE_BURST_REQUESTS)
+    by_rate = math.ceil(rate / SHARE_RATE_PER_S)
+    regional = max(min(max(by_rate, wanted), burst), 1)
+    for n in range(regional):
+        whole = burst // regional + (n < burst % regional)
+        cell, name = view_module.REGION_CELL, f'{customer.name}/{n}'
+        yield cell, name, rate / regional, whole
+    domain_rate = customer.rate_per_s * floor_fraction / count
+    for domain in domains:
+        yield domain, customer.name, domain_rate, part
+
+
 def cut_shares(
     customer: configuration.Customer,
     domains: tuple[str, ...],
@@ -272,32 +266,18 @@
     """Split a budget into regional shares, then failure domain shares.
 
     The rates and bursts add up to the customer's. Bursts are whole, and a
-    customer whose domain part would be under one request has no domain
-    shares. Raises nothing; a burst of 0 gives one share that admits nothing.
+    customer whose domain part would be under DOMAIN_BURST_REQUESTS has no
+    domain shares, since it would lose more to fractions of tokens in many
+    buckets than it gains. A burst of 0 gives a share that admits nothing.
     """
-    count = len(domains)
-    part = int(customer.burst_requests * floor_fraction / max(count, 1))
-    floor = floor_fraction if part >= DOMAIN_BURST_REQUESTS else 0.0
-    burst = customer.burst_requests - part * count * (bool(floor))
-    rate = customer.rate_per_s * (1 - floor)
-    wanted = min(REGIONAL_SHARES, burst // SHARE_BURST_REQUESTS)
-    by_rate = int(-(-rate // SHARE_RATE_PER_S))
-    regional = max(min(max(by_rate, wanted), burst), 1)
-    cells = [
-        (view_module.REGION_CELL, f'{customer.name}/{n}', rate / regional,
-         burst // regional + (n < burst % regional))
-        for n in range(regional)
-    ]  # fmt: skip
-    if floor:
-        domain_rate = customer.rate_per_s * floor / count
-        cells += [(d, customer.name, domain_rate, part) for d in domains]
+    parts = _list_parts(customer, domains, floor_fraction)
     return tuple(
         bucket_module.Share(
             customer.name,
             view_module.Resource(cell, KIND, name),
-            share_rate,
-            share_burst,
+            rate_per_s,
+            burst_requests,
             index,
         )
-        for index, (cell, name, share_rate, share_burst) in enumerate(cells)
+        for index, (cell, name, rate_per_s, burst_requests) in enumerate(parts)
     )
--- a/cranberryscale/process/facts.py
+++ b/cranberryscale/process/facts.py
@@ -106,10 +106,13 @@
         case messages.TokenDenial('rate_exceeded', retry_after_s, left):
             retry = datetime.timedelta(seconds=min(retry_after_s, 3600))
             return ShareFacts(left, now, now + retry, True)
-        case messages.TokenDenial():
+        case messages.TokenDenial('not_holder'):
             return before._replace(
                 blocked_until=now + NOT_HOLDER, denied=False, failures=1
             )
+        case messages.TokenDenial():
+            # About an idempotency key, so it says nothing of the share.
+            return before
     silence = SILENCE * 2 ** min(before.failures, 10)
     return before._replace(
         blocked_until=now + min(silence, SILENCE_LIMIT),
