--- a/cranberryscale/process/ejections.py
+++ b/cranberryscale/process/ejections.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import math
 import statistics
+from typing import NamedTuple
 
 from cranberryscale import messages
 from cranberryscale.process import evidence
@@ -34,12 +35,20 @@
 
 LEAST_COUNT = 5
 LEAST_REMOTE = 2
+_NOTHING = evidence.Baseline(0.0, 0.0)
 FEW_SERVERS = 3
 LEAST_USUAL_S = 0.005
 ERROR_MARGIN = 1.5
 WORSE_BY = 0.25
 
 
+class Sight(NamedTuple):
+    """Hold what a server did in the past and in the last second."""
+
+    past: evidence.Baseline | None
+    recent: evidence.Baseline | None
+
+
 class Remote:
     """Hold what another domain's pool holder said about its servers."""
 
@@ -65,13 +74,17 @@
                 summary.server, evidence.Decayed(evidence.ERROR_MEMORY_S)
             ).add(summary.error_ratio, now_s)
 
-    def list_usual(self) -> list[evidence.Baseline]:
-        """Return what is usual at each server."""
+    def list_sights(self) -> list[Sight]:
+        """Return what is usual and recent at each server."""
         return [
-            evidence.Baseline(
-                math.exp(self._latency[name].mean), self._errors[name].mean
+            Sight(
+                evidence.Baseline(
+                    math.exp(self._latency[s.server].mean),
+                    self._errors[s.server].mean,
+                ),
+                evidence.Baseline(s.median_latency_s, s.error_ratio),
             )
-            for name in self._latency
+            for s in self.servers
         ]
 
 
@@ -137,17 +150,30 @@
             return
         self._weighed_s = now_s
         used = self.used
+        ages = {
+            r.server.name: tuple(list_ages(r.server.name, now_s)) for r in used
+        }
+        sights = {
+            r.server.name: _look(r, ages[r.server.name], now_s) for r in used
+        }
+        remotes = [
+            sight
+            for remote in self._list_fresh(now_s)
+            for sight in remote.list_sights()
+        ]
         for record in used:
-            record.usual = self._find_usual(record, used, now_s)
-            record.weigh(list_ages(record.server.name, now_s), now_s)
+            record.usual = self._find_usual(record, sights, remotes)
+            record.weigh(ages[record.server.name], now_s)
         for record in sorted(used, key=lambda r: r.score, reverse=True):
-            self._judge(record, used, now_s)
+            sight = sights[record.server.name]
+            self._judge(record, used, sight, now_s)
         self._schedule_trials(now_s)
 
     def _judge(
         self,
         record: standings.Record,
         used: list[standings.Record],
+        sight: Sight,
         now_s: float,
     ) -> None:
         if record.score < standings.COMMON_SCORE:
@@ -155,17 +181,15 @@
         if record.score < RAMP_SCORE:
             return
         kind = 'errors' if record.errors > record.slowness else 'slowness'
-        is_common = self._is_common(record, kind, used, now_s)
-        if is_common and record.score >= 1:
-            record.evidence.relearn()
-        if is_common or is_common is None:
+        if self._is_common(record, kind, used, now_s):
+            return
+        if not _stands_out(record, kind, sight):
             return
         if record.score < 1:
-            onset_s = record.evidence.onset_s or now_s
             if (
                 kind == 'slowness'
                 and not record.ramp.is_cold
-                and now_s - onset_s >= RAMP_AFTER_S
+                and now_s - record.onset_s[kind] >= RAMP_AFTER_S
             ):
                 record.ramp.restart('suddenly slow', now_s)
             return
@@ -198,10 +222,10 @@
         kind: str,
         used: list[standings.Record],
         now_s: float,
-    ) -> bool | None:
+    ) -> bool:
         """Tell whether most other servers show the same fault.
 
-        None means that the other domains' answers are awaited.
+        When most servers here do, the other domains' answers are awaited.
         """
         local = [
             other.is_affected(kind, now_s)
@@ -211,19 +235,13 @@
         ]
         if sum(local) * 2 <= len(local):
             return False
-        fresh = self._list_fresh(now_s)
-        if not any(remote.servers for remote in fresh):
-            return True
-        onset_s = record.evidence.onset_s
-        since_s = (now_s if onset_s is None else onset_s) + REMOTE_LAG_S
+        since_s = record.onset_s[kind] + REMOTE_LAG_S
         votes = [
-            _is_affected(summary, kind, record.usual)
-            for remote in fresh
+            _is_affected(sight, kind)
+            for remote in self._list_fresh(now_s)
             if remote.received_s >= since_s
-            for summary in remote.servers
+            for sight in remote.list_sights()
         ]
-        if not votes:
-            return None
         return sum(local + votes) * 2 > len(local + votes)
 
     def _list_fresh(self, now_s: float) -> list[Remote]:
@@ -236,33 +254,37 @@
     def _find_usual(
         self,
         record: standings.Record,
-        used: list[standings.Record],
-        now_s: float,
+        sights: dict[str, Sight],
+        remotes: list[Sight],
     ) -> evidence.Baseline:
-        """Return the medians over the service's other servers."""
-        usual = [
-            evidence.Baseline(
-                math.exp(r.evidence.latency.mean), r.evidence.errors.mean
-            )
-            for r in used
-            if r is not record
-            and r.evidence.latency.count(now_s) >= LEAST_COUNT
+        """Return the medians over the service's other servers.
+
+        Their last second counts as well as their past, so that a slowness
+        of all servers soon becomes usual.
+        """
+        others = [
+            s for name, s in sights.items() if name != record.server.name
         ]
-        for remote in self._list_fresh(now_s):
-            usual.extend(remote.list_usual())
-        latencies = [u.latency_s for u in usual] or [0.0]
-        ratios = [u.error_ratio for u in usual] or [0.0]
+        others += remotes
+        past = [s.past for s in others if s.past] or [_NOTHING]
+        recent = [s.recent for s in others if s.recent] or [_NOTHING]
+        error_ratio = statistics.median(u.error_ratio for u in past)
         least_s = LEAST_USUAL_S
         own = record.evidence.history
-        if len(usual) < FEW_SERVERS and own.count(now_s) >= LEAST_COUNT:
+        if len(others) >= FEW_SERVERS:
+            recent_ratio = statistics.median(u.error_ratio for u in recent)
+            error_ratio = max(error_ratio, recent_ratio)
+        elif own.mean:
             # A single faster server must not make this one look slow.
             least_s = max(least_s, math.exp(own.mean))
-        elif not usual:
+        elif past == [_NOTHING]:
             least_s = standings.UNKNOWN_USUAL_S
-        return evidence.Baseline(
-            max(statistics.median(latencies), least_s),
-            ERROR_MARGIN * statistics.median(ratios),
+        usual_s = max(
+            statistics.median(u.latency_s for u in past),
+            statistics.median(u.latency_s for u in recent),
+            least_s,
         )
+        return evidence.Baseline(usual_s, ERROR_MARGIN * error_ratio)
 
     def _schedule_trials(self, now_s: float) -> None:
         is_short = any(r.is_kept for r in self.records.values())
@@ -273,9 +295,37 @@
                 record.state = 'trial'
 
 
-def _is_affected(
-    summary: messages.ServerSummary, kind: str, usual: evidence.Baseline
-) -> bool:
+def _is_affected(sight: Sight, kind: str) -> bool:
+    """Tell whether another domain's server lately got worse."""
     if kind == 'errors':
-        return summary.error_ratio > COMMON_BAD_RATIO
-    return summary.median_latency_s > COMMON_SLOW_FACTOR * usual.latency_s
+        return sight.recent.error_ratio > COMMON_BAD_RATIO
+    slow_s = COMMON_SLOW_FACTOR * sight.past.latency_s
+    return sight.recent.latency_s > slow_s
+
+
+def _stands_out(record: standings.Record, kind: str, sight: Sight) -> bool:
+    """Tell whether the server is worse than the others are now.
+
+    The evidence may be from before a change of all servers became usual.
+    """
+    if sight.recent is None:
+        return True
+    if kind == 'errors':
+        return sight.recent.error_ratio > record.usual.error_ratio
+    slow_s = evidence.SLOW_FACTOR * record.usual.latency_s
+    return sight.recent.latency_s > slow_s
+
+
+def _look(
+    record: standings.Record, ages_s: tuple[float, ...], now_s: float
+) -> Sight:
+    held = record.evidence
+    past = recent = None
+    if held.latency.count(now_s) >= LEAST_COUNT:
+        past = evidence.Baseline(math.exp(held.latency.mean), held.errors.mean)
+    summary = record.summarize(ages_s, now_s)
+    if summary.count >= LEAST_REMOTE:
+        recent = evidence.Baseline(
+            summary.median_latency_s, summary.error_ratio
+        )
+    return Sight(past, recent)
--- a/cranberryscale/process/evidence.py
+++ b/cranberryscale/process/evidence.py
@@ -45,6 +45,9 @@
 # delay every running request at once.
 PAUSE_S = 0.2
 
+# Scores are bounded at this multiple of the threshold, so that a server that
+# recovered while it had to stay in use is soon seen as recovered.
+MOST_SCORE = 1.5
 ERROR_THRESHOLD = 12.5
 SLOW_THRESHOLD = 12.0
 # Below this rate the threshold on errors no longer falls.
@@ -54,7 +57,7 @@
 ERROR_MEMORY_S = 30.0
 HISTORY_MEMORY_S = 60.0
 # What other holders are told must show a new fault at once.
-RECENT_MEMORY_S = 1.0
+RECENT_MEMORY_S = 0.5
 
 _RARE = frozenset(('wrong', 'truncated', 'crossed', 'refused'))
 _FAILED = frozenset(('error', 'silent')) | _RARE
@@ -153,12 +156,6 @@
         """Forget the accumulated evidence and keep the usual values."""
         self.error_score = 0.0
         self.slow_score = 0.0
-        self.onset_s: float | None = None
-
-    def relearn(self) -> None:
-        """Forget what was usual too, after a change of all servers."""
-        self.reset()
-        self.latency = Decayed(LATENCY_MEMORY_S)
 
     def add(
         self, outcome: str, latency_s: float, usual: Baseline, now_s: float
@@ -180,27 +177,13 @@
             self.errors.add(outcome in _FAILED, now_s)
             self.recent_errors.add(outcome in _FAILED, now_s)
         error = _rate_outcome(outcome, usual.error_ratio)
-        self._raise_scores(error, slow, usual, now_s)
-
-    def _raise_scores(
-        self, error: float, slow: float, usual: Baseline, now_s: float
-    ) -> None:
-        # Bounded, so that a recovered server that stayed in use is soon
-        # seen as recovered.
-        self.error_score = min(
-            2 * ERROR_THRESHOLD, max(0.0, self.error_score + error)
-        )
-        self.slow_score = min(
-            MOST_EVIDENCE * 20, max(0.0, self.slow_score + slow)
-        )
-        if not self.error_score and not self.slow_score:
-            self.onset_s = None
-        elif self.onset_s is None:
-            self.onset_s = now_s
+        self.error_score = max(0.0, self.error_score + error)
+        self.slow_score = max(0.0, self.slow_score + slow)
 
     def measure_errors(self, now_s: float) -> float:
         """Return the evidence of errors, 1.0 at the threshold."""
         limit = limit_errors(self.errors.rate_per_s(now_s))
+        self.error_score = min(self.error_score, MOST_SCORE * limit)
         return self.error_score / limit
 
     def measure_slowness(
@@ -214,4 +197,6 @@
         running = sum(
             max(0.0, rate_latency(age_s, usual_s)) for age_s in ages_s
         )
-        return (self.slow_score + running) / limit_slowness(slots, usual_s)
+        limit = limit_slowness(slots, usual_s)
+        self.slow_score = min(self.slow_score, MOST_SCORE * limit)
+        return (self.slow_score + running) / limit
--- a/cranberryscale/process/queue.py
+++ b/cranberryscale/process/queue.py
@@ -11,6 +11,10 @@
 __all__ = ['Entry', 'Queue']
 
 
+# There are usually three domains, so three pools to ask.
+_WAIT_RATIO = 1 / 3
+
+
 class Entry(NamedTuple):
     """Describe a queued request; it sorts by deadline."""
 
@@ -25,6 +29,11 @@
         """Return the customer whose turn the entry uses."""
         return self.request.customer
 
+    @property
+    def waits_until_s(self) -> float:
+        """Return when the entry should rather try another domain's pool."""
+        return self.asked_s + _WAIT_RATIO * (self.deadline_s - self.asked_s)
+
 
 class Queue:
     """Hold requests in deficit round robin order over customers.
@@ -93,10 +102,11 @@
         return most[-1]
 
     def list_late(self, now_s: float, service_s: float) -> list[Entry]:
-        """Return the entries that can no longer make their deadline."""
+        """Return the entries that cannot make their deadline from here."""
         return [
             entry
             for entries in self._turns.values()
             for entry in entries
             if entry.deadline_s < now_s + service_s
+            or entry.waits_until_s < now_s
         ]
--- a/cranberryscale/process/slots.py
+++ b/cranberryscale/process/slots.py
@@ -19,6 +19,8 @@
 _SUSPECT_SCORE = 0.2
 # Estimates need this many recent completions.
 _LEAST_COUNT = 10
+# With the usual spread, 92% of requests finish within twice the median.
+_MOST_FACTOR = 2.0
 
 
 def _rank(record: standings.Record, probe_ok: bool) -> int:
@@ -137,7 +139,7 @@
         ) < survey.count_half(record.server.slots)
 
     def estimate_service_s(self, now_s: float) -> float:
-        """Return the usual latency of the pool, 0 while unknown."""
+        """Return a time in which most requests finish, 0 while unknown."""
         known = [
             r.evidence.latency
             for r in self._ejections.records.values()
@@ -145,14 +147,16 @@
         ]
         if not known:
             return 0.0
-        return math.exp(sum(latency.mean for latency in known) / len(known))
+        usual = sum(latency.mean for latency in known) / len(known)
+        return _MOST_FACTOR * math.exp(usual)
 
     def estimate_wait_s(self, ahead: int, now_s: float) -> float:
         """Return how long a request waits behind `ahead` others."""
         limit = sum(
             r.ramp.limit for r in self._ejections.records.values() if r.is_used
         )
-        return (ahead + 1) * self.estimate_service_s(now_s) / max(1, limit)
+        usual_s = self.estimate_service_s(now_s) / _MOST_FACTOR
+        return (ahead + 1) * usual_s / max(1, limit)
 
     def list_status(self, now_s: float) -> tuple[ServerStatus, ...]:
         """Return the state of each server, for operators."""
--- a/cranberryscale/process/standings.py
+++ b/cranberryscale/process/standings.py
@@ -67,6 +67,7 @@
         self.slowness = 0.0
         self.severity = 0.0
         self.is_kept = False
+        self.onset_s = {'errors': math.inf, 'slowness': math.inf}
         self.affected_s = {'errors': -math.inf, 'slowness': -math.inf}
         self.last_granted_s = 0.0
         self.hint_taken_s = -HINT_EVERY_S
@@ -133,6 +134,9 @@
         for kind in self.affected_s:
             if getattr(self, kind) >= COMMON_SCORE:
                 self.affected_s[kind] = now_s
+                self.onset_s[kind] = min(now_s, self.onset_s[kind])
+            else:
+                self.onset_s[kind] = math.inf
 
     def is_affected(self, kind: str, now_s: float) -> bool:
         """Tell whether the server lately showed a kind of fault."""
--- a/cranberryscale/process/tenures.py
+++ b/cranberryscale/process/tenures.py
@@ -148,7 +148,9 @@
         service_s = self._slots.estimate_service_s(now_s)
         for entry in self._queue.list_late(now_s, service_s):
             self._queue.remove(entry)
-            denial = messages.PermitDenial('deadline_too_short', _BUSY_RETRY_S)
+            is_hopeless = entry.deadline_s < now_s + service_s
+            code = 'deadline_too_short' if is_hopeless else 'pool_busy'
+            denial = messages.PermitDenial(code, _BUSY_RETRY_S)
             yield self._resolve(entry, denial)
         yield from self._drain(now_s)
         for entry in self._dropped:
@@ -233,10 +235,11 @@
             return messages.PermitDenial('pool_unavailable', _SURVEY_RETRY_S)
         ahead = self._queue.count_ahead(entry.customer, entry.deadline_s)
         needed_s = self._slots.estimate_service_s(now_s)
-        if ahead:
-            needed_s += self._slots.estimate_wait_s(ahead, now_s)
-        if entry.deadline_s - now_s < needed_s:
+        wait_s = self._slots.estimate_wait_s(ahead, now_s) if ahead else 0.0
+        if entry.deadline_s - now_s < needed_s + wait_s:
             return messages.PermitDenial('deadline_too_short', _BUSY_RETRY_S)
+        if now_s + wait_s > entry.waits_until_s:
+            return messages.PermitDenial('pool_busy', _BUSY_RETRY_S)
         return None
 
     def _try_grant(
