--- a/cranberryscale/process/ejections.py
+++ b/cranberryscale/process/ejections.py
@@ -4,15 +4,14 @@
 from collections.abc import Iterable
 import math
 import statistics
-from typing import NamedTuple
 
-from cranberryscale import messages
 from cranberryscale.process import evidence
+from cranberryscale.process import sights
 from cranberryscale.process import standings
 from cranberryscale.version import configuration
 
 
-__all__ = ['Ejections', 'Remote']
+__all__ = ['Ejections']
 
 # Evidence is weighed at most this often, since it reads every permit.
 WEIGH_EVERY_S = 0.05
@@ -29,12 +28,8 @@
 REMOTE_LAG_S = 2.0
 REMOTE_LIFETIME_S = 5.0
 
-# Others count as slow too from this multiple of the usual latency.
-COMMON_SLOW_FACTOR = 2.0
-COMMON_BAD_RATIO = 0.15
 
 LEAST_COUNT = 5
-LEAST_REMOTE = 2
 _NOTHING = evidence.Baseline(0.0, 0.0)
 FEW_SERVERS = 3
 LEAST_USUAL_S = 0.005
@@ -42,58 +37,12 @@
 WORSE_BY = 0.25
 
 
-class Sight(NamedTuple):
-    """Hold what a server did in the past and in the last second."""
-
-    past: evidence.Baseline | None
-    recent: evidence.Baseline | None
-
-
-class Remote:
-    """Hold what another domain's pool holder said about its servers."""
-
-    def __init__(self) -> None:
-        self.received_s = -math.inf
-        self.servers: tuple[messages.ServerSummary, ...] = ()
-        self._latency: dict[str, evidence.Decayed] = {}
-        self._errors: dict[str, evidence.Decayed] = {}
-
-    def take(
-        self, servers: tuple[messages.ServerSummary, ...], now_s: float
-    ) -> None:
-        """Take a summary and add it to what is usual."""
-        self.received_s = now_s
-        self.servers = tuple(s for s in servers if s.count >= LEAST_REMOTE)
-        for name in set(self._latency) - {s.server for s in servers}:
-            del self._latency[name], self._errors[name]
-        for summary in self.servers:
-            self._latency.setdefault(
-                summary.server, evidence.Decayed(evidence.LATENCY_MEMORY_S)
-            ).add(math.log(max(summary.median_latency_s, 1e-6)), now_s)
-            self._errors.setdefault(
-                summary.server, evidence.Decayed(evidence.ERROR_MEMORY_S)
-            ).add(summary.error_ratio, now_s)
-
-    def list_sights(self) -> list[Sight]:
-        """Return what is usual and recent at each server."""
-        return [
-            Sight(
-                evidence.Baseline(
-                    math.exp(self._latency[s.server].mean),
-                    self._errors[s.server].mean,
-                ),
-                evidence.Baseline(s.median_latency_s, s.error_ratio),
-            )
-            for s in self.servers
-        ]
-
-
 class Ejections:
     """Decide on all servers of a pool."""
 
     def __init__(self) -> None:
         self.records: dict[str, standings.Record] = {}
-        self.remotes: dict[str, Remote] = {}
+        self.remotes: dict[str, sights.Remote] = {}
         self._floor = 0
         self._weighed_s = -math.inf
         self._next_trial_s = 0.0
@@ -153,8 +102,9 @@
         ages = {
             r.server.name: tuple(list_ages(r.server.name, now_s)) for r in used
         }
-        sights = {
-            r.server.name: _look(r, ages[r.server.name], now_s) for r in used
+        views = {
+            r.server.name: sights.look(r, ages[r.server.name], now_s)
+            for r in used
         }
         remotes = [
             sight
@@ -162,10 +112,10 @@
             for sight in remote.list_sights()
         ]
         for record in used:
-            record.usual = self._find_usual(record, sights, remotes)
+            record.usual = self._find_usual(record, views, remotes)
             record.weigh(ages[record.server.name], now_s)
         for record in sorted(used, key=lambda r: r.score, reverse=True):
-            sight = sights[record.server.name]
+            sight = views[record.server.name]
             self._judge(record, used, sight, now_s)
         self._schedule_trials(now_s)
 
@@ -173,7 +123,7 @@
         self,
         record: standings.Record,
         used: list[standings.Record],
-        sight: Sight,
+        sight: sights.Sight,
         now_s: float,
     ) -> None:
         if record.score < standings.COMMON_SCORE:
@@ -183,7 +133,7 @@
         kind = 'errors' if record.errors > record.slowness else 'slowness'
         if self._is_common(record, kind, used, now_s):
             return
-        if not _stands_out(record, kind, sight):
+        if not sights.stands_out(record, kind, sight):
             return
         if record.score < 1:
             if (
@@ -237,14 +187,14 @@
             return False
         since_s = record.onset_s[kind] + REMOTE_LAG_S
         votes = [
-            _is_affected(sight, kind)
+            sights.is_affected(sight, kind)
             for remote in self._list_fresh(now_s)
             if remote.received_s >= since_s
             for sight in remote.list_sights()
         ]
         return sum(local + votes) * 2 > len(local + votes)
 
-    def _list_fresh(self, now_s: float) -> list[Remote]:
+    def _list_fresh(self, now_s: float) -> list[sights.Remote]:
         return [
             remote
             for remote in self.remotes.values()
@@ -254,17 +204,15 @@
     def _find_usual(
         self,
         record: standings.Record,
-        sights: dict[str, Sight],
-        remotes: list[Sight],
+        views: dict[str, sights.Sight],
+        remotes: list[sights.Sight],
     ) -> evidence.Baseline:
         """Return the medians over the service's other servers.
 
         Their last second counts as well as their past, so that a slowness
         of all servers soon becomes usual.
         """
-        others = [
-            s for name, s in sights.items() if name != record.server.name
-        ]
+        others = [s for name, s in views.items() if name != record.server.name]
         others += remotes
         past = [s.past for s in others if s.past] or [_NOTHING]
         recent = [s.recent for s in others if s.recent] or [_NOTHING]
@@ -293,39 +241,3 @@
                 now_s >= record.until_s or is_short
             ):
                 record.state = 'trial'
-
-
-def _is_affected(sight: Sight, kind: str) -> bool:
-    """Tell whether another domain's server lately got worse."""
-    if kind == 'errors':
-        return sight.recent.error_ratio > COMMON_BAD_RATIO
-    slow_s = COMMON_SLOW_FACTOR * sight.past.latency_s
-    return sight.recent.latency_s > slow_s
-
-
-def _stands_out(record: standings.Record, kind: str, sight: Sight) -> bool:
-    """Tell whether the server is worse than the others are now.
-
-    The evidence may be from before a change of all servers became usual.
-    """
-    if sight.recent is None:
-        return True
-    if kind == 'errors':
-        return sight.recent.error_ratio > record.usual.error_ratio
-    slow_s = evidence.SLOW_FACTOR * record.usual.latency_s
-    return sight.recent.latency_s > slow_s
-
-
-def _look(
-    record: standings.Record, ages_s: tuple[float, ...], now_s: float
-) -> Sight:
-    held = record.evidence
-    past = recent = None
-    if held.latency.count(now_s) >= LEAST_COUNT:
-        past = evidence.Baseline(math.exp(held.latency.mean), held.errors.mean)
-    summary = record.summarize(ages_s, now_s)
-    if summary.count >= LEAST_REMOTE:
-        recent = evidence.Baseline(
-            summary.median_latency_s, summary.error_ratio
-        )
-    return Sight(past, recent)
--- a/cranberryscale/process/evidence.py
+++ b/cranberryscale/process/evidence.py
@@ -41,6 +41,8 @@
 # instance with half of the slots can cause an ejection.
 MOST_EVIDENCE = 7.0
 LEAST_EVIDENCE = -2.0
+# Silence for less than this multiple of the usual latency is no error.
+SILENT_FACTOR = 8.0
 # Pauses up to this long, for example garbage collection, are healthy; they
 # delay every running request at once.
 PAUSE_S = 0.2
@@ -173,6 +175,9 @@
         else:
             # Fast errors must not hide slow successes.
             slow = max(0.0, slow)
+        if outcome == 'silent' and latency_s < SILENT_FACTOR * usual.latency_s:
+            # The deadline was short; the latency says enough.
+            outcome = 'cancelled'
         if outcome not in ('cancelled', 'shed'):
             self.errors.add(outcome in _FAILED, now_s)
             self.recent_errors.add(outcome in _FAILED, now_s)
--- a/cranberryscale/process/pools.py
+++ b/cranberryscale/process/pools.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple
 
 from cranberryscale import messages
-from cranberryscale.process import ejections
 from cranberryscale.process import queue
+from cranberryscale.process import sights
 from cranberryscale.process import slots
 from cranberryscale.process import tenures
 from cranberryscale.version import configuration as configurations
@@ -53,7 +53,7 @@
         self._configuration = configurations.Configuration()
         self._members: frozenset[str] = frozenset()
         self._removed_s: dict[str, float] = {}
-        self._remotes: dict[str, ejections.Remote] = {}
+        self._remotes: dict[str, sights.Remote] = {}
         self._tenure: tenures.Tenure | None = None
         self._next_ticket = 1
         self._resolved: list[Resolved] = []
@@ -158,7 +158,7 @@
         now: datetime.timedelta,
     ) -> None:
         """Take the evidence of another domain's holder of the service."""
-        remote = self._remotes.setdefault(domain, ejections.Remote())
+        remote = self._remotes.setdefault(domain, sights.Remote())
         remote.take(reply.servers, now.total_seconds())
 
     def summarize(self, now: datetime.timedelta) -> messages.PoolSummaryReply:
--- /dev/null
+++ b/cranberryscale/process/sights.py
@@ -0,0 +1,99 @@
+"""What other servers did in the past and do now, here and elsewhere."""
+
+import math
+from typing import NamedTuple
+
+from cranberryscale import messages
+from cranberryscale.process import evidence
+from cranberryscale.process import standings
+
+
+__all__ = ['Remote', 'Sight', 'is_affected', 'look', 'stands_out']
+
+# Others count as slow too from this multiple of their own past latency.
+COMMON_SLOW_FACTOR = 2.0
+COMMON_BAD_RATIO = 0.15
+LEAST_COUNT = 5
+LEAST_REMOTE = 2
+
+
+class Sight(NamedTuple):
+    """Hold what a server did in the past and in the last second."""
+
+    past: evidence.Baseline | None
+    recent: evidence.Baseline | None
+
+
+class Remote:
+    """Hold what another domain's pool holder said about its servers."""
+
+    def __init__(self) -> None:
+        self.received_s = -math.inf
+        self.servers: tuple[messages.ServerSummary, ...] = ()
+        self._latency: dict[str, evidence.Decayed] = {}
+        self._errors: dict[str, evidence.Decayed] = {}
+
+    def take(
+        self, servers: tuple[messages.ServerSummary, ...], now_s: float
+    ) -> None:
+        """Take a summary and add it to what is usual."""
+        self.received_s = now_s
+        self.servers = tuple(s for s in servers if s.count >= LEAST_REMOTE)
+        for name in set(self._latency) - {s.server for s in servers}:
+            del self._latency[name], self._errors[name]
+        for summary in self.servers:
+            self._latency.setdefault(
+                summary.server, evidence.Decayed(evidence.LATENCY_MEMORY_S)
+            ).add(math.log(max(summary.median_latency_s, 1e-6)), now_s)
+            self._errors.setdefault(
+                summary.server, evidence.Decayed(evidence.ERROR_MEMORY_S)
+            ).add(summary.error_ratio, now_s)
+
+    def list_sights(self) -> list[Sight]:
+        """Return what is usual and recent at each server."""
+        return [
+            Sight(
+                evidence.Baseline(
+                    math.exp(self._latency[s.server].mean),
+                    self._errors[s.server].mean,
+                ),
+                evidence.Baseline(s.median_latency_s, s.error_ratio),
+            )
+            for s in self.servers
+        ]
+
+
+def is_affected(sight: Sight, kind: str) -> bool:
+    """Tell whether another domain's server lately got worse."""
+    if kind == 'errors':
+        return sight.recent.error_ratio > COMMON_BAD_RATIO
+    slow_s = COMMON_SLOW_FACTOR * sight.past.latency_s
+    return sight.recent.latency_s > slow_s
+
+
+def stands_out(record: standings.Record, kind: str, sight: Sight) -> bool:
+    """Tell whether the server is worse than the others are now.
+
+    The evidence may be from before a change of all servers became usual.
+    """
+    if sight.recent is None:
+        return True
+    if kind == 'errors':
+        return sight.recent.error_ratio > record.usual.error_ratio
+    slow_s = evidence.SLOW_FACTOR * record.usual.latency_s
+    return sight.recent.latency_s > slow_s
+
+
+def look(
+    record: standings.Record, ages_s: tuple[float, ...], now_s: float
+) -> Sight:
+    held = record.evidence
+    past = recent = None
+    if held.latency.count(now_s) >= LEAST_COUNT:
+        past = evidence.Baseline(math.exp(held.latency.mean), held.errors.mean)
+    summary = record.summarize(ages_s, now_s)
+    if summary.count >= LEAST_REMOTE:
+        recent = evidence.Baseline(
+            summary.median_latency_s, summary.error_ratio
+        )
+    return Sight(past, recent)
--- a/cranberryscale/process/tenures.py
+++ b/cranberryscale/process/tenures.py
@@ -8,6 +8,7 @@
 from cranberryscale.process import ejections
 from cranberryscale.process import permits
 from cranberryscale.process import queue
+from cranberryscale.process import sights
 from cranberryscale.process import slots
 from cranberryscale.process import standings
 from cranberryscale.process import survey
@@ -54,7 +55,7 @@
         self,
         since: datetime.timedelta,
         members: frozenset[str],
-        remotes: dict[str, ejections.Remote],
+        remotes: dict[str, sights.Remote],
         epoch: str,
         terms: PoolTerms,
     ):
