--- a/cranberryscale/process/ejections.py
+++ b/cranberryscale/process/ejections.py
@@ -46,6 +46,8 @@
         self._floor = 0
         self._weighed_s = -math.inf
         self._next_trial_s = 0.0
+        self._views: dict[str, sights.Sight] = {}
+        self._remote_views: list[sights.Sight] = []
 
     def load(
         self,
@@ -102,28 +104,26 @@
         ages = {
             r.server.name: tuple(list_ages(r.server.name, now_s)) for r in used
         }
-        views = {
+        self._views = {
             r.server.name: sights.look(r, ages[r.server.name], now_s)
             for r in used
         }
-        remotes = [
+        self._remote_views = [
             sight
             for remote in self._list_fresh(now_s)
             for sight in remote.list_sights()
         ]
         for record in used:
-            record.usual = self._find_usual(record, views, remotes)
+            record.usual = self._find_usual(record)
             record.weigh(ages[record.server.name], now_s)
         for record in sorted(used, key=lambda r: r.score, reverse=True):
-            sight = views[record.server.name]
-            self._judge(record, used, sight, now_s)
+            self._judge(record, used, now_s)
         self._schedule_trials(now_s)
 
     def _judge(
         self,
         record: standings.Record,
         used: list[standings.Record],
-        sight: sights.Sight,
         now_s: float,
     ) -> None:
         if record.score < standings.COMMON_SCORE:
@@ -133,7 +133,9 @@
         kind = 'errors' if record.errors > record.slowness else 'slowness'
         if self._is_common(record, kind, used, now_s):
             return
-        if not sights.stands_out(record, kind, sight):
+        others = [s.recent for s in self._list_others(record) if s.recent]
+        view = self._views[record.server.name]
+        if not sights.stands_out(view, kind, others):
             return
         if record.score < 1:
             if (
@@ -201,19 +203,24 @@
             if now_s - remote.received_s < REMOTE_LIFETIME_S
         ]
 
+    def _list_others(self, record: standings.Record) -> list[sights.Sight]:
+        local = (
+            sight
+            for name, sight in self._views.items()
+            if name != record.server.name
+        )
+        return [*local, *self._remote_views]
+
     def _find_usual(
         self,
         record: standings.Record,
-        views: dict[str, sights.Sight],
-        remotes: list[sights.Sight],
     ) -> evidence.Baseline:
         """Return the medians over the service's other servers.
 
         Their last second counts as well as their past, so that a slowness
         of all servers soon becomes usual.
         """
-        others = [s for name, s in views.items() if name != record.server.name]
-        others += remotes
+        others = self._list_others(record)
         past = [s.past for s in others if s.past] or [_NOTHING]
         recent = [s.recent for s in others if s.recent] or [_NOTHING]
         error_ratio = statistics.median(u.error_ratio for u in past)
--- a/cranberryscale/process/sights.py
+++ b/cranberryscale/process/sights.py
@@ -14,7 +14,7 @@
 COMMON_SLOW_FACTOR = 2.0
 COMMON_BAD_RATIO = 0.15
 LEAST_COUNT = 5
-LEAST_REMOTE = 2
+LEAST_REMOTE = 1
 
 
 class Sight(NamedTuple):
@@ -71,17 +71,24 @@
     return sight.recent.latency_s > slow_s
 
 
-def stands_out(record: standings.Record, kind: str, sight: Sight) -> bool:
-    """Tell whether the server is worse than the others are now.
+def stands_out(
+    sight: Sight, kind: str, others: list[evidence.Baseline]
+) -> bool:
+    """Tell whether the server is worse now than a quarter of the others.
 
-    The evidence may be from before a change of all servers became usual.
+    The evidence may be from before a change of all servers, whose last
+    second differs much when they are slow.
     """
     if sight.recent is None:
+        return False
+    if not others:
         return True
+    place = len(others) * 3 // 4
     if kind == 'errors':
-        return sight.recent.error_ratio > record.usual.error_ratio
-    slow_s = evidence.SLOW_FACTOR * record.usual.latency_s
-    return sight.recent.latency_s > slow_s
+        ratio = sorted(o.error_ratio for o in others)[place]
+        return sight.recent.error_ratio > ratio
+    latency_s = sorted(o.latency_s for o in others)[place]
+    return sight.recent.latency_s > evidence.SLOW_FACTOR * latency_s
 
 
 def look(
