--- a/cranberryscale/process/ejections.py
+++ b/cranberryscale/process/ejections.py
@@ -138,11 +138,8 @@
         if not sights.stands_out(view, kind, others):
             return
         if record.score < 1:
-            if (
-                kind == 'slowness'
-                and not record.ramp.is_cold
-                and now_s - record.onset_s[kind] >= RAMP_AFTER_S
-            ):
+            is_old = now_s - record.onset_s[kind] >= RAMP_AFTER_S
+            if kind == 'slowness' and is_old and not record.ramp.is_cold:
                 record.ramp.restart('suddenly slow', now_s)
             return
         reason = f'{kind} {record.score:.2f} of threshold'
--- a/cranberryscale/process/tenures.py
+++ b/cranberryscale/process/tenures.py
@@ -30,6 +30,10 @@
 _EMPTY_RETRY_S = 1.0
 
 
+def _deny_busy(code: str) -> messages.PermitDenial:
+    return messages.PermitDenial(code, _BUSY_RETRY_S)
+
+
 class PoolTerms(NamedTuple):
     """Set the times of permits; equal on all instances.
 
@@ -95,10 +99,10 @@
         for row in reply.permits:
             if row.permit_id.startswith(self._epoch):
                 continue
-            expires_s = now_s + row.remaining_s * (1 + self._terms.drift_ratio)
+            ends_s = now_s + row.remaining_s * (1 + self._terms.drift_ratio)
             self._ledger.add(
                 permits.Permit(
-                    row.permit_id, row.server, sender, now_s, expires_s
+                    row.permit_id, row.server, sender, now_s, ends_s
                 )
             )
 
@@ -117,7 +121,7 @@
         if len(self._queue) >= self._service.queue_limit:
             surplus = self._queue.find_surplus(entry.customer)
             if surplus is None:
-                return messages.PermitDenial('pool_busy', _BUSY_RETRY_S)
+                return _deny_busy('pool_busy')
             self._queue.remove(surplus)
             self._dropped.append(surplus)
         self._entries[entry.ticket] = entry
@@ -151,12 +155,10 @@
             self._queue.remove(entry)
             is_hopeless = entry.deadline_s < now_s + service_s
             code = 'deadline_too_short' if is_hopeless else 'pool_busy'
-            denial = messages.PermitDenial(code, _BUSY_RETRY_S)
-            yield self._resolve(entry, denial)
+            yield self._resolve(entry, _deny_busy(code))
         yield from self._drain(now_s)
         for entry in self._dropped:
-            denial = messages.PermitDenial('pool_busy', _BUSY_RETRY_S)
-            yield self._resolve(entry, denial)
+            yield self._resolve(entry, _deny_busy('pool_busy'))
         self._dropped.clear()
 
     def _drain(self, now_s: float) -> Iterator[Resolved]:
@@ -238,9 +240,9 @@
         needed_s = self._slots.estimate_service_s(now_s)
         wait_s = self._slots.estimate_wait_s(ahead, now_s) if ahead else 0.0
         if entry.deadline_s - now_s < needed_s + wait_s:
-            return messages.PermitDenial('deadline_too_short', _BUSY_RETRY_S)
+            return _deny_busy('deadline_too_short')
         if now_s + wait_s > entry.waits_until_s:
-            return messages.PermitDenial('pool_busy', _BUSY_RETRY_S)
+            return _deny_busy('pool_busy')
         return None
 
     def _try_grant(
@@ -268,13 +270,13 @@
                 is_trial,
             )
         )
-        start_s = min(
-            self._terms.start_within.total_seconds(), self.until_s - now_s
-        )
         # Instances count from when they asked, which was before the wait.
-        return messages.PermitGrant(
-            permit_id, record.server.name, now_s - entry.asked_s + start_s
-        )
+        within_s = now_s - entry.asked_s + self._limit_start_s(now_s)
+        return messages.PermitGrant(permit_id, record.server.name, within_s)
+
+    def _limit_start_s(self, now_s: float) -> float:
+        within_s = self._terms.start_within.total_seconds()
+        return min(within_s, self.until_s - now_s)
 
     def _release(
         self,
@@ -288,12 +290,8 @@
             self._ledger.remove(permit.permit_id)
             return
         expires_s = permit.expires_s
-        if (
-            report.outcome == 'cancelled'
-            and record
-            and record.is_used
-            and not record.ramp.is_cold
-        ):
+        is_warm = record and record.is_used and not record.ramp.is_cold
+        if report.outcome == 'cancelled' and is_warm:
             usual_s = _CANCEL_FACTOR * record.usual.latency_s
             expires_s = min(
                 expires_s, permit.granted_s + max(usual_s, _CANCEL_LEAST_S)
--- a/cranberryscale_bench/pool_model.py
+++ b/cranberryscale_bench/pool_model.py
@@ -1,4 +1,4 @@
-"""Event-driven model of backend servers and of the instances using them.
+"""Event-driven model of the instances that use pools of backend servers.
 
 Only the decisions are real; time, network and backend servers are simulated
 in one thread from a seed.
@@ -6,234 +6,31 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
-import datetime
 import heapq
 import random as random_module
 from typing import Any
-from typing import NamedTuple
 
 from cranberryscale import messages
 from cranberryscale.process import pools
 from cranberryscale.version import configuration
+from cranberryscale_bench import backend_model
+from cranberryscale_bench import holder_model
 
 
-__all__ = [
-    'HolderPool',
-    'Model',
-    'Server',
-    'Size',
-    'make_configuration',
-]
+__all__ = ['HolderPool', 'Model', 'Server', 'Size']
+
+HOP_S = backend_model.HOP_S
+HolderPool = holder_model.HolderPool
+Server = backend_model.Server
+Size = backend_model.Size
 
-HOP_S = 0.001
 TICK_S = 0.05
 SUMMARY_TICKS = 20
 MOST_RETRIES = 2
-SIGMA = 0.5
 CUSTOMERS = (('a', 25), ('b', 25), ('c', 20), ('d', 10))
 CUSTOMERS += (('e', 8), ('f', 6), ('g', 4), ('h', 2))
 
 
-class Size(NamedTuple):
-    """Describe a user's usual load on one service."""
-
-    name: str
-    slots: int
-    service_s: float
-    servers: int
-    domains: int = 3
-    load: float = 0.6
-    instances: int = 44
-
-
-class Lease(NamedTuple):
-    """Stand in for process.leases.Lease."""
-
-    resource: str
-    since: datetime.timedelta
-    until: datetime.timedelta
-
-
-class Server:
-    """Model one backend server.
-
-    `capable` is how many requests it can run; more than that are shed.
-    """
-
-    def __init__(
-        self,
-        published: configuration.BackendServer,
-        service_s: float,
-        random: random_module.Random,
-    ):
-        self.published = published
-        self.name = published.name
-        self.capable = published.slots
-        self.slow_factor = 1.0
-        self.wrong_ratio = 0.0
-        self.wrong_outcome = 'wrong'
-        self.error_ratio = 0.005
-        self.is_silent = False
-        self.pause_until_s = 0.0
-        self.paused_s = 0.0
-        self.running = 0
-        self.peak_ratio = 0.0
-        self._service_s = service_s
-        self._random = random
-
-    def turn_cold(self) -> None:
-        """Run only the cold slots until enough requests completed."""
-        self.capable = self.published.cold_slots
-        self._warm_completions = 0
-
-    def run(self, now_s: float, remaining_s: float) -> tuple[str, float]:
-        """Start a request; return its outcome and how long it takes."""
-        self.running += 1
-        self.peak_ratio = max(self.peak_ratio, self.running / self.capable)
-        if self.running > self.capable:
-            return 'shed', HOP_S
-        draw = self._random.random
-        took_s = self._service_s * self._random.lognormvariate(0, SIGMA)
-        took_s *= self.slow_factor
-        if now_s < self.pause_until_s:
-            took_s += self.pause_until_s - now_s
-        if self.is_silent or took_s > remaining_s:
-            return 'silent', remaining_s
-        if draw() < self.wrong_ratio:
-            return self.wrong_outcome, took_s
-        return ('error' if draw() < self.error_ratio else 'ok'), took_s
-
-    def finish(self, outcome: str) -> None:
-        """End a request."""
-        self.running -= 1
-        if outcome == 'ok' and self.capable < self.published.slots:
-            self._warm_completions += 1
-            if self._warm_completions >= self.published.ramp_completions:
-                self._warm_completions = 0
-                self.capable += 1
-
-
-def make_configuration(
-    size: Size, floor_fraction: float = 0.5
-) -> configuration.Configuration:
-    """Return a configuration with one service spread over the domains."""
-    servers = {
-        f's{number}': configuration.BackendServer(
-            f's{number}',
-            'app',
-            f'd{number % size.domains}',
-            f'127.0.0.1:{number}',
-            size.slots,
-        )
-        for number in range(size.servers)
-    }
-    return configuration.Configuration(
-        services={'app': configuration.Service('app', floor_fraction)},
-        servers=servers,
-    )
-
-
-class HolderPool:
-    """Drive the holder of one pool and its lease."""
-
-    def __init__(self, model: 'Model', domain: str):
-        self._model = model
-        self.domain = domain
-        self.holder = pools.PoolHolder(
-            'app', domain, random_module.Random(f'{model.seed}{domain}')
-        )
-        self.since_s: float | None = 0.0
-        self.waiting: dict[int, 'Request'] = {}
-        self.holder.load_members(model.members, self.now)
-        self.unanswering: frozenset[str] = frozenset()
-        self.load_servers()
-
-    @property
-    def now(self) -> datetime.timedelta:
-        """Return the model's time."""
-        return datetime.timedelta(seconds=self._model.now_s)
-
-    def load_servers(self) -> None:
-        """Load the model's configuration."""
-        self.holder.load_servers(self._model.configuration, self.now)
-
-    def replace_holder(self, lost: str, gap_s: float) -> None:
-        """Lose the holder, an entry instance too, and find another later."""
-        self.since_s = None
-        self.unanswering = frozenset((lost,))
-        self._model.at(self._model.now_s + gap_s, self._begin)
-
-    def _begin(self) -> None:
-        self.since_s = self._model.now_s
-
-    @property
-    def lease(self) -> Lease | None:
-        """Return the current lease."""
-        if self.since_s is None:
-            return None
-        since = datetime.timedelta(seconds=self.since_s)
-        return Lease('pool', since, self.now + datetime.timedelta(seconds=8))
-
-    def ask(self, request: 'Request') -> None:
-        """Ask for a permit and pass the answer on, now or later."""
-        message = messages.TakePermit(
-            'app',
-            self.domain,
-            request.request_id,
-            request.customer,
-            request.deadline_s - self._model.now_s,
-            request.excluded,
-            request.probe_ok,
-        )
-        reply = self.holder.request_permit(
-            message, request.instance, self.lease, self.now
-        )
-        if isinstance(reply, pools.Queued):
-            self.waiting[reply.ticket] = request
-            self._resolve(self.holder.advance(self.lease, self.now))
-        else:
-            self._model.take_reply(self, request, reply)
-
-    def report(self, request: 'Request', report: Any) -> None:
-        """Deliver the report of a finished request."""
-        self._resolve(
-            self.holder.finish_permit(
-                report, request.instance, self.lease, self.now
-            )
-        )
-
-    def tick(self) -> None:
-        """Advance the holder and answer its survey."""
-        for member in self.holder.list_unsurveyed(self.lease, self.now):
-            if member not in self.unanswering:
-                reply = self._model.survey(self, member)
-                self._resolve(
-                    self.holder.take_survey(
-                        member, reply, self.lease, self.now
-                    )
-                )
-        self._resolve(self.holder.advance(self.lease, self.now))
-
-    def exchange(self, others: Iterable['HolderPool']) -> None:
-        """Take the summaries of the other domains' holders."""
-        for other in others:
-            if other is not self and other.since_s is not None:
-                self.holder.take_summary(
-                    other.domain, other.holder.summarize(self.now), self.now
-                )
-
-    def list_states(self) -> dict[str, str]:
-        """Return each server's state."""
-        rows = self.holder.status(self.lease, self.now)
-        return {row.server: row.state for row in rows}
-
-    def _resolve(self, answers: tuple[pools.Resolved, ...]) -> None:
-        for answer in answers:
-            request = self.waiting.pop(answer.ticket)
-            self._model.take_reply(self, request, answer.reply)
-
-
 class Request:
     """Hold a caller's request."""
 
@@ -280,7 +77,9 @@
         self.random = random_module.Random(seed)
         self.now_s = 100.0
         self.members = frozenset(f'i{n}' for n in range(size.instances))
-        self.configuration = make_configuration(size, floor_fraction)
+        self.configuration = backend_model.make_configuration(
+            size, floor_fraction
+        )
         self.domains = [f'd{n}' for n in range(size.domains)]
         self.servers = {
             name: Server(server, size.service_s, self.random)
@@ -321,7 +120,7 @@
     def rate_per_s(self) -> float:
         """Return the usual arrivals over all pools."""
         slots = self.size.slots * self.size.servers
-        mean_s = self.size.service_s * 1.133  # exp(SIGMA**2 / 2)
+        mean_s = self.size.service_s * backend_model.MEAN_FACTOR
         return self.size.load * slots / mean_s
 
     def next_id(self) -> int:
--- a/cranberryscale_bench/pools.py
+++ b/cranberryscale_bench/pools.py
@@ -31,6 +31,8 @@
 DETECTION_LIMIT_S = 10.0
 PAUSE_MEAN_S = 60.0
 PAUSE_S = 0.2
+FAULT_EVERY_S = 20
+OUT_STATES = ('ejected', 'trial')
 HOUR_S = float(os.environ.get('POOL_HOUR_S', '3600'))
 MOVE_S = 15.0
 FAIR_S = 40.0
@@ -95,13 +97,13 @@
         for make in (pool_model.HolderPool, alone.AlonePool)
     )
     bound = DETECTION_BOUNDS_S[mode]
-    half = TRIALS // 2
-    yield results.Result(
-        name, 'detection_s', ours[half], base[half], bound, 's'
-    )
-    yield results.Result(
-        name, 'detection_worst_s', ours[-1], base[-1], bound, 's'
-    )
+    for measure, place in (
+        ('detection_s', TRIALS // 2),
+        ('detection_worst_s', -1),
+    ):
+        yield results.Result(
+            name, measure, ours[place], base[place], bound, 's'
+        )
 
 
 def _count_ejections(
@@ -116,13 +118,13 @@
         if model.now_s - started_s >= seconds:
             return false
         model.run(1.0)
-        if second % 60 == 0:
+        if second % FAULT_EVERY_S == 0:
             _add_fault(model, fault)
         states = {}
         for pool in model.pools.values():
             states |= pool.list_states()
         false += sum(
-            state == 'ejected' and before.get(name) != 'ejected'
+            state in OUT_STATES and before.get(name) not in OUT_STATES
             for name, state in states.items()
             if model.servers[name].slow_factor == 1.0
         )
@@ -169,13 +171,13 @@
         model.run(FAIR_S)
         success = []
         for customer in model.weights:
-            counts = {
-                outcome: count
-                for (name, outcome), count in model.results.items()
+            total = sum(
+                count
+                for (name, _), count in model.results.items()
                 if name == customer
-            }
+            )
             if customer != 'b':
-                success.append(counts['ok'] / sum(counts.values()))
+                success.append(model.results[customer, 'ok'] / total)
         return min(success) / max(success)
 
     yield results.Result(
@@ -206,11 +208,7 @@
                 server.turn_cold()
         _set_domain(model, 'in')
         model.run(MOVE_S)
-        served = sum(
-            count
-            for (_, outcome), count in model.results.items()
-            if outcome == 'ok'
-        )
+        served = sum(model.results[name, 'ok'] for name in model.weights)
         return served / sum(model.results.values())
 
     yield results.Result(
