Replace short truncated answers and check the caller before sending

A caller that left while a permit was awaited is no longer served, connecting ends with the permit, and new connections count against the limit of kept ones.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -23,6 +23,8 @@
 
 __all__ = ['Answer', 'Backends', 'ForwardFailed', 'Terms']
 
+PREFETCH_BYTES = 65536
+
 
 class Terms(NamedTuple):
     """Bound one exchange; `caller` is the caller's file descriptor or -1.
@@ -64,9 +66,22 @@
         self.body = heads.frame_body(
             exchange.wire.stream, head, exchange.head.method
         )
+        self._fetched: list[bytes] = []
+
+    def prefetch(self) -> None:
+        """Read a short body whole; raise ForwardFailed if it is not.
+
+        A short answer that is cut off can then still be replaced by another
+        server's answer. Others are streamed as they come.
+        """
+        length = getattr(self.body, 'remaining', PREFETCH_BYTES + 1)
+        if length <= PREFETCH_BYTES:
+            with self._exchange.translate_errors():
+                self._fetched += iter(self.body.read_some, b'')
 
     def iterate(self) -> Iterator[bytes]:
         """Yield the body; raise ForwardFailed unless it is complete."""
+        yield from self._fetched
         with self._exchange.translate_errors():
             yield from iter(self.body.read_some, b'')
 
@@ -94,7 +109,7 @@
         self._terms = terms
         self.is_ended = False
         self._is_body_sent = False
-        self._connection = pool.take()
+        self._connection = pool.take(terms.start_until)
         self.wire: streams.Wire = self._connection.sock
         self.wire.start_exchange(terms.deadline)
         self.wire.watch(terms.caller)
@@ -142,6 +157,8 @@
     def _send_head(self) -> None:
         if self._pool.clock.read_elapsed() >= self._terms.start_until:
             raise errors.make_error('pool_unavailable', 'permit ran out')
+        if self.wire.is_other_ready():
+            raise streams.OtherReady('the caller left while it waited')
         self.wire.sendall(heads.format_head(self.head))
 
     def _send_body(self, body: framing.EmptyBody) -> bool:
--- a/cranberryscale/connection/framing.py
+++ b/cranberryscale/connection/framing.py
@@ -84,25 +84,25 @@
 
     def __init__(self, stream: Any, length: int, codes: BodyCodes):
         self._stream = stream
-        self._remaining = length
+        self.remaining = length
         self._codes = codes
         self.received_bytes = 0
 
     @property
     def finished(self) -> bool:
         """Tell whether the whole body was read."""
-        return self._remaining == 0
+        return self.remaining == 0
 
     def read_some(self) -> bytes:
         """Return the next bytes, b'' at the end, or raise if cut short."""
-        if self._remaining == 0:
+        if self.remaining == 0:
             return b''
-        data = self._stream.read1(min(self._remaining, BLOCK_BYTES))
+        data = self._stream.read1(min(self.remaining, BLOCK_BYTES))
         if not data:
             raise errors.make_error(
-                self._codes.truncated, f'{self._remaining} bytes missing'
+                self._codes.truncated, f'{self.remaining} bytes missing'
             )
-        self._remaining -= len(data)
+        self.remaining -= len(data)
         self.received_bytes += len(data)
         return data
 
--- a/cranberryscale/connection/listeners.py
+++ b/cranberryscale/connection/listeners.py
@@ -179,11 +179,14 @@
 
     def process_conn(self, conn: CallerConnection) -> None:
         """Queue a connection that has something to read."""
-        if conn.last_used is None:
-            # New: cheroot would let it occupy a thread until it sends.
+        is_new = conn.last_used is None
+        if is_new and self.can_add_keepalive_connection:
+            # cheroot would let it occupy a thread until it sends.
             self._connections.put(conn)
             return
         try:
+            if is_new:
+                raise queue.Full
             self.requests.put(conn)
         except queue.Full:
             request = callers.CallerRequest(self, conn)
--- a/cranberryscale/connection/pooling.py
+++ b/cranberryscale/connection/pooling.py
@@ -22,6 +22,8 @@
 KEEPALIVE_PROBES = 3
 USER_TIMEOUT_MS = 10_000
 POOL_WAIT_S = 0.05
+# Zero would make the socket non-blocking.
+CONNECT_MIN_S = 0.001
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -72,8 +74,11 @@
         connection.idle_limit = self._idle_limit
         return connection
 
-    def take(self) -> Connection:
-        """Return a connected connection, or raise BackendRefused."""
+    def take(self, until: datetime.timedelta) -> Connection:
+        """Return a connected connection, or raise BackendRefused.
+
+        Connecting takes at most the pool's timeout and ends at `until`.
+        """
         try:
             connection = self._get_conn(timeout=POOL_WAIT_S)
         except urllib3.exceptions.EmptyPoolError as error:
@@ -82,6 +87,11 @@
             ) from error
         try:
             if connection.sock is None:
+                left = until - self.clock.read_elapsed()
+                connection.timeout = max(
+                    min(self.timeout.connect_timeout, left.total_seconds()),
+                    CONNECT_MIN_S,
+                )
                 connection.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
             self._put_conn(None)
--- a/cranberryscale/connection/streams.py
+++ b/cranberryscale/connection/streams.py
@@ -132,6 +132,10 @@
         """Tell whether bytes, an end or an error are waiting."""
         return self.fileno() in dict(self._reading.poll(0))
 
+    def is_other_ready(self) -> bool:
+        """Tell whether the watched socket is ready, without waiting."""
+        return self._other in dict(self._reading.poll(0))
+
     def has_buffered(self) -> bool:
         """Tell whether the stream holds bytes, without reading more."""
         self._is_paused = True
--- a/cranberryscale/request/transfers.py
+++ b/cranberryscale/request/transfers.py
@@ -160,6 +160,7 @@
                 self._body,
                 terms,
             )
+            answer.prefetch()
         except backends.ForwardFailed as failure:
             return actions.Failed(
                 failure.error, failure.is_sent, self._body.can_resend
