--- a/cranberryscale/node.py
+++ b/cranberryscale/node.py
@@ -107,7 +107,7 @@
             self._table.find_holder,
             self._table.find_lease,
         )
-        memory = once.Once(_seconds(self.options.timeouts.once_s))
+        memory = once.OnceMemory(_seconds(self.options.timeouts.once_s))
         return holding.Holding(fleet, self._make_terms(), memory, self._random)
 
     def _make_admission(self) -> admission.Admission:
--- a/cranberryscale/process/budgets.py
+++ b/cranberryscale/process/budgets.py
@@ -216,6 +216,10 @@
                     asks.append(Ask(lot.lender, message))
         return tuple(asks)
 
+    def list_buckets(self) -> Iterable[bucket_module.Bucket]:
+        """Return the buckets in memory, for operators."""
+        return (account.bucket for account in self._accounts.values())
+
     def drop_idle(
         self,
         find_lease: Callable[
--- a/cranberryscale/process/holding.py
+++ b/cranberryscale/process/holding.py
@@ -25,7 +25,6 @@
 SURVEY_PAUSE = datetime.timedelta(seconds=0.25)
 SUMMARY_PAUSE = datetime.timedelta(seconds=1)
 RETURN_MARGIN = datetime.timedelta(milliseconds=20)
-ONCE_RETRY_S = 1.0
 
 
 class Fleet(NamedTuple):
@@ -51,7 +50,11 @@
     """Own the buckets, idempotency keys and pools that are held here."""
 
     def __init__(
-        self, fleet: Fleet, terms: Any, memory: once.Once, rng: random.Random
+        self,
+        fleet: Fleet,
+        terms: Any,
+        memory: once.OnceMemory,
+        rng: random.Random,
     ):
         self._fleet = fleet
         self._random = rng
@@ -83,11 +86,9 @@
             return messages.TokenDenial('not_holder', 0.0)
         share = shares[message.share]
         lease = self._fleet.find_lease(share.resource, now)
-        if message.once_key:
-            denial = self._begin_once(message, lease, now)
-            if denial is not None:
-                return denial
-        reply = self._budgets.take_tokens(message, share, lease, now)
+        reply = once.take_tokens_once(
+            self._budgets, self._once, message, share, lease, now
+        )
         ask = self._budgets.plan_loan(shares, message, now)
         if ask is not None:
             self._errands.append(self._plan_loan(ask, message.share, now))
@@ -169,7 +170,6 @@
     def drop_idle(self, now: datetime.timedelta) -> None:
         """Forget buckets that are full and unused."""
         self._budgets.drop_idle(self._fleet.find_lease, now)
-        self._once.drop_expired(now)
 
     def take_errands(self) -> list[calls.Plan]:
         """Return the plans that are to be driven, once."""
@@ -187,23 +187,6 @@
             holder = self._fleet.find_holder(ask.share.resource)
             yield calls.ask(holder, ask.message, self._fleet.peer_timeout, now)
 
-    def _begin_once(
-        self, message: messages.TakeTokens, lease, now
-    ) -> messages.TokenDenial | None:
-        begun = self._once.begin(
-            message.customer,
-            message.once_key,
-            message.request_id.partition('/')[0],
-            lease,
-            now,
-        )
-        match begun:
-            case once.Refused('budget_unavailable'):
-                return messages.TokenDenial('not_holder', 0.0)
-            case once.Refused(code):
-                return messages.TokenDenial(code, ONCE_RETRY_S)
-        return None
-
     def _find_lease(self, pool: ledger.Pool, now) -> leases.Lease | None:
         return self._fleet.find_lease(placement.make_pool(*pool), now)
 
--- a/cranberryscale/process/membership.py
+++ b/cranberryscale/process/membership.py
@@ -5,10 +5,6 @@
 in either direction only make it older.
 """
 
-<<<<<<< HEAD
-import collections
-=======
->>>>>>> leases
 from collections.abc import Mapping
 import datetime
 import random
@@ -24,12 +20,6 @@
 
 __all__ = ['Membership']
 
-<<<<<<< HEAD
-# How many of this instance's own rosters are kept for late replies.
-_KEPT_ROSTERS = 16
-
-=======
->>>>>>> leases
 
 class Membership:
     """Own the table of members and feed the leases from it."""
@@ -44,13 +34,7 @@
         self._signs: dict[int, gossip.Sign] = {}
         self._health: dict[str, suspicion.Health] = {}
         self._confirmed_at: datetime.timedelta | None = None
-<<<<<<< HEAD
-        self._rosters: collections.OrderedDict[
-            int, tuple[grants.Identity, ...]
-        ] = collections.OrderedDict()
-=======
         self._decoder = gossip.Decoder()
->>>>>>> leases
         self._peers = peering.PeerChoice()
         self._wanted: tuple[str, int] | None = None
         self._wanted_at = now - table.terms.lease
@@ -144,14 +128,6 @@
         self, source: random.Random, parent: str | None = None
     ) -> str | None:
         """Return whom to pull from next, None when there is nobody."""
-<<<<<<< HEAD
-        ring = sorted(self.alive | {self.table.name})
-        stale = sorted(self._health.keys() - set(ring))
-        if parent not in self._health:
-            parent = None
-        return self._peers.choose_peer(
-            self.table.name, ring, stale, parent, source
-=======
         ring = {self.table.name} | {
             name
             for name, health in self._health.items()
@@ -166,7 +142,6 @@
             sorted(stale),
             parent,
             source,
->>>>>>> leases
         )
 
     def make_pull(
@@ -179,22 +154,10 @@
         self._peers.note_pull(target)
         self.advance(now)
         roster = gossip.list_roster(self._list_signs(now).values())
-<<<<<<< HEAD
-        digest = gossip.digest_roster(roster)
-        self._rosters[digest] = roster
-        self._rosters.move_to_end(digest)
-        while len(self._rosters) > _KEPT_ROSTERS:
-            self._rosters.popitem(last=False)
-        return messages.GossipPull(
-            self.table.ids.get(self.table.name, 0),
-            self.table.incarnation,
-            digest,
-=======
         return messages.GossipPull(
             self.table.ids.get(self.table.name, 0),
             self.table.incarnation,
             self._decoder.keep_roster(roster),
->>>>>>> leases
             self.table.view.version,
             dict(subtree_versions),
         )
@@ -231,22 +194,12 @@
 
         Raises MessageUndecodable, changing nothing, when it makes no sense.
         """
-<<<<<<< HEAD
-        roster = self._rosters.get(reply.roster, ())
-        if reply.identities:
-            roster = gossip.unpack_roster(reply.identities)
-        signs = gossip.decode_signs(reply, roster, sent_at)
-        self._peers.note_reply(sender)
-        self._note_list(sender, reply.view_version, roster, now)
-        for identity in roster:
-=======
         roster = self._decoder.find_roster(reply)
         signs = self._decoder.decode_signs(reply, roster, sent_at)
         self._peers.note_reply(sender)
         self._note_list(sender, reply.view_version, roster, now)
         # Without identities the roster is one of this instance's own.
         for identity in roster if reply.identities else ():
->>>>>>> leases
             self._learn_incarnation(identity, now)
         own = self.table.ids.get(self.table.name)
         for sign in signs:
@@ -260,14 +213,6 @@
         """Return the fresh members that do not answer this instance."""
         return tuple(
             name
-<<<<<<< HEAD
-            for name, health in sorted(self._health.items())
-            if health.alive
-            and self._peers.is_silent(name)
-            and self._is_fresh(name, now, self.terms.suspect)
-        )
-
-=======
             for name, age in sorted(self.list_ages(now).items())
             if age <= self.terms.suspect and self._peers.is_silent(name)
         )
@@ -282,7 +227,6 @@
             if self.table.ids[name] in self._signs
         }
 
->>>>>>> leases
     def list_confirmed_ages(
         self, now: datetime.timedelta, within: datetime.timedelta
     ) -> dict[str, datetime.timedelta | None]:
@@ -292,21 +236,25 @@
         """
         own = None if self._confirmed_at is None else now - self._confirmed_at
         ages = {self.table.name: own}
-<<<<<<< HEAD
-        for name in self._health:
-            if self._is_fresh(name, now, within):
-                sign = self._signs[self.table.ids[name]]
-                ages[name] = sign.confirmed_age
-                if sign.confirmed_age is not None:
-                    ages[name] = sign.confirmed_age + now - sign.at
-=======
         for name, age in self.list_ages(now).items():
             if age <= within:
                 known = self._signs[self.table.ids[name]].confirmed_age
                 ages[name] = None if known is None else known + age
->>>>>>> leases
         return ages
 
+    def list_signs(
+        self, now: datetime.timedelta
+    ) -> dict[str, tuple[datetime.timedelta, datetime.timedelta | None]]:
+        """Return the age of each member's latest sign of life.
+
+        Beside it stands the age of its configuration at that moment.
+        """
+        own = None if self._confirmed_at is None else now - self._confirmed_at
+        return {self.table.name: (datetime.timedelta(0), own)} | {
+            name: (age, self._signs[self.table.ids[name]].confirmed_age)
+            for name, age in self.list_ages(now).items()
+        }
+
     def _note_list(
         self,
         sender: str,
@@ -321,30 +269,6 @@
                 self._wanted = (sender, version)
                 self._wanted_at = now
 
-<<<<<<< HEAD
-    def list_signs(
-        self, now: datetime.timedelta
-    ) -> dict[str, tuple[datetime.timedelta, datetime.timedelta | None]]:
-        """Return the age of each member's latest sign of life.
-
-        Beside it stands the age of its configuration at that moment.
-        """
-        own = None if self._confirmed_at is None else now - self._confirmed_at
-        found = {self.table.name: (datetime.timedelta(0), own)}
-        for name in self._health:
-            sign = self._signs.get(self.table.ids[name])
-            if sign is not None:
-                found[name] = (now - sign.at, sign.confirmed_age)
-        return found
-
-    def _is_fresh(
-        self, name: str, now: datetime.timedelta, within: datetime.timedelta
-    ) -> bool:
-        sign = self._signs.get(self.table.ids[name])
-        return sign is not None and now - sign.at <= within
-
-=======
->>>>>>> leases
     def _list_signs(self, now: datetime.timedelta) -> dict[int, gossip.Sign]:
         grow = 1 + self.terms.drift_ratio
         signs = {
--- a/cranberryscale/request/admission.py
+++ b/cranberryscale/request/admission.py
@@ -315,7 +315,7 @@
         running, so the message is sent again a few times.
         """
         message = messages.FinishOnce(
-            customer, once_key, request_id, ran != errors.NOT_RUN
+            customer, once_key, f'{request_id}/0', ran != errors.NOT_RUN
         )
         for attempt in range(REPORT_ATTEMPTS):
             shares = placement.list_shares(
--- a/cranberryscale/version/settings.py
+++ b/cranberryscale/version/settings.py
@@ -14,6 +14,12 @@
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = Annotated[int, msgspec.Meta(gt=0)]
+Address = Annotated[
+    str, msgspec.Meta(pattern=r'^[A-Za-z0-9.:\[\]-]+:[0-9]{1,5}\Z')
+]
+Url = Annotated[str, msgspec.Meta(pattern=r'^https?://[^\s/]+\Z')]
+# A withdrawn key must stop working within 4 s, so it may only be less.
+Confirmation = Annotated[float, msgspec.Meta(gt=0, le=4)]
 
 
 class Addresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -23,18 +29,24 @@
     reach the operations of peers.
     """
 
-    callers: str
-    peers: str
-    operators: str
+    callers: Address
+    peers: Address
+    operators: Address
 
 
 class Platform(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Say where the platform's read-only services are."""
+    """Say where the platform's read-only services are.
 
-    url: str
+    `watch_s` is the wait of one call for the instance list, and
+    `subtrees_watch_s` for the subtrees: each answer confirms that keys are
+    still valid, so it is short.
+    """
+
+    url: Url
     prefix: str = 'cranberryscale'
     instance_service: str = 'cranberryscale'
     watch_s: Seconds = 10.0
+    subtrees_watch_s: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.5
 
 
 class Leases(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -61,7 +73,7 @@
     sender_s: Seconds = 10.0
     connect_s: Seconds = 1.0
     peer_s: Seconds = 0.25
-    confirm_s: Seconds = 4.0
+    confirm_s: Confirmation = 4.0
     grant_s: Seconds = 0.5
     once_s: Seconds = 600.0
     answer_lifetime_s: Seconds = 10.0
@@ -73,6 +85,8 @@
     """Hold the settings of one instance.
 
     `secret` is shared by the fleet and signs messages between instances.
+    `seeds` maps names to peer addresses: an instance that starts while the
+    platform is away asks them for the list and the configuration.
     """
 
     name: str
@@ -83,6 +97,7 @@
     leases: Leases = Leases()
     limits: Limits = Limits()
     timeouts: Timeouts = Timeouts()
+    seeds: dict[str, str] = {}
 
     @property
     def lease(self) -> datetime.timedelta:
--- a/cranberryscale_bench/results.py
+++ b/cranberryscale_bench/results.py
@@ -1,15 +1,3 @@
-<<<<<<< HEAD
-"""Results of measurements."""
-
-from typing import NamedTuple
-
-
-__all__ = ['Result']
-
-
-class Result(NamedTuple):
-    """Hold one measured value next to its baseline and bound."""
-=======
 """Results of measurements and their bounds."""
 
 from collections.abc import Iterable
@@ -47,16 +35,10 @@
     `bound` the stated target; both may be None. For measures in
     LARGER_IS_BETTER the bound is a minimum, for others a maximum.
     """
->>>>>>> budgets
 
     case: str
     measure: str
     value: float
-<<<<<<< HEAD
-    baseline: float
-    bound: float
-    unit: str
-=======
     baseline: float | None
     bound: float | None
     unit: str
@@ -99,4 +81,3 @@
         for line in filter(str.strip, lines):
             row = json.loads(line)
             yield Result(**{key: row[key] for key in Result._fields})
->>>>>>> budgets
