--- a/cranberryscale/commands.py
+++ b/cranberryscale/commands.py
@@ -17,6 +17,7 @@
 from cranberryscale import console
 from cranberryscale import errors
 from cranberryscale import instance
+from cranberryscale import logs
 from cranberryscale import operators
 from cranberryscale.version import settings
 from cranberryscale.version import subtrees
@@ -50,7 +51,9 @@
 
 
 def _serve(options: argparse.Namespace) -> int:
-    instance.Instance(settings.load_settings(options.settings)).serve()
+    loaded = settings.load_settings(options.settings)
+    logs.set_up()
+    instance.Instance(loaded).serve()
     return EXIT_OK
 
 
--- a/cranberryscale/logs.py
+++ b/cranberryscale/logs.py
@@ -1,12 +1,13 @@
 """Log lines: one event a line, as key=value pairs."""
 
 import json
+import logging as std_logging
 import re
 
 from absl import logging
 
 
-__all__ = ['format_event', 'log_event']
+__all__ = ['format_event', 'log_event', 'set_up']
 
 _PLAIN = re.compile(r'[!#-<>-\[\]-~]+')
 
@@ -30,3 +31,25 @@
     """Write the line of an event if the level is logged."""
     if logging.level_info() or level < logging.INFO:
         logging.log(level, '%s', format_event(event, **fields))
+
+
+class _EventFormatter(std_logging.Formatter):
+    """Put time and level before an event; make an event of other lines."""
+
+    default_time_format = '%Y-%m-%dT%H:%M:%S'
+    default_msec_format = '%s.%03d'
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Return the line of a record."""
+        text = record.getMessage()
+        if not text.startswith('event='):
+            text = format_event('library', logger=record.name, message=text)
+        level = record.levelname.lower()
+        return f'at={self.formatTime(record)} level={level} {text}'
+
+
+def set_up() -> None:
+    """Write events of this process and its libraries to standard error."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    logging.get_absl_handler().setFormatter(_EventFormatter())
