--- a/cranberryscale/process/evidence.py
+++ b/cranberryscale/process/evidence.py
@@ -25,9 +25,9 @@
 # Healthy servers fail up to this part of their requests.
 HEALTHY_RATIO = 0.005
 # Healthy servers give wrong, truncated or crossed answers or refuse
-# connections in at most one of 10,000 requests; three in short succession
+# connections in at most one of 20,000 requests; three in short succession
 # are enough.
-RARE_FACTOR = 0.02
+RARE_FACTOR = 0.01
 # Shedding is normal under bursts, so it needs many occurrences to count.
 SHED_RATIO = 0.02
 
@@ -50,9 +50,10 @@
 # Scores are bounded at this multiple of the threshold, so that a server that
 # recovered while it had to stay in use is soon seen as recovered.
 MOST_SCORE = 1.5
-# Exactly computed for independent errors at 0.5%: one false alarm in about
-# 140 hours of a fleet of 30 servers.
-ERROR_THRESHOLD = 14.0
+# With independent errors at 0.5% the mean time between false alarms, computed
+# exactly, is 33 hours of a whole fleet of 30 servers. At 14.0 it is over 120
+# hours, but a server with 30% errors then needs 2.1 s instead of 1.65 s.
+ERROR_THRESHOLD = 12.5
 SLOW_THRESHOLD = 12.0
 # Below this rate the threshold on errors no longer falls.
 LEAST_RATE_PER_S = 4.0
