--- a/cranberryscale/process/ejections.py
+++ b/cranberryscale/process/ejections.py
@@ -113,8 +113,10 @@
             for remote in self._list_fresh(now_s)
             for sight in remote.list_sights()
         ]
-        for record in used:
+        for record in self.records.values():
+            # Trials are compared with what is usual now, too.
             record.usual = self._find_usual(record)
+        for record in used:
             record.weigh(ages[record.server.name], now_s)
         for record in sorted(used, key=lambda r: r.score, reverse=True):
             self._judge(record, used, now_s)
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -121,6 +121,20 @@
     assert list_states(model)['s0'] in ('cold', 'in use')
 
 
+def test_trials_are_compared_with_what_is_usual_now():
+    """A server ejected before all became slower could never return."""
+    model = make_model(deadline_s=8.0)
+    model.servers['s0'].is_silent = True
+    model.run(4)
+    assert list_states(model)['s0'] in ('ejected', 'trial')
+    model.servers['s0'].is_silent = False
+    for server in model.servers.values():
+        server.slow_factor = 6.0
+    model.size = model.size._replace(load=0.1)
+    model.run(60)
+    assert list_states(model)['s0'] in ('cold', 'in use')
+
+
 def test_flapping_doubles_the_time_out_up_to_a_bound():
     """A flapping server would otherwise hurt callers again and again."""
     server = configuration.BackendServer('s', 'app', 'd', 'h:1', 2)
