--- /dev/null
+++ b/cranberryscale_bench/results.py
@@ -0,0 +1,83 @@
+"""Results of measurements and their bounds."""
+
+from collections.abc import Iterable
+import json
+import math
+import pathlib
+from typing import NamedTuple
+
+
+__all__ = [
+    'DECISION',
+    'LARGER_IS_BETTER',
+    'PROCESS',
+    'Result',
+    'make_line',
+    'read_lines',
+]
+
+# Kinds: decisions with an injected clock, or processes with real sockets.
+DECISION = 'decision'
+PROCESS = 'process'
+LARGER_IS_BETTER = frozenset(
+    (
+        'domain_move_service_ratio',
+        'requests_per_s',
+        'worst_customer_success_ratio',
+    )
+)
+
+
+class Result(NamedTuple):
+    """Hold one measured value.
+
+    `baseline` is the better of the simple alternatives in this measure and
+    `bound` the stated target; both may be None. For measures in
+    LARGER_IS_BETTER the bound is a minimum, for others a maximum.
+    """
+
+    case: str
+    measure: str
+    value: float
+    baseline: float | None
+    bound: float | None
+    unit: str
+    kind: str = DECISION
+    seed: int = 0
+
+    @property
+    def ok(self) -> bool:
+        """Tell whether the bound is respected; NaN never is."""
+        if self.bound is None:
+            return True
+        if math.isnan(self.value):
+            return False
+        if self.measure in LARGER_IS_BETTER:
+            return self.value >= self.bound
+        return self.value <= self.bound
+
+
+def make_line(result: Result, commit: str) -> str:
+    """Return one line of JSON."""
+    return json.dumps(
+        {
+            'case': result.case,
+            'measure': result.measure,
+            'value': result.value,
+            'baseline': result.baseline,
+            'bound': result.bound,
+            'unit': result.unit,
+            'ok': result.ok,
+            'commit': commit,
+            'seed': result.seed,
+            'kind': result.kind,
+        }
+    )
+
+
+def read_lines(path: pathlib.Path) -> Iterable[Result]:
+    """Yield the results in a file written with make_line."""
+    with path.open(encoding='utf-8') as lines:
+        for line in filter(str.strip, lines):
+            row = json.loads(line)
+            yield Result(**{key: row[key] for key in Result._fields})
