--- a/cranberryscale/process/attempts.py
+++ b/cranberryscale/process/attempts.py
@@ -83,11 +83,7 @@
         state = self._allotments.find_state(self._customer, now)
         state.count_demand(now)
         if once_key:
-            answer = yield from self._ask(self._shares[0], now, once_key)
-            if answer.reply is None:
-                # The same request is registered only once.
-                first, now = self._shares[0], answer.now
-                answer = yield from self._ask(first, now, once_key)
+            answer = yield from self._ask_once(now, once_key)
             now = answer.now
             refusal = _judge_once(answer)
             if refusal is not None:
@@ -129,6 +125,16 @@
                 self._denials += 1
         return answer
 
+    def _ask_once(
+        self, now: datetime.timedelta, once_key: str
+    ) -> Generator[budgets.Ask, facts_module.Answer, facts_module.Answer]:
+        first = self._shares[0]
+        answer = yield from self._ask(first, now, once_key)
+        if answer.reply is None:
+            # The same request is registered only once.
+            answer = yield from self._ask(first, answer.now, once_key)
+        return answer
+
     def _pause(
         self,
         state: allotments_module.CustomerState,
--- a/cranberryscale/process/budgets.py
+++ b/cranberryscale/process/budgets.py
@@ -25,6 +25,8 @@
 REGIONAL_SHARES = 8
 SHARE_BURST_REQUESTS = 10
 DOMAIN_BURST_REQUESTS = 5
+# Retry-After of a share that never has a token.
+NEVER_S = 3600.0
 
 
 class Ask(NamedTuple):
@@ -78,10 +80,7 @@
         lease,
         now: datetime.timedelta,
     ) -> messages.TokenGrant | messages.TokenDenial:
-        """Return a grant or a denial; the same request gets the same grant.
-
-        Denials carry `not_holder` or `rate_exceeded`.
-        """
+        """Return a grant, or a denial (`not_holder` or `rate_exceeded`)."""
         account = self._find_account(share, lease, now)
         if account is None:
             return messages.TokenDenial('not_holder', 0.0)
@@ -97,9 +96,7 @@
                 self._next_id, request, self._terms, lease.until, now
             )
         if known is None:
-            wait = account.bucket.find_wait(1)
-            seconds = wait.total_seconds() if wait is not None else 3600.0
-            return messages.TokenDenial('rate_exceeded', seconds, account.left)
+            return _make_denial(account)
         valid_s = (known.expires - now).total_seconds()
         return messages.TokenGrant(
             known.grant_id, known.amount, valid_s, account.left
@@ -145,11 +142,9 @@
         one loan for a share is under way at a time. A holder that is asked
         for a loan does not borrow, or loans would chase each other.
         """
-        index = request.share
         if request.have_ratio >= 0 or len(shares) == 1:
             return None
-        share = shares[index]
-        account = self._accounts.get((share.customer, index))
+        account = self._accounts.get((request.customer, request.share))
         if account is None or account.pending or account.borrow_at > now:
             return None
         chosen = account.choose_loan(shares, now)
@@ -158,16 +153,11 @@
         lender, amount = chosen
         request_id = f'loan-{self._random.getrandbits(64):016x}'
         account.pending[request_id] = now
-        return Ask(
-            lender,
-            messages.TakeTokens(
-                share.customer,
-                lender.index,
-                amount,
-                request_id,
-                have_ratio=account.fill_ratio,
-            ),
+        message = messages.TakeTokens(
+            request.customer, lender.index, amount, request_id
         )
+        fill = account.fill_ratio
+        return Ask(lender, message._replace(have_ratio=fill))
 
     def take_loan_reply(
         self,
@@ -236,6 +226,12 @@
                 del self._accounts[key]
 
 
+def _make_denial(account: accounts.Account) -> messages.TokenDenial:
+    wait = account.bucket.find_wait(1)
+    wait_s = wait.total_seconds() if wait is not None else NEVER_S
+    return messages.TokenDenial('rate_exceeded', wait_s, account.left)
+
+
 def _list_parts(
     customer: configuration.Customer,
     domains: tuple[str, ...],
--- a/cranberryscale/process/facts.py
+++ b/cranberryscale/process/facts.py
@@ -40,6 +40,9 @@
     failures: int = 0
 
 
+UNKNOWN = ShareFacts()
+
+
 def _guess_fill(
     share: bucket_module.Share, facts: ShareFacts, now: datetime.timedelta
 ) -> float:
@@ -70,29 +73,25 @@
 ) -> tuple[bucket_module.Share, ...]:
     """Return the shares worth asking now, the best first.
 
-    The share that is probably fullest comes first. `ties` has a random
-    number from 0 to 1 for each share; among equally full shares it chooses
-    in proportion to the rates, so that callers who know nothing spread over
-    the shares as these accrue. Once a share was silent, the own failure
-    domain's share comes before the others, and silent ones come last.
-    Shares that denied or were silent recently are left out.
+    The probably fullest comes first. `ties`, random numbers from 0 to 1 for
+    each share, choose among equals in proportion to the rates, as the shares
+    accrue. Once a share was silent, the own failure domain's comes first and
+    silent ones last. Shares that denied or were silent just now are left out.
     """
-    none = ShareFacts()
     silent = any(fact.failures for fact in facts.values())
 
     def rank(share):
-        fact = facts.get(share.index, none)
+        fact = facts.get(share.index, UNKNOWN)
         near = silent and share.resource.cell == domain
         fill = round(_guess_fill(share, fact, now), 1)
-        weight = max(share.rate_per_s, 1e-6)
         # The largest of u ** (1 / weight) is a choice by weight.
-        chance = -(ties[share.index] ** (1 / weight))
+        chance = -(ties[share.index] ** (1 / max(share.rate_per_s, 1e-6)))
         return fact.failures > 0, not near, -fill, chance
 
     open_shares = (
         share
         for share in shares
-        if facts.get(share.index, none).blocked_until <= now
+        if facts.get(share.index, UNKNOWN).blocked_until <= now
     )
     return tuple(sorted(open_shares, key=rank))
 
--- a/cranberryscale/process/once.py
+++ b/cranberryscale/process/once.py
@@ -131,6 +131,21 @@
             del self._entries[key]
 
 
+def _register(
+    memory: OnceMemory, request: messages.TakeTokens, now: datetime.timedelta
+) -> messages.TokenDenial | None:
+    try:
+        state = memory.begin(
+            request.customer, request.once_key, request.request_id, now
+        )
+    except errors.RequestError as error:
+        wait_s = error.retry_after.total_seconds()
+        return messages.TokenDenial(error.code, wait_s)
+    if state is State.STARTED:
+        return None
+    return messages.TokenDenial(f'duplicate_{state.value}', 1.0)
+
+
 def take_tokens_once(
     holder: budgets.BudgetHolder,
     memory: OnceMemory,
@@ -141,24 +156,18 @@
 ) -> messages.TokenGrant | messages.TokenDenial:
     """Answer TakeTokens, registering its once key first if it has one.
 
-    A grant of 0 tokens means that the key is registered but the share is
-    empty; the sender takes its token from another share, and reports the
-    request as not run if it gets none.
+    A grant of 0 tokens means: registered, but the share is empty. The sender
+    asks other shares and reports the request as not run if it gets none.
     """
     if not request.once_key:
         return holder.take_tokens(request, share, lease, now)
-    valid = lease if lease is not None and lease.until > now else None
-    if not memory.follow_lease(request.customer, valid):
+    if lease is not None and lease.until <= now:
+        lease = None
+    if not memory.follow_lease(request.customer, lease):
         return messages.TokenDenial('not_holder', 0.0)
-    try:
-        state = memory.begin(
-            request.customer, request.once_key, request.request_id, now
-        )
-    except errors.RequestError as error:
-        wait_s = error.retry_after.total_seconds()
-        return messages.TokenDenial(error.code, wait_s)
-    if state is not State.STARTED:
-        return messages.TokenDenial(f'duplicate_{state.value}', 1.0)
+    refusal = _register(memory, request, now)
+    if refusal is not None:
+        return refusal
     reply = holder.take_tokens(request, share, lease, now)
     if isinstance(reply, messages.TokenDenial):
         return messages.TokenGrant(0, 0, 0.0, reply.left)
--- a/cranberryscale_bench/budgets.py
+++ b/cranberryscale_bench/budgets.py
@@ -4,14 +4,12 @@
 from collections.abc import Iterable
 import functools
 import itertools
-import statistics
 import sys
 
 from hdrh import histogram
 
 from cranberryscale.process import bucket
 from cranberryscale.process import budgets
-from cranberryscale.version import configuration
 from cranberryscale_bench import fakes
 from cranberryscale_bench import measures
 from cranberryscale_bench import results
@@ -23,6 +21,7 @@
 
 # "Just under its rate": what a caller that aims at its rate achieves.
 LOAD = 0.95
+Case = Callable[[], Iterable[results.Result]]
 PATTERNS = ('uniform', 'one', 'moving', 'bursts')
 QUICK_CASES = frozenset(
     (
@@ -47,6 +46,17 @@
     )
 
 
+def _measure_alone(run: runs.Run, parts: int) -> float:
+    return max(
+        measures.find_over_admission(
+            measures.admit_alone(run.arrivals, c, parts),
+            c.rate_per_s,
+            c.burst_requests,
+        )
+        for c in run.customers
+    )
+
+
 def _run_over_admission(
     fault_names: tuple[str, ...],
 ) -> Iterable[results.Result]:
@@ -57,19 +67,7 @@
     run = runs.run_fleet(
         runs.Scenario(customers, 'uniform', loads, 30.0, fault_names)
     )
-    baselines = [
-        max(
-            measures.find_over_admission(
-                measures.admit_alone(
-                    run.arrivals, c, runs.INSTANCES if split else 1
-                ),
-                c.rate_per_s,
-                c.burst_requests,
-            )
-            for c in customers
-        )
-        for split in (True, False)
-    ]
+    baselines = [_measure_alone(run, parts) for parts in (runs.INSTANCES, 1)]
     _log(case=case, split_baseline=baselines[0], full_baseline=baselines[1])
     yield results.Result(
         case,
@@ -169,22 +167,6 @@
     yield from _report_wrongful(case, kept, 0.01)
 
 
-def _list_success_ratios(
-    run: runs.Run,
-    customers: Iterable[configuration.Customer],
-    admitted: Callable[[int], bool],
-) -> list[float]:
-    """Return each customer's part of the requests inside its rate."""
-    inside = measures.find_inside_rate(run.arrivals, customers)
-    owners = [(run.arrivals[number][1], number) for number in inside]
-    return [
-        statistics.fmean(
-            admitted(number) for name, number in owners if name == c.name
-        )
-        for c in customers
-    ]
-
-
 def _run_fairness() -> Iterable[results.Result]:
     """Offer 5 times one customer's rate and LOAD of the others'."""
     case = 'budget_isolation'
@@ -192,8 +174,8 @@
     loads = {c.name: LOAD for c in customers} | {customers[0].name: 5.0}
     run = runs.run_fleet(runs.Scenario(customers, 'uniform', loads, 30.0))
     split = measures.decide_alone(run.arrivals, customers, runs.INSTANCES)
-    ratios = _list_success_ratios(run, customers[1:], run.is_admitted)
-    alone = _list_success_ratios(run, customers[1:], split.__contains__)
+    ratios = runs.list_success_ratios(run, customers[1:], run.is_admitted)
+    alone = runs.list_success_ratios(run, customers[1:], split.__contains__)
     # With the full rate at each instance nothing is refused.
     _log(
         case=case,
@@ -269,40 +251,37 @@
         yield from _report_wrongful(name, run, bound)
 
 
-def list_cases() -> dict[str, Callable[[], Iterable[results.Result]]]:
-    """Return the cases by name."""
+def _list_over_cases() -> dict[str, Case]:
     singles = ((), *((fault,) for fault in workloads.FAULTS))
     pairs = itertools.combinations(workloads.FAULTS, 2)
-    over = {
+    return {
         '_'.join(('over_admission', *names)): functools.partial(
             _run_over_admission, names
         )
         for names in (*singles, *pairs)
     }
-    wrongful = {
-        f'wrongful_refusal_{pattern}': functools.partial(
-            _run_wrongful, pattern
-        )
-        for pattern in PATTERNS
-    }
-    lost = {
-        f'wrongful_refusal_holder_lost_load_{load}': functools.partial(
-            _run_loss, load
-        )
-        for load in (0.6, LOAD)
-    }
-    floors = {
-        f'wrongful_refusal_floor_{part}': functools.partial(_run_floor, part)
-        for part in (0.0, 0.3, 0.6)
-    }
-    drifts = {
-        f'over_admission_clocks_1_percent_allowing_{ratio}': (
-            functools.partial(_run_drift, ratio)
-        )
-        for ratio in (0.0005, 0.01)
+
+
+def list_cases() -> dict[str, Case]:
+    """Return the cases by name."""
+    variants = (
+        ('wrongful_refusal', _run_wrongful, PATTERNS),
+        ('wrongful_refusal_holder_lost_load', _run_loss, (0.6, LOAD)),
+        ('wrongful_refusal_floor', _run_floor, (0.0, 0.3, 0.6)),
+        (
+            'over_admission_clocks_1_percent_allowing',
+            _run_drift,
+            (0.0005, 0.01),
+        ),
+    )
+    varied = {
+        f'{name}_{value}': functools.partial(run, value)
+        for name, run, values in variants
+        for value in values
     }
-    isolation = {
+    return {
+        **_list_over_cases(),
+        **varied,
         'budget_isolation': _run_fairness,
         'wrongful_refusal_small': _run_small,
     }
-    return over | wrongful | lost | floors | drifts | isolation
--- a/cranberryscale_bench/runs.py
+++ b/cranberryscale_bench/runs.py
@@ -1,6 +1,9 @@
 """Runs of the budget objects of a whole fleet over fakes."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import random
+import statistics
 from typing import NamedTuple
 
 from cranberryscale.process import attempts
@@ -10,11 +13,12 @@
 from cranberryscale.version import view as view_module
 from cranberryscale_bench import fakes
 from cranberryscale_bench import fleet
+from cranberryscale_bench import measures
 from cranberryscale_bench import workloads
 
 
 __all__ = ['DOMAINS', 'INSTANCES', 'SEED', 'Run', 'Scenario', 'find_holders']
-__all__ += ['keep', 'run_fleet']
+__all__ += ['keep', 'list_success_ratios', 'run_fleet']
 
 INSTANCES = 44
 DOMAINS = ('d0', 'd1', 'd2')
@@ -130,3 +134,19 @@
     }
     arrivals = [run.arrivals[number] for number in ordered]
     return run._replace(arrivals=arrivals, outcomes=outcomes)
+
+
+def list_success_ratios(
+    run: Run,
+    customers: Iterable[configuration.Customer],
+    admitted: Callable[[int], bool],
+) -> list[float]:
+    """Return each customer's part of the requests inside its rate."""
+    inside = measures.find_inside_rate(run.arrivals, customers)
+    owners = [(run.arrivals[number][1], number) for number in inside]
+    return [
+        statistics.fmean(
+            admitted(number) for name, number in owners if name == c.name
+        )
+        for c in customers
+    ]
