Settle each token when its request starts or is refused

Cause: a token was reported as spent when it was taken out, although its request may start later, and the token of a request that did not run was lost to its customer. Change: a token occupies the burst until its request has started or it expired; unspent ones serve the next request; a refused request frees its idempotency key. The property test starts requests late on purpose. Conclusion: the bound on rate and burst holds at the start of requests.

--- a/cranberryscale/facts.py
+++ b/cranberryscale/facts.py
@@ -91,11 +91,11 @@
             plans = self._node.take_reports(self.facts.read_elapsed())
         self._driver.start(plans)
 
-    def return_tokens(self, customer: str) -> None:
-        """Keep the token of a request that did not run for the next one."""
+    def settle_token(self, request_id: str, is_spent: bool) -> None:
+        """End the use of a request's token."""
         with self._driver.lock:
-            self._node.admission.return_token(
-                customer, self.facts.read_elapsed()
+            self._node.admission.settle_token(
+                request_id, is_spent, self.facts.read_elapsed()
             )
 
     def finish_once(
--- a/cranberryscale/process/allotments.py
+++ b/cranberryscale/process/allotments.py
@@ -1,5 +1,6 @@
 """Tokens that an entry instance holds for its next requests."""
 
+import collections
 import datetime
 from typing import NamedTuple
 
@@ -41,6 +42,7 @@
         self.seen_at = now
         self.asked: dict[str, int] = {}
         self.spent: dict[int, list[int]] = {}
+        self.unsettled: collections.Counter[int] = collections.Counter()
         self.pausing = 0
         self.refused_ratio = 0.0
 
@@ -111,22 +113,39 @@
             state = self._states[customer] = CustomerState(now)
         return state
 
-    def spend(self, customer: str, now: datetime.timedelta) -> bool:
-        """Spend one token that is valid now, the one that expires first."""
+    def spend(self, customer: str, now: datetime.timedelta) -> Lot | None:
+        """Take out one token that is valid now, the one that expires first.
+
+        The token occupies the burst until it is settled or expires, so its
+        request must start before then; `settle` must follow.
+        """
         state = self._states.get(customer)
         if state is None:
-            return False
+            return None
         state.advance(now)
         if not state.lots:
-            return False
+            return None
         lot = min(state.lots, key=lambda held: held.expires)
         state.lots.remove(lot)
         if lot.amount > 1:
             state.lots.append(lot._replace(amount=lot.amount - 1))
-        else:
-            spent = state.spent.setdefault(lot.share.index, [])
-            spent.append(lot.grant_id)
-        return True
+        state.unsettled[lot.grant_id] += 1
+        return lot._replace(amount=1)
+
+    def settle(
+        self, token: Lot, is_spent: bool, now: datetime.timedelta
+    ) -> None:
+        """Record that a request started, or keep its token for another."""
+        state = self.find_state(token.share.customer, now)
+        state.unsettled[token.grant_id] -= 1
+        if not is_spent and token.expires > now:
+            state.lots.append(token)
+        held = {lot.grant_id for lot in state.lots}
+        if state.unsettled[token.grant_id] <= 0:
+            del state.unsettled[token.grant_id]
+            if is_spent and token.grant_id not in held:
+                spent = state.spent.setdefault(token.share.index, [])
+                spent.append(token.grant_id)
 
     def add_grant(
         self,
@@ -209,6 +228,8 @@
     def drop_idle(self, now: datetime.timedelta) -> None:
         """Forget customers that sent nothing for a while."""
         for customer, state in list(self._states.items()):
-            busy = state.asked or state.pausing or state.lots
+            busy = (
+                state.asked or state.pausing or state.lots or state.unsettled
+            )
             if not busy and state.seen_at + IDLE <= now:
                 del self._states[customer]
--- a/cranberryscale/process/attempts.py
+++ b/cranberryscale/process/attempts.py
@@ -24,9 +24,13 @@
 
 
 class Admitted(NamedTuple):
-    """Let the request run; a token was spent at `at`."""
+    """Let the request start before its token expires.
+
+    The token was taken out at `at` and must be settled.
+    """
 
     at: datetime.timedelta
+    token: allotments_module.Lot
 
 
 class Refused(NamedTuple):
@@ -88,7 +92,7 @@
             refusal = _judge_once(answer)
             if refusal is not None:
                 return refusal
-        while not self._allotments.spend(self._customer, now):
+        while not (token := self._allotments.spend(self._customer, now)):
             share = self._choose_share(state, now)
             if share is not None:
                 now = (yield from self._ask(share, now)).now
@@ -100,7 +104,7 @@
                 return refusal
             now = yield from self._pause(state, delay)
         state.count_outcome(False)
-        return Admitted(now)
+        return Admitted(now, token)
 
     def _ask(
         self,
--- a/cranberryscale/process/holding.py
+++ b/cranberryscale/process/holding.py
@@ -24,7 +24,8 @@
 
 SURVEY_PAUSE = datetime.timedelta(seconds=0.25)
 SUMMARY_PAUSE = datetime.timedelta(seconds=1)
-RETURN_MARGIN = datetime.timedelta(milliseconds=20)
+# Over the 50 ms between two calls, so that no loan expires in between.
+RETURN_MARGIN = datetime.timedelta(milliseconds=55)
 
 
 class Fleet(NamedTuple):
--- a/cranberryscale/request/admission.py
+++ b/cranberryscale/request/admission.py
@@ -30,7 +30,8 @@
 ZERO = datetime.timedelta()
 RETRY_S = 0.25
 REPORT_ATTEMPTS = 4
-RETURN_MARGIN = datetime.timedelta(milliseconds=15)
+# Over the 50 ms between two calls, so that no token expires in between.
+RETURN_MARGIN = datetime.timedelta(milliseconds=55)
 REPORT_PAUSE = datetime.timedelta(milliseconds=50)
 
 # Of several denials, the one that tells the caller most goes first.
@@ -64,6 +65,7 @@
         self._silent_until: dict[str, datetime.timedelta] = {}
         self._busy_until: dict[ledger.Pool, datetime.timedelta] = {}
         self._reports: dict[ledger.Pool, list[messages.PermitReport]] = {}
+        self._tokens: dict[str, Any] = {}
         self._indexed: configuration.Configuration | None = None
         self._domains: dict[str, tuple[str, ...]] = {}
 
@@ -78,6 +80,8 @@
         shares = placement.list_shares(
             self._fleet.get_configuration(), customer
         )
+        # A token that was asked for before may have been spent.
+        self.settle_token(request_id, True, now)
         if not shares:
             return actions.Denied('key_unknown')
         attempt = attempts.Attempt(
@@ -94,7 +98,11 @@
             try:
                 step = steps.send(event)
             except StopIteration as end:
-                return self._judge_tokens(end.value)
+                if once_key and isinstance(end.value, attempts.Refused):
+                    yield from self._forget_once(
+                        customer, once_key, request_id, end.value, now
+                    )
+                return self._judge_tokens(request_id, end.value)
             match step:
                 case budgets.Ask():
                     event = yield from self._ask_share(step, now)
@@ -102,6 +110,16 @@
                 case attempts.Pause(delay):
                     now = event = (yield calls.Wait(delay)).now
 
+    def _forget_once(self, customer, once_key, request_id, end, now):
+        """Free an idempotency key that was registered but got no token.
+
+        Otherwise the caller's next attempt would be refused as a duplicate.
+        """
+        if not end.code.startswith('duplicate_'):
+            yield from self.plan_finish_once(
+                customer, once_key, request_id, errors.NOT_RUN, now
+            )
+
     def _ask_share(self, ask: budgets.Ask, now: datetime.timedelta):
         holder = self._fleet.find_holder(ask.share.resource)
         if self._silent_until.get(holder, ZERO) > now:
@@ -112,14 +130,24 @@
         self._note_reply(holder, reply)
         return share_facts.Answer(reply.message, reply.sent_at, reply.now)
 
-    def _judge_tokens(self, end) -> actions.TokensGranted | actions.Denied:
+    def _judge_tokens(
+        self, request_id: str, end: attempts.Admitted | attempts.Refused
+    ) -> actions.TokensGranted | actions.Denied:
         match end:
-            case attempts.Admitted(at=at):
-                # The token is spent; what remains is to start in time.
-                return actions.TokensGranted(at + self._fleet.peer_timeout)
+            case attempts.Admitted(token=token):
+                self._tokens[request_id] = token
+                return actions.TokensGranted(token.expires)
             case attempts.Refused(code=code, retry_after=retry_after):
                 return actions.Denied(code, retry_after)
 
+    def settle_token(
+        self, request_id: str, is_spent: bool, now: datetime.timedelta
+    ) -> None:
+        """End the use of a request's token, which may serve another."""
+        token = self._tokens.pop(request_id, None)
+        if token is not None:
+            self.allotments.settle(token, is_spent, now)
+
     def _note_reply(self, holder: str | None, reply: calls.Reply) -> None:
         if holder is None or reply.error is None:
             return
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -39,8 +39,8 @@
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Give a permit back; must not block."""
 
-    def return_tokens(self, customer: str) -> None:
-        """Give back the token of a request that did not run."""
+    def settle_token(self, request_id: str, is_spent: bool) -> None:
+        """End the use of a request's token; unspent it serves another."""
 
     def finish_once(
         self, customer: str, once_key: str, request_id: str, ran: str
@@ -125,8 +125,10 @@
                 transfer.request_id,
                 outcome.ran,
             )
-        if outcome.has_unspent:
-            self.fleet.return_tokens(outcome.customer)
+        if outcome.customer:
+            self.fleet.settle_token(
+                transfer.request_id, not outcome.has_unspent
+            )
 
     def finish(
         self, transfer: transfers.Transfer, outcome: actions.Outcome
--- a/cranberryscale_bench/fleet.py
+++ b/cranberryscale_bench/fleet.py
@@ -169,6 +169,9 @@
             action = next(steps) if event is None else steps.send(event)
         except StopIteration as stop:
             self.outcomes[number] = (at_s, stop.value)
+            if isinstance(stop.value, attempts.Admitted):
+                now = instance.read(at_s)
+                instance.entry.settle(stop.value.token, True, now)
             return
 
         def go_on(reply, end_s):
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -77,8 +77,9 @@
     def report_permit(self, action):
         self.reports.append(action.outcome)
 
-    def return_tokens(self, customer):
-        self.returned.append(customer)
+    def settle_token(self, request_id, is_spent):
+        if not is_spent:
+            self.returned.append(request_id)
 
     def finish_once(self, customer, once_key, request_id, ran):
         self.finished.append(ran)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -71,6 +71,7 @@
         ]
         self.letters = []
         self.spent_s = []
+        self.tokens = []
         self.count = 0
 
     def replace_holder(self):
@@ -133,6 +134,15 @@
             )
         )
 
+    def start_requests(self, entry, now):
+        """Start the requests of tokens taken out before, if in time."""
+        kept = [pair for pair in self.tokens if pair[0] is not entry]
+        for _, token in (p for p in self.tokens if p[0] is entry):
+            if now < token.expires:
+                self.spent_s.append(self.at_us / 1e6)
+            entry.settle(token, True, now)
+        self.tokens = kept
+
     def run(self, operation, number):
         """Run one random operation."""
         entry, speed = self.entries[number % 2]
@@ -149,8 +159,9 @@
                     self.letters.remove(letter)
                 letter()
             case 'spend':
-                while entry.spend('c', self.read(speed)):
-                    self.spent_s.append(self.at_us / 1e6)
+                self.start_requests(entry, self.read(speed))
+                while token := entry.spend('c', self.read(speed)):
+                    self.tokens.append((entry, token))
             case 'return':
                 asks = entry.collect_returns(self.read(speed), seconds(1))
                 for ask in asks:
@@ -281,6 +292,21 @@
     assert not entry.spend('c', seconds(1.05))
 
 
+def test_unspent_token_serves_the_next_request():
+    """A request that did not run must not cost its customer a token."""
+    entry = allotments.Allotments(bucket.Terms())
+    entry.add_grant(
+        SHARE, messages.TokenGrant(1, 1, 0.05), seconds(1), seconds(1.01)
+    )
+    token = entry.spend('c', seconds(1.01))
+    assert entry.spend('c', seconds(1.01)) is None
+    entry.settle(token, False, seconds(1.02))
+    token = entry.spend('c', seconds(1.02))
+    assert entry.make_ask(SHARE, 'r1', seconds(1.02)).message.spent == ()
+    entry.settle(token, True, seconds(1.03))
+    assert entry.make_ask(SHARE, 'r2', seconds(1.03)).message.spent == (1,)
+
+
 def test_second_reply_is_ignored():
     """A duplicated reply must not be credited twice."""
     entry = allotments.Allotments(bucket.Terms())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -521,7 +521,7 @@
     stack.fleet.ask_permit = permit
     assert b'Retry-After: 1' in data
     assert wait_for(lambda: errors.NOT_RUN in stack.fleet.finished)
-    assert stack.fleet.returned == ['c1']
+    assert len(stack.fleet.returned) == 1
 
 
 def test_half_sent_head_closes_quietly(stack):
