--- /dev/null
+++ b/cranberryscale_bench/whole.py
@@ -0,0 +1,242 @@
+"""Measurements of a whole fleet of processes on loopback.
+
+Latency of the whole path (key, budget, permit, forward) at one instance
+against a direct request to the same backend servers, and what an instance
+without requests costs at several fleet sizes.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import functools
+import itertools
+import multiprocessing
+import pathlib
+import random
+import re
+import tempfile
+import threading
+import time
+
+from hdrh import histogram
+import urllib3
+
+from cranberryscale_bench import results
+from standins import fleet
+
+
+__all__ = ['list_cases']
+
+SEED = 20261204
+EXAMPLE = pathlib.Path(__file__).parent.parent / 'examples' / 'ponte-nova'
+KEY = 'pn-example-alfama-walks-1'
+RATES = (50, 100, 200)
+SIZES = (4, 11, 22, 44)
+INSTANCES = 12
+WARM_UP_S = 2.0
+DURATION_S = 8.0
+SETTLE_S = 5.0
+IDLE_S = 15.0
+CONNECTIONS = 16
+SERVICE_MS = 10.0
+TICKS_PER_S = 100
+ADDED_P99_BOUND_MS = 4.3
+CPU_BOUND_PERCENT = 1.2
+MEMORY_BOUND_MIB = 256.0
+BYTES_BOUND_PER_S = 2048.0
+
+_SPAWN = multiprocessing.get_context('spawn')
+
+
+def _plan_arrivals(rate_per_s: float) -> list[float]:
+    rng = random.Random(SEED)
+    gaps = (rng.expovariate(rate_per_s) for _ in itertools.count())
+    total_s = WARM_UP_S + DURATION_S
+    return list(
+        itertools.takewhile(lambda t: t < total_s, itertools.accumulate(gaps))
+    )
+
+
+class _Load:
+    """Send requests when they are due; latency counts from then."""
+
+    def __init__(self, addresses: list[str], rate_per_s: float):
+        self._addresses = addresses
+        self._due = iter(enumerate(_plan_arrivals(rate_per_s)))
+        self._lock = threading.Lock()
+        self._start = time.monotonic() + 0.5
+        self.latencies_us = histogram.HdrHistogram(1, 60_000_000, 3)
+        self.codes: dict[int, int] = {}
+
+    def _take(self) -> tuple[int, float] | None:
+        with self._lock:
+            return next(self._due, None)
+
+    def _work(self) -> None:
+        http = urllib3.PoolManager(retries=False, maxsize=1)
+        while (taken := self._take()) is not None:
+            number, offset = taken
+            time.sleep(max(self._start + offset - time.monotonic(), 0))
+            address = self._addresses[number % len(self._addresses)]
+            answer = http.request(
+                'GET',
+                f'http://{address}/events',
+                headers={'X-Api-Key': KEY},
+                timeout=10,
+            )
+            late_us = (time.monotonic() - self._start - offset) * 1e6
+            if offset >= WARM_UP_S:
+                with self._lock:
+                    self.latencies_us.record_value(max(1, int(late_us)))
+                    codes = self.codes
+                    codes[answer.status] = codes.get(answer.status, 0) + 1
+
+    def run(self) -> None:
+        workers = [
+            threading.Thread(target=self._work) for _ in range(CONNECTIONS)
+        ]
+        for worker in workers:
+            worker.start()
+        for worker in workers:
+            worker.join()
+
+
+def _run_load(pipe, addresses: list[str], rate_per_s: float) -> None:
+    load = _Load(addresses, rate_per_s)
+    load.run()
+    values = load.latencies_us
+    pipe.send(
+        (
+            values.get_value_at_percentile(50) / 1000,
+            values.get_value_at_percentile(99) / 1000,
+            load.codes,
+        )
+    )
+
+
+def _measure_load(addresses: list[str], rate_per_s: float):
+    near, far = _SPAWN.Pipe()
+    process = _SPAWN.Process(
+        target=_run_load, args=(far, addresses, rate_per_s)
+    )
+    process.start()
+    found = near.recv()
+    process.join()
+    return found
+
+
+def _run_fleet(count: int) -> fleet.LocalFleet:
+    folder = tempfile.TemporaryDirectory(prefix='cranberryscale-bench-')
+    one = fleet.LocalFleet(
+        EXAMPLE, pathlib.Path(folder.name), count, service_ms=SERVICE_MS
+    )
+    # Kept until the fleet object is dropped.
+    one.temporary = folder
+    return one
+
+
+def _measure_latency() -> Iterable[results.Result]:
+    with _run_fleet(INSTANCES) as one:
+        time.sleep(SETTLE_S)
+        servers = [
+            server.address
+            for server in one.configuration.servers.values()
+            if server.service == 'events'
+        ]
+        entry = [one.members[0].callers]
+        for rate in RATES:
+            case = f'whole_path_{rate}'
+            direct = _measure_load(servers, rate)
+            through = _measure_load(entry, rate)
+            refused = sum(n for c, n in through[2].items() if c != 200)
+            rows = (
+                ('added_latency_p50_ms', through[0] - direct[0], None),
+                (
+                    'added_latency_p99_ms',
+                    through[1] - direct[1],
+                    ADDED_P99_BOUND_MS,
+                ),
+            )
+            for measure, value, bound in rows:
+                yield results.Result(
+                    case,
+                    measure,
+                    round(value, 3),
+                    None,
+                    bound,
+                    'ms',
+                    results.PROCESS,
+                    SEED,
+                )
+            yield results.Result(
+                case,
+                'refused_requests',
+                refused,
+                None,
+                None,
+                'requests',
+                results.PROCESS,
+                SEED,
+            )
+
+
+def _read_processor_s(pid: int) -> float:
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / TICKS_PER_S
+
+
+def _read_memory_mib(pid: int) -> float:
+    text = pathlib.Path(f'/proc/{pid}/status').read_text()
+    return int(re.search(r'VmRSS:\s+(\d+)', text)[1]) / 1024
+
+
+def _read_control_bytes(one: fleet.LocalFleet, member: fleet.Member) -> float:
+    url = f'http://{member.operators}/metrics'
+    text = one.http.request('GET', url).data.decode()
+    found = re.search(r'control_bytes_sent ([0-9.e+]+)', text)
+    return float(found[1])
+
+
+def _measure_cost(count: int) -> Iterable[results.Result]:
+    with _run_fleet(count) as one:
+        time.sleep(SETTLE_S)
+        pids = {m: one.processes[m.name].pid for m in one.members}
+        before = {
+            m: (_read_processor_s(pid), _read_control_bytes(one, m))
+            for m, pid in pids.items()
+        }
+        time.sleep(IDLE_S)
+        rows = []
+        for member, pid in pids.items():
+            cpu_s, sent = before[member]
+            used_s = _read_processor_s(pid) - cpu_s
+            bytes_sent = _read_control_bytes(one, member) - sent
+            rows.append((used_s / IDLE_S * 100, bytes_sent / IDLE_S, pid))
+        memory = max(_read_memory_mib(pid) for _, _, pid in rows)
+    mean_cpu = sum(row[0] for row in rows) / count
+    mean_bytes = sum(row[1] for row in rows) / count
+    values = (
+        ('control_cpu_percent', mean_cpu, CPU_BOUND_PERCENT, '% of a core'),
+        ('control_bytes_per_s', mean_bytes, BYTES_BOUND_PER_S, 'bytes/s'),
+        ('memory_mib', memory, MEMORY_BOUND_MIB, 'MiB'),
+    )
+    for measure, value, bound, unit in values:
+        yield results.Result(
+            f'idle_fleet_{count}',
+            measure,
+            round(value, 2),
+            None,
+            bound,
+            unit,
+            results.PROCESS,
+            SEED,
+        )
+
+
+def list_cases() -> dict[str, Callable[[], Iterable[results.Result]]]:
+    """Return the cases by name."""
+    sizes = {
+        f'idle_fleet_{size}': functools.partial(_measure_cost, size)
+        for size in SIZES
+    }
+    return {'whole_path': _measure_latency} | sizes
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,36 @@
+"""Guard that every promise has a row and every row an existing test."""
+
+import pathlib
+import re
+
+
+ROOT = pathlib.Path(__file__).parent.parent
+PROMISES = 11
+FAULTS = 10
+
+
+def _read_rows():
+    text = (ROOT / 'docs' / 'promises.md').read_text('utf-8')
+    _, promises, faults = re.split(r'^## ', text, flags=re.MULTILINE)
+    rows = [
+        [cell.strip() for cell in line.strip('|').split('|')]
+        for part in (promises, faults)
+        for line in part.splitlines()
+        if line.startswith('| ')
+    ]
+    return [row for row in rows if row[0] not in ('promise', 'fault')]
+
+
+def test_every_row_names_existing_tests():
+    """A promise without a failing check behind it is a wish."""
+    known = {
+        name
+        for path in (ROOT / 'tests').glob('test_*.py')
+        for name in re.findall(r'^def (test_\w+)', path.read_text(), re.M)
+    }
+    rows = _read_rows()
+    assert len(rows) == PROMISES + FAULTS
+    for row in rows:
+        named = re.findall(r'`(test_\w+)`', row[2])
+        assert named, row[0]
+        assert set(named) <= known, (row[0], set(named) - known)
