--- a/cranberryscale/process/holding.py
+++ b/cranberryscale/process/holding.py
@@ -124,6 +124,7 @@
         lease = self._find_lease(pool, now)
         reply = holder.request_permit(message, sender, lease, now)
         if isinstance(reply, pools.Queued):
+            self._resolve(pool, holder.advance(lease, now))
             return Ticket(pool, reply.ticket)
         return reply
 
