Record how long tokens and permits take

Cause: the whole path took 11 ms more than the gateway's own cost at 100 requests/s and nothing told where. Change: step_seconds with labels tokens and permit.

--- a/cranberryscale/facts.py
+++ b/cranberryscale/facts.py
@@ -7,6 +7,8 @@
 from cranberryscale import driver
 from cranberryscale import errors
 from cranberryscale import node
+from cranberryscale.process import calls
+from cranberryscale.process import metrics
 from cranberryscale.request import actions
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
@@ -56,8 +58,14 @@
 class GatewayFleet:
     """Do what the gateway needs from other instances."""
 
-    def __init__(self, conversations: driver.Driver, facts: Facts):
+    def __init__(
+        self,
+        conversations: driver.Driver,
+        facts: Facts,
+        recorded: metrics.Metrics,
+    ):
         self.facts = facts
+        self._metrics = recorded
         self._driver = conversations
         self._node = conversations.node
 
@@ -65,24 +73,29 @@
         self, action: actions.AskTokens, request_id: str
     ) -> actions.TokensGranted | actions.Denied:
         """Return a token of the customer's budget, or why not."""
-        return self._driver.run(
-            self._node.plan_tokens(
-                action.customer,
-                action.once_key,
-                request_id,
-                self.facts.read_elapsed(),
-            )
+        plan = self._node.plan_tokens(
+            action.customer,
+            action.once_key,
+            request_id,
+            self.facts.read_elapsed(),
         )
+        return self._run('tokens', plan)
 
     def ask_permit(
         self, action: actions.AskPermit, request_id: str
     ) -> actions.PermitGranted | actions.Denied:
         """Return a permit, waiting in the pool's queue if need be."""
-        return self._driver.run(
-            self._node.plan_permit(
-                action, request_id, self.facts.read_elapsed()
-            )
+        plan = self._node.plan_permit(
+            action, request_id, self.facts.read_elapsed()
         )
+        return self._run('permit', plan)
+
+    def _run(self, step: str, plan: calls.Plan):
+        began = self.facts.read_elapsed()
+        result = self._driver.run(plan)
+        taken = self.facts.read_elapsed() - began
+        self._metrics.record('step_seconds', taken, step=step)
+        return result
 
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Give a permit back; the report is sent by another thread."""
--- a/cranberryscale/instance.py
+++ b/cranberryscale/instance.py
@@ -60,7 +60,7 @@
         self.facts = facts.Facts(self.node, self.driver.lock, self.clock)
         self.watcher = watcher.Watcher(self)
         self.gateway = gateway.Gateway(
-            facts.GatewayFleet(self.driver, self.facts),
+            facts.GatewayFleet(self.driver, self.facts, self.metrics),
             backends.Backends(
                 self.clock,
                 datetime.timedelta(seconds=options.timeouts.connect_s),
