Read the process's memory after exec and resolve the change slope

ru_maxrss counted the parent's memory before exec: 105 MiB instead of 51.5. With 1,000 to 8,000 customers the slope of a change was lost in the noise, so 4,000 to 32,000 are used.

--- a/cranberryscale_bench/capacity.py
+++ b/cranberryscale_bench/capacity.py
@@ -222,7 +222,7 @@
 
 def list_cases() -> dict[str, Callable[[], Iterable[results.Result]]]:
     """Return the measurements by name."""
-    teams = (1000, 2000, 4000, 8000)
+    teams = (4000, 16000, 32000)
     cases: dict[str, tuple[str, tuple[int, ...], Any]] = {
         'gossip': ('member', MEMBERS, _measure_gossip),
         'member': ('member', MEMBERS, _measure_member),
--- a/cranberryscale_bench/capacity_wire.py
+++ b/cranberryscale_bench/capacity_wire.py
@@ -30,9 +30,11 @@
 # read returns; acknowledgements that carry no data are not counted.
 PACKET_HEADER_BYTES = 40
 
+# Not ru_maxrss, which counts what the parent had in use before exec.
 _READ_MEMORY = (
-    'import resource, cranberryscale.instance as _\n'
-    'print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)'
+    'import cranberryscale.instance as _\n'
+    'lines = open("/proc/self/status").read().splitlines()\n'
+    'print(next(x.split()[1] for x in lines if x.startswith("VmRSS")))'
 )
 _SPAWN = multiprocessing.get_context('spawn')
 _ROSTER = (1 << 62) - 1
