--- /dev/null
+++ b/cranberryscale_bench/mutations.py
@@ -0,0 +1,197 @@
+"""Check that the tests notice broken rules, one mutation at a time.
+
+Each mutation is applied to a copy of the packages in a temporary folder; the
+checkout is never changed. The same tests must pass on an unchanged copy
+first, or a failure would say nothing about the mutation.
+"""
+
+import argparse
+from collections.abc import Iterable
+from collections.abc import Iterator
+from concurrent import futures
+import contextlib
+import os
+import pathlib
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from typing import NamedTuple
+
+from cranberryscale_bench import mutants
+from cranberryscale_bench import pool_mutants
+from cranberryscale_bench import request_mutants
+
+
+__all__ = ['Verdict', 'list_mutations', 'main']
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Beside the packages, the files that tests read.
+COPIED = (
+    'cranberryscale',
+    'cranberryscale_bench',
+    'docs',
+    'examples',
+    'model',
+    'standins',
+    'tests',
+)
+TIME_LIMIT_S = 120
+# The unchanged copy runs all named test files in one process.
+UNCHANGED_LIMIT_S = 300
+PARALLEL = 2
+
+_FAILED = re.compile(r'^(?:FAILED|ERROR) tests/test_(\S+::\S+)', re.M)
+
+
+class Verdict(NamedTuple):
+    """Tell what became of one mutation.
+
+    `result` is "found", "survived", "time limit" or "not run"; `test` is
+    the first failing test.
+    """
+
+    mutation: mutants.Mutation
+    result: str
+    test: str
+    seconds: float
+
+
+def list_mutations() -> tuple[mutants.Mutation, ...]:
+    """Return all mutations."""
+    return (
+        mutants.MUTATIONS + pool_mutants.MUTATIONS + request_mutants.MUTATIONS
+    )
+
+
+@contextlib.contextmanager
+def _copy_sources() -> Iterator[pathlib.Path]:
+    with tempfile.TemporaryDirectory(prefix='mutation-') as name:
+        folder = pathlib.Path(name)
+        for each in COPIED:
+            shutil.copytree(
+                ROOT / each,
+                folder / each,
+                ignore=shutil.ignore_patterns('__pycache__'),
+            )
+        shutil.copy(ROOT / 'pyproject.toml', folder)
+        yield folder
+
+
+def _run_tests(
+    folder: pathlib.Path, names: Iterable[str], limit_s: float
+) -> subprocess.CompletedProcess[str]:
+    paths = [f'tests/test_{name}.py' for name in names]
+    return subprocess.run(  # noqa: S603
+        [sys.executable, '-m', 'pytest', '-x', '--tb=no', '-rfE', *paths],
+        cwd=folder,
+        env=os.environ | {'PYTHONPATH': str(folder)},
+        capture_output=True,
+        text=True,
+        timeout=limit_s,
+    )
+
+
+def _judge(ended: subprocess.CompletedProcess[str]) -> tuple[str, str]:
+    """Return the result and the first failing test.
+
+    A mutant that cannot be imported breaks no rule, so only a failing test
+    counts.
+    """
+    failed = _FAILED.search(ended.stdout)
+    match ended.returncode, failed:
+        case 0, _:
+            return 'survived', ''
+        case 1, re.Match():
+            return 'found', failed[1]
+    return 'not run', ''
+
+
+def _try_mutation(mutation: mutants.Mutation) -> Verdict:
+    began_s = time.monotonic()
+    with _copy_sources() as folder:
+        path = folder / mutation.file
+        before = path.read_text()
+        after = before.replace(mutation.original, mutation.replacement)
+        path.write_text(after)
+        tests = [*mutation.tests, *_list_decisions(mutation)]
+        try:
+            ended = _run_tests(folder, tests, TIME_LIMIT_S)
+            result, test = _judge(ended)
+        except subprocess.TimeoutExpired:
+            result, test = 'time limit', ''
+    if after == before:
+        result = 'not run'
+    return Verdict(mutation, result, test, time.monotonic() - began_s)
+
+
+def _list_decisions(mutation: mutants.Mutation) -> list[str]:
+    """Return the tests of single decisions that belong to the mutation."""
+    names = (f'decisions_{name}' for name in mutation.tests)
+    return [n for n in names if (ROOT / f'tests/test_{n}.py').exists()]
+
+
+def _check_unchanged(chosen: Iterable[mutants.Mutation]) -> str:
+    """Return '' if the tests pass without a mutation, else the failure."""
+    names = sorted(
+        {
+            name
+            for mutation in chosen
+            for name in (*mutation.tests, *_list_decisions(mutation))
+        }
+    )
+    with _copy_sources() as folder:
+        ended = _run_tests(folder, names, UNCHANGED_LIMIT_S)
+    result, test = _judge(ended)
+    return '' if result == 'survived' else test or ended.stdout[-500:]
+
+
+def _print_verdicts(verdicts: Iterable[Verdict]) -> Iterator[Verdict]:
+    for verdict in verdicts:
+        mutation = verdict.mutation
+        found = f'`{verdict.test}`' if verdict.test else verdict.result
+        print(
+            f'| {mutation.name} | {mutation.rule} | {found} '
+            f'| {verdict.seconds:.1f} |',
+            flush=True,
+        )
+        yield verdict
+
+
+def _parse(arguments: list[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    names = [mutation.name for mutation in list_mutations()]
+    parser.add_argument(
+        '--only', action='append', choices=names, metavar='NAME'
+    )
+    parser.add_argument('--list', action='store_true')
+    return parser.parse_args(arguments)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Try the mutations; return 1 unless every one was found."""
+    options = _parse(arguments)
+    chosen = [
+        mutation
+        for mutation in list_mutations()
+        if not options.only or mutation.name in options.only
+    ]
+    if options.list:
+        print('\n'.join(f'{each.name}: {each.rule}' for each in chosen))
+        return 0
+    if failure := _check_unchanged(chosen):
+        print(f'fails without a mutation: {failure}')
+        return 2
+    print('| mutation | rule | found by | seconds |')
+    print('|---|---|---|---|')
+    with futures.ThreadPoolExecutor(PARALLEL) as pool:
+        verdicts = list(_print_verdicts(pool.map(_try_mutation, chosen)))
+    found = sum(verdict.result == 'found' for verdict in verdicts)
+    print(f'\n{found} of {len(verdicts)} mutations found')
+    return 0 if found == len(verdicts) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/cranberryscale_bench/request_mutants.py
@@ -0,0 +1,208 @@
+"""Mutations of configuration, requests, frames and the audit trail."""
+
+from cranberryscale_bench import mutants
+
+
+__all__ = ['MUTATIONS']
+
+
+MUTATIONS = (
+    mutants.Mutation(
+        'tree-version-reversed',
+        'cranberryscale/version/tree.py',
+        'known and manifest.version <= known.version',
+        'known and manifest.version > known.version',
+        ('tree',),
+        'versions only increase',
+    ),
+    mutants.Mutation(
+        'tree-equal-version',
+        'cranberryscale/version/tree.py',
+        'known and manifest.version <= known.version',
+        'known and manifest.version < known.version',
+        ('tree',),
+        'one version has one content',
+    ),
+    mutants.Mutation(
+        'tree-partial-accepted',
+        'cranberryscale/version/subtrees.py',
+        'faults = list(_check_digests(manifest, offer))',
+        'faults = []',
+        ('tree',),
+        'a subtree is accepted whole or not at all',
+    ),
+    mutants.Mutation(
+        'confirm-stale-answer',
+        'cranberryscale/process/spread.py',
+        '        if not is_current:\n            return\n        was_direct',
+        '        was_direct',
+        ('spread',),
+        'a stale answer of the service confirms nothing',
+    ),
+    mutants.Mutation(
+        'confirm-stale-peer',
+        'cranberryscale/process/spread.py',
+        '        if not is_current:\n            return\n        self._record',
+        '        self._record',
+        ('spread',),
+        'a peer with newer subtrees confirms nothing',
+    ),
+    mutants.Mutation(
+        'confirm-from-arrival',
+        'cranberryscale/process/spread.py',
+        'note_confirmed(sent_at - age)',
+        'note_confirmed(now - age)',
+        ('spread',),
+        'a confirmation counts from when the pull was sent',
+    ),
+    mutants.Mutation(
+        'confirm-isolated-serves',
+        'cranberryscale/process/confirmation.py',
+        'if 1 + without < view.count_quorum(members):',
+        'if False:',
+        ('spread',),
+        'an isolated instance serves no keyed request',
+    ),
+    mutants.Mutation(
+        'key-withdrawn-accepted',
+        'cranberryscale/version/keys.py',
+        'if found.withdrawn:',
+        'if False:',
+        ('keys',),
+        'a withdrawn key is unknown',
+    ),
+    mutants.Mutation(
+        'request-unsafe-retry',
+        'cranberryscale/request/decisions.py',
+        'allowed = (by_server or late) and (\n'
+        '                    not is_sent or self.is_repeatable\n'
+        '                )',
+        'allowed = by_server or late',
+        ('flow',),
+        'a non-idempotent request runs at most once',
+    ),
+    mutants.Mutation(
+        'request-false-not-run',
+        'cranberryscale/request/flow.py',
+        'errors.UNKNOWN if event.is_sent else errors.NOT_RUN',
+        'errors.NOT_RUN',
+        ('flow',),
+        'a refusal that says "not run" is true',
+    ),
+    mutants.Mutation(
+        'request-no-second-check',
+        'cranberryscale/request/flow.py',
+        '            state.check()\n            remaining',
+        '            remaining',
+        ('flow',),
+        'key and route are checked again before forwarding',
+    ),
+    mutants.Mutation(
+        'request-out-server-used',
+        'cranberryscale/request/decisions.py',
+        'if current.is_server_out(server):',
+        'if False:',
+        ('flow',),
+        'a server taken out gets no new request',
+    ),
+    mutants.Mutation(
+        'key-left-in-cookie',
+        'cranberryscale/request/headers.py',
+        'value = _strip_cookies(value, key)',
+        'pass',
+        ('headers', 'gateway'),
+        "the key's cookie is removed, others stay",
+    ),
+    mutants.Mutation(
+        'key-left-in-query',
+        'cranberryscale/request/headers.py',
+        "in the path')\n    stripped = _strip_query(query, key)",
+        "in the path')\n    stripped = query",
+        ('headers', 'gateway'),
+        'no backend server sees the key',
+    ),
+    mutants.Mutation(
+        'key-left-in-referer',
+        'cranberryscale/request/headers.py',
+        'value = _strip_referer(value, key)',
+        'pass',
+        ('headers', 'gateway'),
+        'the key is removed from Referer',
+    ),
+    mutants.Mutation(
+        'key-left-in-other-header',
+        'cranberryscale/request/headers.py',
+        'if value and not _holds(value, key):',
+        'if value:',
+        ('headers', 'gateway'),
+        'no backend server sees the key',
+    ),
+    mutants.Mutation(
+        'request-deadline-not-reduced',
+        'cranberryscale/request/transfers.py',
+        'action.deadline - self._gateway.clock.read_elapsed()',
+        'action.deadline - call.received',
+        ('headers', 'gateway'),
+        'the deadline passed on is what remains',
+    ),
+    mutants.Mutation(
+        'answer-crossed-accepted',
+        'cranberryscale/connection/backends.py',
+        'if echoed != self.head.request_id:',
+        'if False:',
+        ('backends', 'gateway'),
+        'a caller gets the answer to its own request',
+    ),
+    mutants.Mutation(
+        'answer-truncated-accepted',
+        'cranberryscale/connection/framing.py',
+        '        if not data:\n'
+        '            raise errors.make_error(\n'
+        "                self._codes.truncated, f'{self.remaining} "
+        "bytes missing'\n"
+        '            )',
+        '        if not data:\n            self.remaining = 0',
+        ('backends', 'gateway'),
+        'a cut answer is never given as complete',
+    ),
+    mutants.Mutation(
+        'frame-mac-ignored',
+        'cranberryscale/connection/frames.py',
+        'if not hmac.compare_digest(frame.mac, self._sign(frame)):',
+        'if False:',
+        ('peers',),
+        'a frame proves its sender',
+    ),
+    mutants.Mutation(
+        'frame-replay-accepted',
+        'cranberryscale/connection/frames.py',
+        'frame.counter <= oldest or frame.counter in recent',
+        'False',
+        ('peers',),
+        'a replayed call changes nothing',
+    ),
+    mutants.Mutation(
+        'frame-target-ignored',
+        'cranberryscale/connection/frames.py',
+        'if frame.target != self._name:',
+        'if False:',
+        ('peers',),
+        'a call to another instance is refused',
+    ),
+    mutants.Mutation(
+        'audit-digest-ignored',
+        'cranberryscale/process/audit.py',
+        "if record['digest'] != _digest(record):",
+        'if False:',
+        ('records',),
+        'an edited audit record shows',
+    ),
+    mutants.Mutation(
+        'audit-chain-ignored',
+        'cranberryscale/process/audit.py',
+        "if record['previous'] != before['digest']:",
+        'if False:',
+        ('records',),
+        'a replaced audit record shows',
+    ),
+)
