--- a/cranberryscale_bench/mutations.py
+++ b/cranberryscale_bench/mutations.py
@@ -116,7 +116,7 @@
         before = path.read_text()
         after = before.replace(mutation.original, mutation.replacement)
         path.write_text(after)
-        tests = [*mutation.tests, *_list_decisions(mutation)]
+        tests = _list_tests(mutation)
         try:
             ended = _run_tests(folder, tests, TIME_LIMIT_S)
             result, test = _judge(ended)
@@ -127,21 +127,19 @@
     return Verdict(mutation, result, test, time.monotonic() - began_s)
 
 
-def _list_decisions(mutation: mutants.Mutation) -> list[str]:
-    """Return the tests of single decisions that belong to the mutation."""
+def _list_tests(mutation: mutants.Mutation) -> list[str]:
+    """Return the test files to run, the quick ones on single decisions first.
+
+    Beside `test_x.py`, `test_decisions_x.py` is run if it exists.
+    """
     names = (f'decisions_{name}' for name in mutation.tests)
-    return [n for n in names if (ROOT / f'tests/test_{n}.py').exists()]
+    single = [n for n in names if (ROOT / f'tests/test_{n}.py').exists()]
+    return [*single, *mutation.tests]
 
 
 def _check_unchanged(chosen: Iterable[mutants.Mutation]) -> str:
     """Return '' if the tests pass without a mutation, else the failure."""
-    names = sorted(
-        {
-            name
-            for mutation in chosen
-            for name in (*mutation.tests, *_list_decisions(mutation))
-        }
-    )
+    names = sorted({n for each in chosen for n in _list_tests(each)})
     with _copy_sources() as folder:
         ended = _run_tests(folder, names, UNCHANGED_LIMIT_S)
     result, test = _judge(ended)
--- /dev/null
+++ b/tests/test_decisions_budgets.py
@@ -0,0 +1,18 @@
+"""Guard single decisions of a share's holder."""
+
+import pytest
+
+from cranberryscale import messages
+from tests import test_budgets
+
+
+def test_tokens_told_as_spent_are_not_credited():
+    """A return that follows its spending would create tokens."""
+    holder = test_budgets.make_holder()
+    grant = test_budgets.take(holder, 50, 4)
+    told = {'request_id': 'r2', 'spent': (grant.grant_id,)}
+    assert test_budgets.take(holder, 50, **told).left == pytest.approx(15)
+    back = messages.ReturnTokens('c', 0, grant.grant_id, 3)
+    holder.return_tokens(back, test_budgets.seconds(50))
+    last = test_budgets.take(holder, 50, request_id='r3')
+    assert last.left == pytest.approx(14)
--- /dev/null
+++ b/tests/test_decisions_membership.py
@@ -0,0 +1,71 @@
+"""Guard single decisions of gossip and suspicion."""
+
+import datetime
+
+from cranberryscale.process import gossip
+from cranberryscale.process import grants
+from cranberryscale.process import leases
+from cranberryscale.process import membership
+from cranberryscale.process import suspicion
+from cranberryscale.version import view
+
+
+def at(seconds):
+    """Return a time of the process under test."""
+    return datetime.timedelta(seconds=seconds)
+
+
+TERMS = leases.LeaseTerms(at(8), at(5), 0.01)
+LIST = view.View(1, tuple(view.Member(n, 'd', '', '', '') for n in 'ab'))
+
+
+def make_member(name):
+    """Return a process that started at 0."""
+    table = leases.LeaseTable(name, 1, TERMS, at(0))
+    made = membership.Membership(table, at(0))
+    made.load_view(LIST, at(0))
+    return made
+
+
+def pull(asking, answering, sent_s, now_s):
+    """Pull at `sent_s` and take the reply at `now_s`."""
+    sent = asking.make_pull(answering.table.name, at(sent_s), {})
+    reply = answering.answer_pull(sent, at(sent_s), {})
+    asking.merge_reply(answering.table.name, reply, at(sent_s), at(now_s))
+
+
+def test_a_late_reply_is_an_old_sign_of_life():
+    """A delayed reply must not make a lease last longer."""
+    member = make_member('a')
+    pull(member, make_member('b'), 10, 14)
+    assert member.list_ages(at(14)) == {'b': at(4)}
+
+
+def test_a_late_sign_of_an_earlier_process_is_ignored():
+    """An earlier process's grants must not count beside its successor's."""
+    known = gossip.Sign(at(10), grants.Identity(7, 2))
+    late = gossip.Sign(at(20), grants.Identity(7, 1))
+    assert not gossip.is_newer(late, known)
+    assert gossip.is_newer(known, late)
+
+
+def test_a_lost_member_returns_only_after_a_fresh_time():
+    """A flapping member would move resources with each flap."""
+    health = suspicion.Health(lost=True)
+    alive = []
+    for now in (100, 101, 109, 110):
+        health = suspicion.judge_health(health, at(1), at(50), at(now), at(5))
+        alive.append(health.alive)
+    assert alive == [False, False, False, True]
+
+
+def test_an_instance_that_paused_listens_before_it_suspects():
+    """A paused instance would suspect everybody and move all resources."""
+    member = make_member('a')
+    pull(member, make_member('b'), 10, 10)
+    alive = []
+    member.advance(at(10))
+    for now in (40, 41, 42, 43, 44, 45, 46):
+        member.advance(at(now))
+        alive.append('b' in member.alive)
+    assert alive == [True] * 6 + [False]
