Leave the gateway tests out of the mutation check

test_body_is_asked_for_only_when_it_is_wanted failed in 1 of 3 runs of its file and once on the unchanged copy, so that a mutation could be counted as found by chance. The quick tests of headers and backends find the same mutations.

--- a/cranberryscale_bench/mutations.py
+++ b/cranberryscale_bench/mutations.py
@@ -43,7 +43,7 @@
 UNCHANGED_LIMIT_S = 300
 PARALLEL = 2
 
-_FAILED = re.compile(r'^(?:FAILED|ERROR) tests/test_(\S+::\S+)', re.M)
+_FAILED = re.compile(r'^(?:FAILED|ERROR) tests/test_(\S+::\w+)', re.M)
 
 
 class Verdict(NamedTuple):
--- a/cranberryscale_bench/request_mutants.py
+++ b/cranberryscale_bench/request_mutants.py
@@ -110,7 +110,7 @@
         'cranberryscale/request/headers.py',
         'value = _strip_cookies(value, key)',
         'pass',
-        ('headers', 'gateway'),
+        ('headers',),
         "the key's cookie is removed, others stay",
     ),
     mutants.Mutation(
@@ -118,7 +118,7 @@
         'cranberryscale/request/headers.py',
         "in the path')\n    stripped = _strip_query(query, key)",
         "in the path')\n    stripped = query",
-        ('headers', 'gateway'),
+        ('headers',),
         'no backend server sees the key',
     ),
     mutants.Mutation(
@@ -126,7 +126,7 @@
         'cranberryscale/request/headers.py',
         'value = _strip_referer(value, key)',
         'pass',
-        ('headers', 'gateway'),
+        ('headers',),
         'the key is removed from Referer',
     ),
     mutants.Mutation(
@@ -134,7 +134,7 @@
         'cranberryscale/request/headers.py',
         'if value and not _holds(value, key):',
         'if value:',
-        ('headers', 'gateway'),
+        ('headers',),
         'no backend server sees the key',
     ),
     mutants.Mutation(
@@ -142,7 +142,7 @@
         'cranberryscale/request/transfers.py',
         'action.deadline - self._gateway.clock.read_elapsed()',
         'action.deadline - call.received',
-        ('headers', 'gateway'),
+        ('decisions_gateway',),
         'the deadline passed on is what remains',
     ),
     mutants.Mutation(
@@ -150,7 +150,7 @@
         'cranberryscale/connection/backends.py',
         'if echoed != self.head.request_id:',
         'if False:',
-        ('backends', 'gateway'),
+        ('backends',),
         'a caller gets the answer to its own request',
     ),
     mutants.Mutation(
@@ -162,7 +162,7 @@
         "bytes missing'\n"
         '            )',
         '        if not data:\n            self.remaining = 0',
-        ('backends', 'gateway'),
+        ('backends',),
         'a cut answer is never given as complete',
     ),
     mutants.Mutation(
