--- a/tests/test_decisions_budgets.py
+++ b/tests/test_decisions_budgets.py
@@ -3,6 +3,8 @@
 import pytest
 
 from cranberryscale import messages
+from cranberryscale.process import allotments
+from cranberryscale.process import bucket
 from tests import test_budgets
 
 
@@ -16,3 +18,14 @@
     holder.return_tokens(back, test_budgets.seconds(50))
     last = test_budgets.take(holder, 50, request_id='r3')
     assert last.left == pytest.approx(14)
+
+
+def test_a_returned_token_is_not_spent():
+    """A token that is returned and kept would be spent twice."""
+    entry = allotments.Allotments(bucket.Terms())
+    now, margin = test_budgets.seconds(1), test_budgets.seconds(1)
+    grant = messages.TokenGrant(1, 2, 0.05)
+    entry.add_grant(test_budgets.SHARE, grant, now, now)
+    (ask,) = entry.collect_returns(now, margin)
+    assert ask.message.amount == 2
+    assert not entry.spend('c', now)
