Use one result type in all measurement modules

Cause: three modules had a Result of their own without ok and kind, so `commands run throughput` ended with AttributeError. Change: they use results.Result; the part of time a lease is held counts as larger is better.

--- a/cranberryscale_bench/configuration.py
+++ b/cranberryscale_bench/configuration.py
@@ -9,15 +9,15 @@
 import random
 from typing import Callable
 from typing import Iterable
-from typing import NamedTuple
 
 from cranberryscale.process import confirmation
 from cranberryscale.process import readers
 from cranberryscale.version import view
 from cranberryscale_bench import configuration_fleet as fleets
+from cranberryscale_bench import results
 
 
-__all__ = ['Result', 'list_cases']
+__all__ = ['list_cases']
 
 SEEDS = range(3)
 BASELINE_POLL_S = 30.0
@@ -27,17 +27,6 @@
 CHANGES_A_DAY = 50000
 
 
-class Result(NamedTuple):
-    """Hold one measured value next to its baseline and its bound."""
-
-    case: str
-    measure: str
-    value: float
-    baseline: float
-    bound: float
-    unit: str
-
-
 def _measure_baseline(
     fault: fleets.Fault, seed: int
 ) -> tuple[float, float, int]:
@@ -88,7 +77,7 @@
             continue
         value = max(row[position] for row in values)
         baseline = max(row[position] for row in baselines)
-        yield Result(case, measure, value, baseline, bound, unit)
+        yield results.Result(case, measure, value, baseline, bound, unit)
 
 
 def _find_readers() -> tuple[int, ...]:
@@ -181,7 +170,7 @@
     )
 
 
-def _measure_service_down() -> Iterable[Result]:
+def _measure_service_down() -> Iterable[results.Result]:
     """Return how many keyed requests an outage of hours refuses."""
     fault = fleets.Fault(reaches=lambda i, now: now < 8)
     ratios = []
@@ -189,7 +178,9 @@
         fleet = fleets.Fleet(fault, seed).run()
         ratios.append(fleet.refused_steps / fleet.steps)
     name, measure = 'service_down', 'keyed_refusal_ratio'
-    yield Result(name, measure, max(ratios), 0.0, REFUSAL_BOUND, 'ratio')
+    yield results.Result(
+        name, measure, max(ratios), 0.0, REFUSAL_BOUND, 'ratio'
+    )
 
 
 def _make_view(members: int, domains: int) -> view.View:
@@ -202,7 +193,7 @@
     )
 
 
-def _measure_read_budget() -> Iterable[Result]:
+def _measure_read_budget() -> Iterable[results.Result]:
     """Return the calls on the service, measured for small fleets.
 
     For 8,700 instances the election gives the number of readers, each of
@@ -220,8 +211,8 @@
     )
 
 
-def _make_budget(members: int, calls: float) -> Result:
-    return Result(
+def _make_budget(members: int, calls: float) -> results.Result:
+    return results.Result(
         f'read_budget_{members}',
         'config_service_calls_per_s',
         calls,
@@ -247,7 +238,7 @@
 }
 
 
-def list_cases() -> dict[str, Callable[[], Iterable[Result]]]:
+def list_cases() -> dict[str, Callable[[], Iterable[results.Result]]]:
     """Return the measures by case."""
     return {
         **{
--- a/cranberryscale_bench/membership.py
+++ b/cranberryscale_bench/membership.py
@@ -5,16 +5,16 @@
 import statistics
 import time
 import timeit
-from typing import NamedTuple
 
 from cranberryscale import messages
 from cranberryscale.version import settings
 from cranberryscale.version import view
 from cranberryscale_bench import gossip_fleet
 from cranberryscale_bench import interruptions
+from cranberryscale_bench import results
 
 
-__all__ = ['Result', 'list_cases']
+__all__ = ['list_cases']
 
 TERMS = settings.Leases()
 SEED = 1
@@ -33,17 +33,6 @@
 SUBTREES = {'entry': 17, 'guides': 4, 'bookings': 9, 'events': 21}
 
 
-class Result(NamedTuple):
-    """Hold one measured value; `bound` is the target it must not miss."""
-
-    case: str
-    measure: str
-    value: float
-    baseline: float | None
-    bound: float | None
-    unit: str
-
-
 def _list_resources(count: int) -> tuple[view.Resource, ...]:
     return tuple(
         view.Resource(cell, 'budget', f'customer-{number}')
@@ -58,7 +47,7 @@
     return fleet
 
 
-def measure_bytes() -> Iterable[Result]:
+def measure_bytes() -> Iterable[results.Result]:
     """Yield encoded sizes and what one instance sends a second.
 
     The baseline of a reply is one that repeats all identities.
@@ -81,14 +70,14 @@
             for each in (reply, full)
         )
         case = f'gossip_bytes_{count}'
-        yield Result(case, 'pull', size, None, None, 'bytes')
-        yield Result(case, 'reply', reply, full, None, 'bytes')
-        yield Result(
+        yield results.Result(case, 'pull', size, None, None, 'bytes')
+        yield results.Result(case, 'reply', reply, full, None, 'bytes')
+        yield results.Result(
             case, 'sent', sent, sent_full, SENT_BOUND_BYTES_PER_S, 'bytes/s'
         )
 
 
-def measure_freshness() -> Iterable[Result]:
+def measure_freshness() -> Iterable[results.Result]:
     """Yield the distribution of entry ages in a fleet without faults."""
     fleet = _start_fleet(MEMBERS)
     ages = []
@@ -99,13 +88,15 @@
             ages.extend(age.total_seconds() for age in known.values())
     cuts = statistics.quantiles(ages, n=1000)
     case = 'gossip_age'
-    yield Result(case, 'median', cuts[499], None, None, 's')
-    yield Result(case, 'p99', cuts[989], None, None, 's')
-    yield Result(case, 'p999', cuts[998], None, None, 's')
-    yield Result(case, 'largest', max(ages), None, TERMS.suspect_s, 's')
+    yield results.Result(case, 'median', cuts[499], None, None, 's')
+    yield results.Result(case, 'p99', cuts[989], None, None, 's')
+    yield results.Result(case, 'p999', cuts[998], None, None, 's')
+    yield results.Result(
+        case, 'largest', max(ages), None, TERMS.suspect_s, 's'
+    )
 
 
-def measure_holding() -> Iterable[Result]:
+def measure_holding() -> Iterable[results.Result]:
     """Yield the share of time that resources are held without faults."""
     fleet = _start_fleet(MEMBERS)
     resources = _list_resources(10)
@@ -115,11 +106,11 @@
         held.extend(len(fleet.list_holders(each)) for each in resources)
     case = 'lease_without_faults'
     ratio = sum(count == 1 for count in held) / len(held)
-    yield Result(case, 'held', ratio, None, HELD_BOUND_RATIO, 'ratio')
-    yield Result(case, 'largest_holders', max(held), None, 1, 'count')
+    yield results.Result(case, 'held', ratio, None, HELD_BOUND_RATIO, 'ratio')
+    yield results.Result(case, 'largest_holders', max(held), None, 1, 'count')
 
 
-def measure_cpu() -> Iterable[Result]:
+def measure_cpu() -> Iterable[results.Result]:
     """Yield the processor time of gossip for one instance.
 
     It covers both sides of each pull and the work of the driver.
@@ -130,10 +121,12 @@
     fleet.run(seconds)
     used = time.process_time() - started
     percent = 100 * used / seconds / MEMBERS
-    yield Result('gossip_cpu', 'core', percent, None, CPU_BOUND, 'percent')
+    yield results.Result(
+        'gossip_cpu', 'core', percent, None, CPU_BOUND, 'percent'
+    )
 
 
-def measure_takeover() -> Iterable[Result]:
+def measure_takeover() -> Iterable[results.Result]:
     """Yield the time from the loss of a holder until the next holds."""
     times = []
     for seed in range(8):
@@ -145,11 +138,15 @@
             fleet.run(0.1)
         times.append(fleet.now - lost_at)
     case = 'lost_holder'
-    yield Result(case, 'median', statistics.median(times), None, None, 's')
-    yield Result(case, 'largest', max(times), None, HELD_AGAIN_BOUND_S, 's')
+    yield results.Result(
+        case, 'median', statistics.median(times), None, None, 's'
+    )
+    yield results.Result(
+        case, 'largest', max(times), None, HELD_AGAIN_BOUND_S, 's'
+    )
 
 
-def measure_interruptions() -> Iterable[Result]:
+def measure_interruptions() -> Iterable[results.Result]:
     """Yield which part of the resources a fault interrupts, how long.
 
     A fault at one holder must not interrupt the resources of others.
@@ -160,14 +157,14 @@
         )
         ratio = found.interrupted / found.watched
         case = f'interruption_{name}'
-        yield Result(case, 'interrupted', ratio, None, None, 'ratio')
-        yield Result(case, 'longest', found.longest_s, None, None, 's')
-        yield Result(
+        yield results.Result(case, 'interrupted', ratio, None, None, 'ratio')
+        yield results.Result(case, 'longest', found.longest_s, None, None, 's')
+        yield results.Result(
             case, 'largest_holders', found.largest_holders, None, 1, 'count'
         )
 
 
-def measure_lookups() -> Iterable[Result]:
+def measure_lookups() -> Iterable[results.Result]:
     """Yield the time of look-ups on the request path.
 
     The baseline evaluates all grants anew.
@@ -189,11 +186,15 @@
     found = measure(lambda: table.find_holder(resource), 10000)
     anew = measure(renew, 500)
     case = f'lease_lookup_{MEMBERS}'
-    yield Result(case, 'find_lease', lease, anew, LOOKUP_BOUND_US, 'us')
-    yield Result(case, 'find_holder', found, None, LOOKUP_BOUND_US, 'us')
+    yield results.Result(
+        case, 'find_lease', lease, anew, LOOKUP_BOUND_US, 'us'
+    )
+    yield results.Result(
+        case, 'find_holder', found, None, LOOKUP_BOUND_US, 'us'
+    )
 
 
-def list_cases() -> dict[str, Callable[[], Iterable[Result]]]:
+def list_cases() -> dict[str, Callable[[], Iterable[results.Result]]]:
     """Return the measurements by name."""
     return {
         'gossip_bytes': measure_bytes,
--- a/cranberryscale_bench/requests.py
+++ b/cranberryscale_bench/requests.py
@@ -18,7 +18,6 @@
 import sys
 import threading
 import time
-from typing import NamedTuple
 
 from absl import logging
 from hdrh import histogram
@@ -31,9 +30,10 @@
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
 from cranberryscale.version import settings
+from cranberryscale_bench import results
 
 
-__all__ = ['Result', 'list_cases', 'run_gateway']
+__all__ = ['list_cases', 'run_gateway']
 
 SEED = 20260101
 ANSWER_S = 0.002
@@ -63,17 +63,6 @@
 """
 
 
-class Result(NamedTuple):
-    """Hold one measured value; `bound` None means no target is stated."""
-
-    case: str
-    measure: str
-    value: float
-    baseline: float | None
-    bound: float | None
-    unit: str
-
-
 class _Facts:
     """Know one customer, one route and one backend server."""
 
@@ -293,7 +282,7 @@
         self.gateway_port = pipe.recv()
         return self
 
-    def measure_stolen(self, case: str) -> Result:
+    def measure_stolen(self, case: str) -> results.Result:
         """Return how much processor time the host took away meanwhile.
 
         Latencies measured while it is not near zero say little.
@@ -305,7 +294,9 @@
             )
         )
         percent = round(100 * stolen / max(total, 1), 2)
-        return Result(case, 'stolen_cpu_percent', percent, None, None, '%')
+        return results.Result(
+            case, 'stolen_cpu_percent', percent, None, None, '%'
+        )
 
     def __exit__(self, *_) -> None:
         for process in (self._gateway, self._backend):
@@ -313,7 +304,7 @@
             process.join()
 
 
-def _measure_latency(rate_per_s: int) -> Iterable[Result]:
+def _measure_latency(rate_per_s: int) -> Iterable[results.Result]:
     """Compare direct and proxied requests in alternating runs.
 
     The median over the runs is reported, since one run on a shared machine
@@ -336,7 +327,7 @@
             proxied[index] - direct[index] for direct, proxied in runs
         )
         baseline = statistics.median(direct[index] for direct, _ in runs)
-        yield Result(
+        yield results.Result(
             case,
             f'added_latency_{name}_ms',
             round(added, 3),
@@ -346,7 +337,7 @@
         )
 
 
-def _measure_throughput() -> Iterable[Result]:
+def _measure_throughput() -> Iterable[results.Result]:
     each = CONNECTIONS // GENERATORS
     with _Setup() as setup:
         direct, proxied = (
@@ -361,7 +352,7 @@
             for port in (setup.direct_port, setup.gateway_port)
         )
         yield setup.measure_stolen('throughput')
-    yield Result(
+    yield results.Result(
         'throughput',
         'requests_per_s',
         round(proxied),
@@ -371,9 +362,9 @@
     )
 
 
-def list_cases() -> dict[str, Callable[[], Iterable[Result]]]:
+def list_cases() -> dict[str, Callable[[], Iterable[results.Result]]]:
     """Return the cases by name; each runs for up to a minute."""
-    cases: dict[str, Callable[[], Iterable[Result]]] = {
+    cases: dict[str, Callable[[], Iterable[results.Result]]] = {
         f'added_latency_{rate}': lambda rate=rate: _measure_latency(rate)
         for rate in RATES_PER_S
     }
--- a/cranberryscale_bench/results.py
+++ b/cranberryscale_bench/results.py
@@ -22,6 +22,7 @@
 LARGER_IS_BETTER = frozenset(
     (
         'domain_move_service_ratio',
+        'held',
         'requests_per_s',
         'worst_customer_success_ratio',
     )
