Split the entry's tokens and permits

Change: tokens and permits each have a module; what both need to ask holders stands in asking. Behaviour is unchanged.

--- a/cranberryscale/facts.py
+++ b/cranberryscale/facts.py
@@ -107,7 +107,7 @@
     def settle_token(self, request_id: str, is_spent: bool) -> None:
         """End the use of a request's token."""
         with self._driver.lock:
-            self._node.admission.settle_token(
+            self._node.tokens.settle_token(
                 request_id, is_spent, self.facts.read_elapsed()
             )
 
--- a/cranberryscale/node.py
+++ b/cranberryscale/node.py
@@ -37,7 +37,9 @@
 from cranberryscale.process import status
 from cranberryscale.process import upkeep
 from cranberryscale.request import actions
-from cranberryscale.request import admission
+from cranberryscale.request import asking
+from cranberryscale.request import permits
+from cranberryscale.request import tokens
 from cranberryscale.version import configuration
 from cranberryscale.version import settings
 from cranberryscale.version import view
@@ -69,7 +71,9 @@
         self._table = self._make_table(now)
         self.upkeep = self._make_upkeep(now)
         self.holding = self._make_holding()
-        self.admission = self._make_admission()
+        entry = self._make_entry()
+        self.tokens = tokens.Tokens(entry, self._make_terms(), rng)
+        self.permits = permits.Permits(entry, rng)
         self.is_leaving = False
 
     def _make_table(self, now: datetime.timedelta) -> leases.LeaseTable:
@@ -110,15 +114,14 @@
         memory = once.OnceMemory(_seconds(self.options.timeouts.once_s))
         return holding.Holding(fleet, self._make_terms(), memory, self._random)
 
-    def _make_admission(self) -> admission.Admission:
-        fleet = admission.Fleet(
+    def _make_entry(self) -> asking.Fleet:
+        return asking.Fleet(
             self.options.name,
             self.options.domain,
             self._peer_timeout,
             self.get_configuration,
             self._table.find_holder,
         )
-        return admission.Admission(fleet, self._make_terms(), self._random)
 
     @property
     def listed(self) -> view.View:
@@ -174,7 +177,8 @@
     def drop_idle(self, now: datetime.timedelta) -> None:
         """Forget what no longer matters; call every few seconds."""
         self.holding.drop_idle(now)
-        self.admission.drop_idle(now)
+        self.tokens.drop_idle(now)
+        self.permits.drop_idle(now)
 
     def plan_gossip(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
         """Yield plans that spread signs of life; call each interval."""
@@ -192,15 +196,15 @@
             *self.upkeep.take_errands(),
             *self.holding.take_errands(),
             *self.holding.plan_returns(now),
-            *self.admission.plan_returns(now),
+            *self.tokens.plan_returns(now),
             *self.take_reports(now),
         ]
 
     def take_reports(self, now: datetime.timedelta) -> list[calls.Plan]:
         """Return the plans that give permits back, each once."""
         return [
-            self.admission.plan_reports(pool, now)
-            for pool in self.admission.list_reporting()
+            self.permits.plan_reports(pool, now)
+            for pool in self.permits.list_reporting()
         ]
 
     def list_budget_holders(self, customer: str) -> list[str | None]:
@@ -250,7 +254,7 @@
             case messages.PoolSummary():
                 return self.holding.summarize(message, now)
             case messages.SurveyPool():
-                return self.admission.answer_survey(message, now)
+                return self.permits.answer_survey(message, now)
             case _:
                 return self.upkeep.answer(sender, message, now)
 
@@ -258,23 +262,23 @@
         self, customer: str, once_key: str, request_id: str, now
     ) -> calls.Plan:
         """Return TokensGranted or Denied."""
-        return self.admission.plan_tokens(customer, once_key, request_id, now)
+        return self.tokens.plan_tokens(customer, once_key, request_id, now)
 
     def plan_permit(
         self, action: actions.AskPermit, request_id: str, now
     ) -> calls.Plan:
         """Return PermitGranted or Denied."""
-        return self.admission.plan_permit(action, request_id, now)
+        return self.permits.plan_permit(action, request_id, now)
 
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Give a permit back; the report becomes an errand."""
-        self.admission.report_permit(action)
+        self.permits.report_permit(action)
 
     def plan_finish_once(
         self, customer: str, once_key: str, request_id: str, ran: str, now
     ) -> calls.Plan:
         """Tell the holder how a request with an idempotency key ended."""
-        return self.admission.plan_finish_once(
+        return self.tokens.plan_finish_once(
             customer, once_key, request_id, ran, now
         )
 
--- a/cranberryscale/request/admission.py
+++ b/cranberryscale/request/permits.py
@@ -1,38 +1,24 @@
-"""How an entry instance obtains tokens and permits from their holders."""
+"""How an entry instance obtains permits from pools and gives them back."""
 
 import datetime
 import random
-from typing import Any
-from typing import Callable
 from typing import Iterable
 from typing import NamedTuple
 
-from cranberryscale import errors
 from cranberryscale import messages
-from cranberryscale.process import allotments
-from cranberryscale.process import attempts
-from cranberryscale.process import budgets
 from cranberryscale.process import calls
-from cranberryscale.process import facts as share_facts
 from cranberryscale.process import ledger
 from cranberryscale.process import placement
 from cranberryscale.request import actions
+from cranberryscale.request import asking
 from cranberryscale.version import configuration
-from cranberryscale.version import view
 
 
-__all__ = ['Admission', 'Fleet']
+__all__ = ['Permits']
 
-# After a call to a holder failed it is asked last for this long.
-SILENCE = datetime.timedelta(seconds=1)
 # A pool that was busy is asked last for this long.
 BUSY = datetime.timedelta(milliseconds=50)
-ZERO = datetime.timedelta()
 RETRY_S = 0.25
-REPORT_ATTEMPTS = 4
-# Over the 50 ms between two calls, so that no token expires in between.
-RETURN_MARGIN = datetime.timedelta(milliseconds=55)
-REPORT_PAUSE = datetime.timedelta(milliseconds=50)
 
 # Of several denials, the one that tells the caller most goes first.
 _DENIAL_ORDER = (
@@ -43,117 +29,18 @@
 )
 
 
-class Fleet(NamedTuple):
-    """Give what admission needs to know of the rest of the instance."""
+class Permits(asking.Asker):
+    """Own the permits of this entry instance."""
 
-    name: str
-    domain: str
-    peer_timeout: datetime.timedelta
-    get_configuration: Callable[[], configuration.Configuration]
-    find_holder: Callable[[view.Resource], str | None]
-
-
-class Admission:
-    """Own the tokens and permits of this entry instance."""
-
-    def __init__(self, fleet: Fleet, terms: Any, rng: random.Random):
-        self._fleet = fleet
+    def __init__(self, fleet: asking.Fleet, rng: random.Random):
+        super().__init__(fleet)
         self._random = rng
-        self._terms = terms
-        self.allotments = allotments.Allotments(terms)
-        self.ledger = ledger.PermitLedger()
-        self._silent_until: dict[str, datetime.timedelta] = {}
+        self._ledger = ledger.PermitLedger()
         self._busy_until: dict[ledger.Pool, datetime.timedelta] = {}
         self._reports: dict[ledger.Pool, list[messages.PermitReport]] = {}
-        self._tokens: dict[str, Any] = {}
         self._indexed: configuration.Configuration | None = None
         self._domains: dict[str, tuple[str, ...]] = {}
 
-    def plan_tokens(
-        self,
-        customer: str,
-        once_key: str,
-        request_id: str,
-        now: datetime.timedelta,
-    ) -> calls.Plan:
-        """Return TokensGranted or Denied for one request."""
-        shares = placement.list_shares(
-            self._fleet.get_configuration(), customer
-        )
-        # A token that was asked for before may have been spent.
-        self.settle_token(request_id, True, now)
-        if not shares:
-            return actions.Denied('key_unknown')
-        attempt = attempts.Attempt(
-            self.allotments,
-            shares,
-            self._fleet.domain,
-            self._terms,
-            self._random,
-            request_id,
-        )
-        steps = attempt.run(now, once_key)
-        event: Any = None
-        while True:
-            try:
-                step = steps.send(event)
-            except StopIteration as end:
-                if once_key and isinstance(end.value, attempts.Refused):
-                    yield from self._forget_once(
-                        customer, once_key, request_id, end.value, now
-                    )
-                return self._judge_tokens(request_id, end.value)
-            match step:
-                case budgets.Ask():
-                    event = yield from self._ask_share(step, now)
-                    now = event.now
-                case attempts.Pause(delay):
-                    now = event = (yield calls.Wait(delay)).now
-
-    def _forget_once(self, customer, once_key, request_id, end, now):
-        """Free an idempotency key that was registered but got no token.
-
-        Otherwise the caller's next attempt would be refused as a duplicate.
-        """
-        if not end.code.startswith('duplicate_'):
-            yield from self.plan_finish_once(
-                customer, once_key, request_id, errors.NOT_RUN, now
-            )
-
-    def _ask_share(self, ask: budgets.Ask, now: datetime.timedelta):
-        holder = self._fleet.find_holder(ask.share.resource)
-        if self._silent_until.get(holder, ZERO) > now:
-            holder = None
-        reply = yield from calls.ask(
-            holder, ask.message, self._fleet.peer_timeout, now
-        )
-        self._note_reply(holder, reply)
-        return share_facts.Answer(reply.message, reply.sent_at, reply.now)
-
-    def _judge_tokens(
-        self, request_id: str, end: attempts.Admitted | attempts.Refused
-    ) -> actions.TokensGranted | actions.Denied:
-        match end:
-            case attempts.Admitted(token=token):
-                self._tokens[request_id] = token
-                return actions.TokensGranted(token.expires)
-            case attempts.Refused(code=code, retry_after=retry_after):
-                return actions.Denied(code, retry_after)
-
-    def settle_token(
-        self, request_id: str, is_spent: bool, now: datetime.timedelta
-    ) -> None:
-        """End the use of a request's token, which may serve another."""
-        token = self._tokens.pop(request_id, None)
-        if token is not None:
-            self.allotments.settle(token, is_spent, now)
-
-    def _note_reply(self, holder: str | None, reply: calls.Reply) -> None:
-        if holder is None or reply.error is None:
-            return
-        if reply.error.code == 'peer_unreachable':
-            self._silent_until[holder] = reply.now + SILENCE
-
     def plan_permit(
         self,
         action: actions.AskPermit,
@@ -190,8 +77,8 @@
                 placement.make_pool(service, domain)
             )
             return (
-                self._silent_until.get(holder, ZERO) > now,
-                self._busy_until.get(pool, ZERO) > now,
+                self._is_silent(holder, now),
+                self._busy_until.get(pool, asking.ZERO) > now,
                 domain != self._fleet.domain,
                 self._random.random(),
             )
@@ -259,7 +146,7 @@
         use = ledger.Use(grant.permit_id, grant.server, pool, attempt.until)
         start = datetime.timedelta(seconds=grant.start_within_s)
         start_until = reply.sent_at + start
-        if self.ledger.add(use, reply.sent_at):
+        if self._ledger.add(use, reply.sent_at):
             return actions.PermitGranted(
                 grant.permit_id, grant.server, start_until
             )
@@ -273,7 +160,7 @@
 
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Give a permit back; the report leaves with plan_reports."""
-        use = self.ledger.finish(action.permit_id)
+        use = self._ledger.finish(action.permit_id)
         if use is not None:
             self._queue_report(
                 use.pool,
@@ -304,7 +191,7 @@
         permits then expire with their requests' deadlines.
         """
         reports = tuple(self._reports.pop(pool, ()))
-        for attempt in range(REPORT_ATTEMPTS):
+        for attempt in range(asking.REPORT_ATTEMPTS):
             holder = self._fleet.find_holder(placement.make_pool(*pool))
             reply = yield from calls.ask(
                 holder,
@@ -314,58 +201,22 @@
             )
             if reply.error is None or not reports:
                 return
-            now = (yield calls.Wait(REPORT_PAUSE * (attempt + 1))).now
+            now = (yield calls.Wait(asking.REPORT_PAUSE * (attempt + 1))).now
 
     def answer_survey(
         self, message: messages.SurveyPool, now: datetime.timedelta
     ) -> messages.SurveyReply:
         """Return the permits of a pool in use at this instance."""
         pool = ledger.Pool(message.service, message.domain)
-        return self.ledger.answer_survey(pool, now)
-
-    def plan_returns(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
-        """Yield plans that give back tokens before they expire."""
-        for ask in self.allotments.collect_returns(now, RETURN_MARGIN):
-            holder = self._fleet.find_holder(ask.share.resource)
-            yield calls.ask(holder, ask.message, self._fleet.peer_timeout, now)
-
-    def plan_finish_once(
-        self,
-        customer: str,
-        once_key: str,
-        request_id: str,
-        ran: str,
-        now: datetime.timedelta,
-    ) -> calls.Plan:
-        """Tell the holder of share 0 how a request ended.
-
-        A holder that does not learn of it goes on refusing repeats as
-        running, so the message is sent again a few times.
-        """
-        message = messages.FinishOnce(
-            customer, once_key, f'{request_id}/0', ran != errors.NOT_RUN
-        )
-        for attempt in range(REPORT_ATTEMPTS):
-            shares = placement.list_shares(
-                self._fleet.get_configuration(), customer
-            )
-            if not shares:
-                return
-            holder = self._fleet.find_holder(shares[0].resource)
-            reply = yield from calls.ask(
-                holder, message, self._fleet.peer_timeout, now
-            )
-            if reply.error is None:
-                return
-            now = (yield calls.Wait(REPORT_PAUSE * (attempt + 1))).now
+        return self._ledger.answer_survey(pool, now)
 
     def drop_idle(self, now: datetime.timedelta) -> None:
         """Forget what no longer matters."""
-        self.allotments.drop_idle(now)
-        self.ledger.expire(now)
-        for known in (self._silent_until, self._busy_until):
-            for key in [k for k, until in known.items() if until <= now]:
-                del known[key]
+        self._ledger.expire(now)
+        self._drop_silences(now)
+        for pool, until in tuple(self._busy_until.items()):
+            if until <= now:
+                del self._busy_until[pool]
 
 
 class _Attempt(NamedTuple):
--- /dev/null
+++ b/cranberryscale/request/tokens.py
@@ -0,0 +1,154 @@
+"""How an entry instance obtains tokens of customers' budgets."""
+
+import datetime
+import random
+from typing import Any
+from typing import Iterable
+
+from cranberryscale import errors
+from cranberryscale import messages
+from cranberryscale.process import allotments
+from cranberryscale.process import attempts
+from cranberryscale.process import budgets
+from cranberryscale.process import calls
+from cranberryscale.process import facts as share_facts
+from cranberryscale.process import placement
+from cranberryscale.request import actions
+from cranberryscale.request import asking
+
+
+__all__ = ['Tokens']
+
+# Over the 50 ms between two calls, so that no token expires in between.
+RETURN_MARGIN = datetime.timedelta(milliseconds=55)
+
+
+class Tokens(asking.Asker):
+    """Own the tokens of this entry instance."""
+
+    def __init__(self, fleet: asking.Fleet, terms: Any, rng: random.Random):
+        super().__init__(fleet)
+        self._random = rng
+        self._terms = terms
+        self._allotments = allotments.Allotments(terms)
+        self._taken: dict[str, Any] = {}
+
+    def plan_tokens(
+        self,
+        customer: str,
+        once_key: str,
+        request_id: str,
+        now: datetime.timedelta,
+    ) -> calls.Plan:
+        """Return TokensGranted or Denied for one request."""
+        shares = placement.list_shares(
+            self._fleet.get_configuration(), customer
+        )
+        # A token that was asked for before may have been spent.
+        self.settle_token(request_id, True, now)
+        if not shares:
+            return actions.Denied('key_unknown')
+        attempt = attempts.Attempt(
+            self._allotments,
+            shares,
+            self._fleet.domain,
+            self._terms,
+            self._random,
+            request_id,
+        )
+        steps = attempt.run(now, once_key)
+        event: Any = None
+        while True:
+            try:
+                step = steps.send(event)
+            except StopIteration as end:
+                if once_key and isinstance(end.value, attempts.Refused):
+                    yield from self._forget_once(
+                        customer, once_key, request_id, end.value, now
+                    )
+                return self._judge_tokens(request_id, end.value)
+            match step:
+                case budgets.Ask():
+                    event = yield from self._ask_share(step, now)
+                    now = event.now
+                case attempts.Pause(delay):
+                    now = event = (yield calls.Wait(delay)).now
+
+    def _forget_once(self, customer, once_key, request_id, end, now):
+        """Free an idempotency key that was registered but got no token.
+
+        Otherwise the caller's next attempt would be refused as a duplicate.
+        """
+        if not end.code.startswith('duplicate_'):
+            yield from self.plan_finish_once(
+                customer, once_key, request_id, errors.NOT_RUN, now
+            )
+
+    def _ask_share(self, ask: budgets.Ask, now: datetime.timedelta):
+        holder = self._fleet.find_holder(ask.share.resource)
+        if self._is_silent(holder, now):
+            holder = None
+        reply = yield from calls.ask(
+            holder, ask.message, self._fleet.peer_timeout, now
+        )
+        self._note_reply(holder, reply)
+        return share_facts.Answer(reply.message, reply.sent_at, reply.now)
+
+    def _judge_tokens(
+        self, request_id: str, end: attempts.Admitted | attempts.Refused
+    ) -> actions.TokensGranted | actions.Denied:
+        match end:
+            case attempts.Admitted(token=token):
+                self._taken[request_id] = token
+                return actions.TokensGranted(token.expires)
+            case attempts.Refused(code=code, retry_after=retry_after):
+                return actions.Denied(code, retry_after)
+
+    def settle_token(
+        self, request_id: str, is_spent: bool, now: datetime.timedelta
+    ) -> None:
+        """End the use of a request's token, which may serve another."""
+        token = self._taken.pop(request_id, None)
+        if token is not None:
+            self._allotments.settle(token, is_spent, now)
+
+    def plan_returns(self, now: datetime.timedelta) -> Iterable[calls.Plan]:
+        """Yield plans that give back tokens before they expire."""
+        for ask in self._allotments.collect_returns(now, RETURN_MARGIN):
+            holder = self._fleet.find_holder(ask.share.resource)
+            yield calls.ask(holder, ask.message, self._fleet.peer_timeout, now)
+
+    def plan_finish_once(
+        self,
+        customer: str,
+        once_key: str,
+        request_id: str,
+        ran: str,
+        now: datetime.timedelta,
+    ) -> calls.Plan:
+        """Tell the holder of share 0 how a request ended.
+
+        A holder that does not learn of it goes on refusing repeats as
+        running, so the message is sent again a few times.
+        """
+        message = messages.FinishOnce(
+            customer, once_key, f'{request_id}/0', ran != errors.NOT_RUN
+        )
+        for attempt in range(asking.REPORT_ATTEMPTS):
+            shares = placement.list_shares(
+                self._fleet.get_configuration(), customer
+            )
+            if not shares:
+                return
+            holder = self._fleet.find_holder(shares[0].resource)
+            reply = yield from calls.ask(
+                holder, message, self._fleet.peer_timeout, now
+            )
+            if reply.error is None:
+                return
+            now = (yield calls.Wait(asking.REPORT_PAUSE * (attempt + 1))).now
+
+    def drop_idle(self, now: datetime.timedelta) -> None:
+        """Forget what no longer matters."""
+        self._allotments.drop_idle(now)
+        self._drop_silences(now)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -160,7 +160,7 @@
         token = started.run(name, plan)
         if isinstance(token, actions.TokensGranted):
             admitted += 1
-            one.admission.settle_token(request_id, True, started.now)
+            one.tokens.settle_token(request_id, True, started.now)
     window_s = (started.now - began).total_seconds()
     limit = customer.rate_per_s * window_s + customer.burst_requests
     assert 0 < admitted <= limit
