--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -30,6 +30,9 @@
 
 READY_LIMIT_S = 60.0
 STOP_LIMIT_S = 30.0
+# Buckets start empty with their leases; customers with low rates would be
+# refused in the first seconds.
+FILL_S = 3.0
 SECRET = 'a secret for fleets on loopback'
 PREFIX = 'cranberryscale'
 ADDRESS = re.compile(r'^(address = )"127\.0\.0\.1:(\d+)"', re.MULTILINE)
@@ -370,6 +373,7 @@
     with LocalFleet(
         options.example, options.folder, options.instances
     ) as fleet:
+        time.sleep(FILL_S)
         rows = _send_requests(fleet, _read_requests(options.example))
         head = ('instance', 'method', 'path', 'status', 'ms', 'answer')
         print(console.render_table(head, rows), flush=True)
