Begin the leases on shares before their first request

Cause: a bucket is empty when its lease begins, and a lease began when it was first looked up, so the first request of a customer at a share was refused. Ruled out: low rates; waiting 3 s after the start changed nothing. Change: a holder looks up its shares' leases when it advances, for up to 500 customers.

--- a/cranberryscale/process/holding.py
+++ b/cranberryscale/process/holding.py
@@ -1,6 +1,7 @@
 """What an instance answers as the holder of shares and pools."""
 
 import datetime
+import itertools
 import random
 from typing import Any
 from typing import Callable
@@ -22,6 +23,8 @@
 
 __all__ = ['Fleet', 'Holding', 'Ticket']
 
+# Bounds the work of each advance; customers beyond it start empty.
+BEGIN_LIMIT = 500
 SURVEY_PAUSE = datetime.timedelta(seconds=0.25)
 SUMMARY_PAUSE = datetime.timedelta(seconds=1)
 # Over the 50 ms between two calls, so that no loan expires in between.
@@ -162,6 +165,7 @@
     def advance(self, now: datetime.timedelta) -> None:
         """Answer queued requests and start surveys and summaries."""
         self._load_pools(now)
+        self._begin_leases(now)
         for pool, holder in self._pools.items():
             lease = self._find_lease(pool, now)
             self._resolve(pool, holder.advance(lease, now))
@@ -169,6 +173,19 @@
                 self._start_survey(pool, holder, lease, now)
                 self._start_summaries(pool, holder, now)
 
+    def _begin_leases(self, now: datetime.timedelta) -> None:
+        """Look up the leases on shares before their first request.
+
+        A bucket is empty when its lease begins, and a lease begins when it
+        is first looked up: the first request of a customer was refused.
+        """
+        current = self._fleet.get_configuration()
+        for customer in itertools.islice(current.customers, BEGIN_LIMIT):
+            for share in placement.list_shares(current, customer):
+                holder = self._fleet.find_holder(share.resource)
+                if holder == self._fleet.name:
+                    self._fleet.find_lease(share.resource, now)
+
     def drop_idle(self, now: datetime.timedelta) -> None:
         """Forget buckets that are full and unused."""
         self._budgets.drop_idle(self._fleet.find_lease, now)
