Remove a counter reader and a settings property that nothing calls

Cause: both were written before their callers, which never came. Change: Metrics.read_count and Settings.lease are gone; behaviour is as it was.

--- a/cranberryscale/process/metrics.py
+++ b/cranberryscale/process/metrics.py
@@ -62,12 +62,6 @@
                 )
             family[key].record_value(min(max(value_us, 1), HIGHEST_US))
 
-    def read_count(self, name: str, **labels: str) -> float:
-        """Return a counter's value, 0 when it was never counted."""
-        key = tuple(sorted(labels.items()))
-        with self._lock:
-            return self._counts.get(name, {}).get(key, 0)
-
     def collect(self) -> Iterable[core.Metric]:
         """Yield the metric families for the Prometheus library."""
         with self._lock:
--- a/cranberryscale/version/settings.py
+++ b/cranberryscale/version/settings.py
@@ -1,6 +1,5 @@
 """The process's own settings, from one TOML file."""
 
-import datetime
 import pathlib
 import tomllib
 from typing import Annotated
@@ -102,11 +101,6 @@
     timeouts: Timeouts = Timeouts()
     seeds: dict[str, str] = {}
 
-    @property
-    def lease(self) -> datetime.timedelta:
-        """Return the lease time."""
-        return datetime.timedelta(seconds=self.leases.lease_s)
-
 
 def parse_settings(text: str, source: str) -> Settings:
     """Return the settings in a TOML text, or raise SettingsInvalid."""
