--- a/cranberryscale/connection/answers.py
+++ b/cranberryscale/connection/answers.py
@@ -1,5 +1,6 @@
 """Answers that an instance gives by itself: JSON with a typed code."""
 
+import datetime
 import http
 import json
 import math
@@ -12,6 +13,11 @@
 
 # Sent when a refusal asks for a later retry without saying when.
 DEFAULT_RETRY_S = 1
+# Another instance can be asked at once; the pause keeps callers from
+# repeating in a tight loop.
+SHORT_RETRY = datetime.timedelta(milliseconds=100)
+# Statuses by which callers may take it that a request did not run.
+PROMISES = frozenset((408, 421, 429, 503))
 
 # Statuses without a name in the standard library.
 _REASONS = {499: 'Client Closed Request'}
@@ -25,7 +31,12 @@
     body: bytes
 
 
-def _find_retry_s(error: errors.FleetError) -> int:
+def _find_retry_s(
+    error: errors.FleetError, has_decimals: bool
+) -> float | int:
+    if has_decimals and error.entry.status in PROMISES:
+        wait = error.retry_after or SHORT_RETRY
+        return round(max(wait, SHORT_RETRY).total_seconds(), 2)
     if error.retry_after is not None:
         return max(1, math.ceil(error.retry_after.total_seconds()))
     if error.entry.status in (429, 503):
@@ -33,15 +44,26 @@
     return 0
 
 
+def _find_status(error: errors.FleetError, ran: str | None) -> int:
+    # These statuses promise that nothing ran.
+    if ran not in (None, errors.NOT_RUN) and error.entry.status in PROMISES:
+        return http.HTTPStatus.BAD_GATEWAY
+    return error.entry.status
+
+
 def make_reply(
-    error: errors.FleetError, request_id: str, ran: str | None = None
+    error: errors.FleetError,
+    request_id: str,
+    ran: str | None = None,
+    has_decimals: bool = False,
 ) -> Reply:
     """Return the answer for an error.
 
     `ran` replaces the error table's statement when more is known: the same
     error may come before or after bytes were sent to a backend server.
+    `has_decimals` allows fractions of a second in Retry-After.
     """
-    entry = error.entry
+    entry, status = error.entry, _find_status(error, ran)
     body = json.dumps(
         {
             'code': entry.code,
@@ -50,15 +72,16 @@
             'request_id': request_id,
         }
     ).encode()
-    reason = _REASONS.get(entry.status)
-    reason = reason or http.HTTPStatus(entry.status).phrase
+    reason = _REASONS.get(status) or http.HTTPStatus(status).phrase
     headers = [
         ('Content-Type', 'application/json'),
         ('Content-Length', str(len(body))),
         ('X-Request-Id', request_id),
     ]
-    if retry_s := _find_retry_s(error):
+    is_promise = status in PROMISES
+    retry_s = _find_retry_s(error, has_decimals)
+    if retry_s and (is_promise or status == entry.status):
         headers.append(('Retry-After', str(retry_s)))
     if entry.status == http.HTTPStatus.UNAUTHORIZED:
         headers.append(('WWW-Authenticate', 'Bearer'))
-    return Reply(f'{entry.status} {reason}', headers, body)
+    return Reply(f'{status} {reason}', headers, body)
--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -28,6 +28,9 @@
 
 
 PREFETCH_BYTES = 65536
+# The server counts from when it sent the answer, and may close a little early.
+KEEP_ALIVE_MARGIN = datetime.timedelta(seconds=1)
+MOMENT = datetime.timedelta(milliseconds=100)
 
 _DIGEST = re.compile(r'(?:^|,)\s*sha-256=:([A-Za-z0-9+/]{43}=):')
 
@@ -36,13 +39,15 @@
     """Bound one exchange; `caller` is the caller's file descriptor or -1.
 
     Nothing is sent from `start_until` on. The first byte of the answer must
-    arrive by `first_byte_until`, the last one by `deadline`.
+    arrive by `first_byte_until`, the last one by `deadline`. A connection
+    is reused only if it was idle for less than `idle_limit`.
     """
 
     start_until: datetime.timedelta
     deadline: datetime.timedelta
     first_byte_until: datetime.timedelta
     caller: int = -1
+    idle_limit: datetime.timedelta | None = None
 
 
 class ForwardFailed(Exception):  # noqa: N818
@@ -79,10 +84,14 @@
         self.reason = head.reason
         self.pairs = head.pairs
         self.body = heads.frame_body(
-            exchange.wire.stream, head, exchange.head.method
+            exchange.wire.stream,
+            head,
+            exchange.head.method,
+            exchange.allows_unframed,
         )
         self._digest = _read_digest(head.pairs)
         self._fetched: list[bytes] = []
+        self._parts = self._read_checked()
 
     def prefetch(self) -> None:
         """Read a short body whole; raise ForwardFailed if it is not.
@@ -90,10 +99,15 @@
         A short answer that is cut off can then still be replaced by another
         server's answer. Others are streamed as they come.
         """
-        length = getattr(self.body, 'remaining', PREFETCH_BYTES + 1)
-        if length <= PREFETCH_BYTES:
-            with self._exchange.translate_errors():
-                self._fetched += self._read_checked()
+        if getattr(self.body, 'remaining', 0) > PREFETCH_BYTES:
+            return
+        size = 0
+        with self._exchange.translate_errors():
+            for data in self._parts:
+                self._fetched.append(data)
+                size += len(data)
+                if size > PREFETCH_BYTES:
+                    break
 
     def _read_checked(self) -> Iterator[bytes]:
         """Yield the body; raise AnswerWrong unless it has its digest.
@@ -119,7 +133,7 @@
         """Yield the body; raise ForwardFailed unless it is complete."""
         yield from self._fetched
         with self._exchange.translate_errors():
-            yield from self._read_checked()
+            yield from self._parts
 
     def finish(self) -> None:
         """Return the connection to its pool if it is clean.
@@ -129,8 +143,10 @@
         """
         if self._exchange.is_ended:
             return
+        self._exchange.limit_idle(self._head.keep_alive)
         self._exchange.end(
             self.body.finished
+            and not isinstance(self.body, framing.UnframedBody)
             and self._exchange.is_echoed
             and not self._head.will_close
             and not self._exchange.wire.has_buffered()
@@ -144,14 +160,23 @@
 class _Exchange:
     """Send one request on one connection and read the head of the answer."""
 
-    def __init__(self, pool: pooling.Pool, head: heads.Head, terms: Terms):
+    def __init__(
+        self,
+        pool: pooling.Pool,
+        head: heads.Head,
+        terms: Terms,
+        allows_unframed: bool,
+    ):
         self.head = head
+        self.allows_unframed = allows_unframed
         self._pool = pool
         self._terms = terms
         self.is_ended = False
         self.is_echoed = False
         self._is_body_sent = False
-        self._connection = pool.take(terms.start_until)
+        self._connection = pool.take(
+            terms.start_until, terms.idle_limit
+        )
         self.wire: streams.Wire = self._connection.sock
         self.wire.start_exchange(terms.deadline)
         self.wire.watch(terms.caller)
@@ -167,6 +192,14 @@
         else:
             self._pool.drop(self._connection)
 
+    def limit_idle(self, keep_alive: datetime.timedelta | None) -> None:
+        """Keep the connection for less than the server says it does."""
+        if keep_alive is not None:
+            limit = max(keep_alive - KEEP_ALIVE_MARGIN, MOMENT)
+            self._connection.idle_limit = min(
+                self._connection.idle_limit, limit
+            )
+
     def _fail(self, code: str, cause: Exception) -> ForwardFailed:
         is_sent = self.wire.sent_bytes > 0
         if not is_sent and code == 'backend_broken':
@@ -256,7 +289,10 @@
 
 
 class Backends:
-    """Forward requests to backend servers by address ("host:port")."""
+    """Forward requests to backend servers by address ("host:port").
+
+    `allows_unframed` accepts answers that end with their connection.
+    """
 
     def __init__(
         self,
@@ -264,7 +300,9 @@
         connect_timeout: datetime.timedelta,
         idle_limit: datetime.timedelta = datetime.timedelta(seconds=5),
         connections: int = 8,
+        allows_unframed: bool = False,
     ):
+        self._allows_unframed = allows_unframed
         self._clock = clock
         self._connect_timeout = connect_timeout
         self._idle_limit = idle_limit
@@ -300,7 +338,9 @@
     ) -> Answer:
         """Return the answer once its head arrived, or raise ForwardFailed."""
         try:
-            exchange = _Exchange(self._find_pool(address), head, terms)
+            exchange = _Exchange(
+                self._find_pool(address), head, terms, self._allows_unframed
+            )
         except errors.FleetError as error:
             raise ForwardFailed(error, False) from error
         return exchange.run(body)
--- /dev/null
+++ b/cranberryscale/connection/dialects.py
@@ -0,0 +1,74 @@
+"""The header names by which instances and backend servers understand them.
+
+Names in lower case; an empty name means that the header is not used.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from cranberryscale.connection import framing
+
+
+__all__ = ['Dialect']
+
+_MISDIRECTED = 421
+
+
+class Dialect(NamedTuple):
+    """Hold the names; the defaults are the project's own.
+
+    `not_run` states that a request did not run, if it has the value
+    `not_run_value` (any value if empty). `target` names the backend server
+    for which a request is meant; others answer 421 and do not run it.
+    `customer` names the customer. An answer without `signature` was not
+    made by the backend server. `cold` states a cold start.
+    `has_decimal_retry` allows fractions of a second in Retry-After.
+    `adds_forwarding` sends the Forwarded, X-Forwarded-* and Via headers.
+    """
+
+    not_run: str = 'x-not-run'
+    not_run_value: str = 'true'
+    target: str = ''
+    customer: str = ''
+    signature: str = ''
+    cold: str = 'x-cold-start'
+    has_decimal_retry: bool = False
+    adds_forwarding: bool = True
+
+    def is_not_run(self, status: int, pairs: framing.Pairs) -> bool:
+        """Tell whether the backend server states that it ran nothing."""
+        if self.target and status == _MISDIRECTED:
+            return True
+        values = framing.find_values(pairs, self.not_run)
+        if status < 400 or not values:
+            return False
+        wanted = self.not_run_value
+        return not wanted or values[0].lower() == wanted
+
+    def is_signed(self, pairs: framing.Pairs) -> bool:
+        """Tell whether the answer is the backend server's own."""
+        return not self.signature or bool(
+            framing.find_values(pairs, self.signature)
+        )
+
+    def is_encoded(self, pairs: framing.Pairs) -> bool:
+        """Tell whether something on the way changed the body."""
+        return bool(self.signature) and bool(
+            framing.find_values(pairs, 'content-encoding')
+        )
+
+    def list_added(
+        self, server: str, customer: str
+    ) -> Iterable[tuple[str, str]]:
+        """Yield the headers that name the server and the customer."""
+        if self.target and server:
+            yield self.target.title(), server
+        if self.customer and customer:
+            yield self.customer.title(), customer
+
+    @property
+    def own_names(self) -> frozenset[str]:
+        """Return the names that callers must not set."""
+        return frozenset(
+            name for name in (self.target, self.customer) if name
+        )
--- a/cranberryscale/connection/frames.py
+++ b/cranberryscale/connection/frames.py
@@ -97,9 +97,15 @@
 
 
 class ReplayGuard:
-    """Refuse calls seen before and calls of earlier incarnations."""
+    """Refuse calls seen before and calls of earlier incarnations.
 
-    def __init__(self):
+    `orders_incarnations` is False where a wall clock that was set back may
+    give a later process the lower incarnation; then a process that calls
+    anew replaces the one before.
+    """
+
+    def __init__(self, orders_incarnations: bool = True):
+        self._orders_incarnations = orders_incarnations
         self._lock = threading.Lock()
         self._seen: dict[str, tuple[int, int, set[int]]] = {}
 
@@ -109,9 +115,10 @@
             incarnation, highest, recent = self._seen.get(
                 frame.sender, (0, 0, set())
             )
-            if frame.incarnation < incarnation:
+            is_earlier = frame.incarnation < incarnation
+            if is_earlier and self._orders_incarnations:
                 raise errors.make_error('message_replayed', frame.sender)
-            if frame.incarnation > incarnation:
+            if frame.incarnation != incarnation:
                 highest, recent = 0, set()
             oldest = highest - REPLAY_WINDOW
             if frame.counter <= oldest or frame.counter in recent:
--- a/cranberryscale/connection/framing.py
+++ b/cranberryscale/connection/framing.py
@@ -23,6 +23,7 @@
     'LengthBody',
     'Pairs',
     'ReplayBody',
+    'UnframedBody',
     'check_request_framing',
     'find_values',
     'parse_header_line',
@@ -107,6 +108,31 @@
         return data
 
 
+class UnframedBody(EmptyBody):
+    """Read a body that ends with its connection.
+
+    A reset raises from the stream, so that only a regular end counts.
+    """
+
+    def __init__(self, stream: Any, codes: BodyCodes):
+        self._stream = stream
+        self._codes = codes
+        self.received_bytes = 0
+        self.finished = False
+
+    def read_some(self) -> bytes:
+        """Return the next bytes, b'' at the end."""
+        if self.finished:
+            return b''
+        try:
+            data = self._stream.read1(BLOCK_BYTES)
+        except ConnectionResetError as error:
+            raise errors.make_error(self._codes.truncated, 'reset') from error
+        self.received_bytes += len(data)
+        self.finished = not data
+        return data
+
+
 class ChunkedBody(EmptyBody):
     """Decode a chunked body from a buffered stream, trailers dropped."""
 
--- a/cranberryscale/connection/heads.py
+++ b/cranberryscale/connection/heads.py
@@ -4,6 +4,7 @@
 of the time of a request, and passes on what may not be passed on.
 """
 
+import datetime
 import re
 from typing import Any
 from typing import NamedTuple
@@ -24,6 +25,7 @@
 _STATUS = re.compile(
     rb'HTTP/1\.([01]) ([1-5][0-9]{2})(?: ([\t -~\x80-\xff]*))?\r\n'
 )
+_TIMEOUT = re.compile(r'\btimeout=([0-9]{1,6})\b')
 _LENGTH = re.compile(r'[0-9]{1,15}')
 
 
@@ -51,6 +53,15 @@
         words = ','.join(framing.find_values(self.pairs, 'connection'))
         return not self.is_http_11 or 'close' in words.lower()
 
+    @property
+    def keep_alive(self) -> datetime.timedelta | None:
+        """Return how long the server keeps the connection, if it says."""
+        for value in framing.find_values(self.pairs, 'keep-alive'):
+            found = _TIMEOUT.search(value)
+            if found:
+                return datetime.timedelta(seconds=int(found[1]))
+        return None
+
 
 def format_head(head: Head) -> bytes:
     """Return the bytes of a request head; its parts are checked already."""
@@ -88,8 +99,17 @@
     raise errors.make_error(_BROKEN, 'status line of the answer')
 
 
-def frame_body(stream: Any, head: AnswerHead, method: str) -> Any:
-    """Return the body that follows the head, or raise BackendBroken."""
+def frame_body(
+    stream: Any,
+    head: AnswerHead,
+    method: str,
+    allows_unframed: bool = False,
+) -> Any:
+    """Return the body that follows the head, or raise BackendBroken.
+
+    `allows_unframed` takes the end of the connection for that of a body
+    without a length.
+    """
     lengths = set(framing.find_values(head.pairs, 'content-length'))
     codings = framing.find_values(head.pairs, 'transfer-encoding')
     if method == 'HEAD' or head.status in (204, 304):
@@ -98,6 +118,8 @@
         if lengths or [c.lower() for c in codings] != ['chunked']:
             raise errors.make_error(_BROKEN, 'ambiguous length of the answer')
         return framing.ChunkedBody(stream, 2**62, framing.SERVER_CODES)
+    if not lengths and allows_unframed:
+        return framing.UnframedBody(stream, framing.SERVER_CODES)
     # Without a length a broken connection looks like the end of the body,
     # so the answer cannot be known to be complete.
     if len(lengths) != 1 or not _LENGTH.fullmatch(min(lengths)):
--- a/cranberryscale/connection/peers.py
+++ b/cranberryscale/connection/peers.py
@@ -151,10 +151,11 @@
         signer: frames.Signer,
         answer: Callable[[frames.Frame, Any], Any],
         threads: int = 16,
+        guard: frames.ReplayGuard | None = None,
     ):
         self._signer = signer
         self._answer = answer
-        self._guard = frames.ReplayGuard()
+        self._guard = frames.ReplayGuard() if guard is None else guard
         self._lock = threading.Lock()
         self._refused: dict[str, int] = {}
         self._control_bytes = 0
--- a/cranberryscale/connection/pooling.py
+++ b/cranberryscale/connection/pooling.py
@@ -44,6 +44,7 @@
 
     def connect(self) -> None:
         super().connect()
+        self.idle_since = None
         self.sock = streams.Wire(self.sock, self.clock)
 
     @property
@@ -54,8 +55,13 @@
         """
         if self.sock is None or self.idle_since is None:
             return False
-        age = self.clock.read_elapsed() - self.idle_since
-        return age < self.idle_limit and not self.sock.is_readable()
+        return self.is_fresh(self.idle_limit) and not self.sock.is_readable()
+
+    def is_fresh(self, idle_limit: datetime.timedelta) -> bool:
+        """Tell whether the connection was used lately, or is new."""
+        if self.idle_since is None:
+            return True
+        return self.clock.read_elapsed() - self.idle_since < idle_limit
 
 
 class Pool(urllib3.HTTPConnectionPool):
@@ -74,10 +80,15 @@
         connection.idle_limit = self._idle_limit
         return connection
 
-    def take(self, until: datetime.timedelta) -> Connection:
+    def take(
+        self,
+        until: datetime.timedelta,
+        idle_limit: datetime.timedelta | None = None,
+    ) -> Connection:
         """Return a connected connection, or raise BackendRefused.
 
-        Connecting takes at most the pool's timeout and ends at `until`.
+        Connecting takes at most the pool's timeout and ends at `until`. A
+        kept connection is used if it was idle for less than `idle_limit`.
         """
         try:
             connection = self._get_conn(timeout=POOL_WAIT_S)
@@ -85,6 +96,8 @@
             raise errors.make_error(
                 'backend_refused', 'all connections in use'
             ) from error
+        if idle_limit is not None and not connection.is_fresh(idle_limit):
+            connection.close()
         try:
             if connection.sock is None:
                 left = until - self.clock.read_elapsed()
--- /dev/null
+++ b/cranberryscale/core.py
@@ -0,0 +1,260 @@
+"""All decisions of one instance on machines without a published list.
+
+`Core` opens no socket, reads no clock and starts no thread. Whoever drives it
+holds one lock around it, hands it the messages of other instances
+(`answer`), what the store said (`take_reading`) and the time, and sends the
+messages that its answers name.
+"""
+
+from collections.abc import Callable
+import datetime
+import random
+from typing import Any
+
+from cranberryscale import errors
+from cranberryscale import messages
+from cranberryscale.process import dispatch
+from cranberryscale.process import fallback
+from cranberryscale.process import following
+from cranberryscale.process import quotas
+from cranberryscale.process import ranking
+from cranberryscale.process import repeats
+from cranberryscale.process import roster
+from cranberryscale.version import configuration
+from cranberryscale.version import deployment
+from cranberryscale.version import published
+
+
+__all__ = ['Core']
+
+
+def _convert_ask(ask: messages.AskServer, sender: str) -> dispatch.Ask:
+    return dispatch.Ask(
+        ask.request_id,
+        sender,
+        ask.domain,
+        datetime.timedelta(seconds=ask.target_s),
+        datetime.timedelta(seconds=ask.waited_s),
+        datetime.timedelta(seconds=ask.remaining_s),
+        ask.priority,
+        ask.excluded,
+        ask.is_repeat,
+        ask.is_idempotent,
+    )
+
+
+class Core:
+    """Hold what one instance knows and decides.
+
+    `decode` turns an entry of the store into a fact.
+    """
+
+    def __init__(
+        self,
+        options: deployment.Deployment,
+        epoch: int,
+        decode: Callable[[str, bytes], published.Fact | None],
+        rng: random.Random,
+        now: datetime.timedelta,
+    ):
+        self.options = options
+        self._rng = rng
+        own = roster.Record(
+            options.name,
+            epoch,
+            int(roster.State.STARTING),
+            options.domain,
+            options.addresses.callers,
+            options.cores,
+        )
+        self.roster = roster.Roster(own, options.seeds, rng, now)
+        self.follower = following.Follower(self.roster, rng, now)
+        self.published = published.Published(decode)
+        self.fallback = fallback.Fallback(rng)
+        terms = options.terms
+        self._quota_holder = quotas.QuotaHolder(
+            terms.quota_excess, terms.quota_slack
+        )
+        self._quota_share = quotas.QuotaShare()
+        self.pools: dict[str, dispatch.Pool] = {}
+        self._loaded: configuration.Configuration | None = None
+
+    def load_options(self, options: deployment.Deployment) -> None:
+        """Take changed settings; addresses and name stay as they are."""
+        self.options = options
+        self.roster.load_seeds(options.seeds)
+
+    # What is known
+
+    @property
+    def current(self) -> configuration.Configuration:
+        """Return the configuration in force, or raise NotReady."""
+        if self.published.policy is None:
+            raise errors.make_error('not_ready')
+        return self.published.current
+
+    def take_reading(
+        self,
+        changes: tuple[published.Change, ...],
+        revision: int,
+        is_whole: bool,
+        is_after_outage: bool,
+        now: datetime.timedelta,
+    ) -> tuple[published.Event, ...]:
+        """Take what the store or another instance said."""
+        if is_after_outage:
+            self.published.note_outage(now)
+        take = self.published.replace if is_whole else self.published.apply
+        events = take(changes, revision, now)
+        self._load_pools()
+        return events
+
+    def advance(
+        self, now: datetime.timedelta
+    ) -> tuple[published.Event, ...]:
+        """Let time pass."""
+        events = self.published.advance(now)
+        self.roster.forget(now)
+        self._quota_holder.drop_idle(now)
+        self._load_pools()
+        for pool in self.pools.values():
+            pool.advance(now)
+        return events
+
+    def _load_pools(self) -> None:
+        if self._loaded is self.published.current:
+            return
+        self._loaded = self.published.current
+        for pool in self.pools.values():
+            pool.load(self._loaded, self.options.terms.floor_ratio)
+
+    def _find_pool(self, service: str) -> dispatch.Pool:
+        pool = self.pools.get(service)
+        if pool is None:
+            terms = self.options.terms
+            budget = repeats.RepeatBudget(
+                terms.repeat_ratio, terms.repeat_slack, terms.repeat_window
+            )
+            pool = self.pools[service] = dispatch.Pool(service, budget)
+            pool.load(self.current, terms.floor_ratio)
+        return pool
+
+    # Who decides
+
+    def find_quota_holder(
+        self, customer: str, now: datetime.timedelta
+    ) -> str:
+        """Return the instance that admits a customer's requests."""
+        resource = ranking.Resource('customer', customer)
+        return self.roster.choose_holder(resource, now)
+
+    def find_pool_holder(self, service: str, now: datetime.timedelta) -> str:
+        """Return the instance that coordinates a service's servers."""
+        resource = ranking.Resource('pool', service)
+        return self.roster.choose_holder(resource, now)
+
+    def list_addresses(self, limit: int) -> tuple[str, ...]:
+        """Return the addresses of instances for callers to choose from."""
+        ready = [record.callers for record in self.roster.list_ready()]
+        if len(ready) <= limit:
+            return tuple(ready)
+        return tuple(self._rng.sample(ready, limit))
+
+    def admit_alone(
+        self, customer: str, now: datetime.timedelta
+    ) -> quotas.Admission:
+        """Admit from this instance's own part of the customer's rate."""
+        known = self.current.customers.get(customer)
+        if known is None:
+            raise errors.make_error('key_unknown')
+        count = self.roster.count_recent(now)
+        return self._quota_share.admit(known, count, now)
+
+    # Messages of other instances
+
+    def answer(
+        self, sender: str, message: Any, now: datetime.timedelta
+    ) -> Any:
+        """Return the reply, or raise a FleetError."""
+        if sender != self.options.name:
+            self.roster.note_contact(sender, now)
+        match message:
+            case messages.Check(news=news):
+                self.roster.merge(news, now)
+                return messages.CheckReply(
+                    self.roster.digest, self.roster.take_news()
+                )
+            case messages.Exchange(records=records):
+                self.roster.merge(records, now)
+                return messages.ExchangeReply(self.roster.records)
+            case messages.PullChanges(revision=revision):
+                return self._answer_pull(revision, now)
+            case messages.AskQuota(customer=customer):
+                return self._answer_quota(customer, now)
+            case messages.AskServer():
+                return self._answer_server(sender, message, now)
+            case messages.FinishRequest():
+                return self._answer_finish(message, now)
+        raise errors.make_error('message_undecodable', type(message).__name__)
+
+    def _answer_pull(
+        self, revision: int, now: datetime.timedelta
+    ) -> messages.ChangesReply:
+        age_s = -1.0
+        if self.follower.is_confirmed:
+            age_s = self.follower.find_age(now).total_seconds()
+        return messages.ChangesReply(
+            self.published.revision,
+            age_s,
+            self.published.list_since(revision),
+        )
+
+    def _answer_quota(
+        self, customer: str, now: datetime.timedelta
+    ) -> messages.QuotaReply:
+        known = self.current.customers.get(customer)
+        if known is None:
+            # The asker may know a later configuration.
+            raise errors.make_error('not_holder', customer)
+        up = len(self.roster.list_up())
+        ratio = up / max(up, self.roster.count_recent(now))
+        admission = self._quota_holder.admit(known, ratio, now)
+        return messages.QuotaReply(
+            admission.is_admitted, admission.retry_after.total_seconds()
+        )
+
+    def _answer_server(
+        self, sender: str, ask: messages.AskServer, now: datetime.timedelta
+    ) -> messages.ServerReply:
+        pool = self._find_pool(ask.service)
+        result = pool.ask(_convert_ask(ask, sender), now)
+        ejected = pool.list_ejected(now)
+        match result:
+            case dispatch.Permit(permit_id, server, patience):
+                return messages.ServerReply(
+                    permit_id,
+                    server,
+                    patience.total_seconds(),
+                    ejected=ejected,
+                )
+            case dispatch.Denial(code, retry_after):
+                return messages.ServerReply(
+                    code=code,
+                    retry_after_s=retry_after.total_seconds(),
+                    ejected=ejected,
+                )
+            case _:
+                return messages.ServerReply()
+
+    def _answer_finish(
+        self, message: messages.FinishRequest, now: datetime.timedelta
+    ) -> messages.Done:
+        pool = self.pools.get(message.service)
+        if pool is not None:
+            pool.report(
+                message.permit_id,
+                message.outcome,
+                datetime.timedelta(seconds=message.latency_s),
+                now,
+            )
+        return messages.Done()
--- /dev/null
+++ b/cranberryscale/entry.py
@@ -0,0 +1,288 @@
+"""The daemon of an instance on machines without a published list."""
+
+from collections.abc import Callable
+import datetime
+import logging as std_logging
+import pathlib
+import random
+import signal
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+from absl import logging
+from cheroot import wsgi
+import cherrypy
+from cherrypy.process import servers
+
+from cranberryscale import clock as clocks
+from cranberryscale.connection import backends
+from cranberryscale.connection import dialects
+from cranberryscale.connection import listeners
+from cranberryscale import core as cores
+from cranberryscale import errors
+from cranberryscale import fleet as fleets
+from cranberryscale import logs
+from cranberryscale.process import metrics
+from cranberryscale.process import roster
+from cranberryscale.request import actions
+from cranberryscale.request import coordination
+from cranberryscale.request import gateway
+from cranberryscale.version import deployment
+from cranberryscale.version import published
+
+
+__all__ = ['Entry', 'Machine']
+
+PAGE_THREADS = 3
+# Callers keep an answer of the directory this long.
+ANSWER_LIFETIME = datetime.timedelta(seconds=2)
+ADDRESS_LIMIT = 64
+# Part of the time from SIGTERM to SIGKILL in which new requests are served:
+# callers still hold answers that name the instance.
+SERVE_RATIO = 0.55
+# What is left of that time for the last requests to end.
+EXIT_MARGIN = datetime.timedelta(milliseconds=700)
+SETTINGS_INTERVAL = datetime.timedelta(seconds=1)
+# Idle connections to servers; they close theirs after 10 s.
+IDLE_LIMIT = datetime.timedelta(seconds=8)
+BACKEND_CONNECTIONS = 16
+
+
+class Machine(NamedTuple):
+    """Hold what an adapter provides.
+
+    `open_store(address)` returns the client of the store; `decode` turns
+    its entries into facts; `make_pages(entry)` returns the WSGI callables
+    for callers that ask for addresses and for the platform's own checks.
+    """
+
+    open_store: Callable[[str], fleets.Store]
+    decode: Callable[[str, bytes], published.Fact | None]
+    dialect: dialects.Dialect
+    make_pages: Callable
+
+
+class Entry:
+    """Run one instance until it is told to leave."""
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        machine: Machine,
+        clock: clocks.Clock | None = None,
+    ):
+        self._path = path
+        self._machine = machine
+        self.options = deployment.load_deployment(path)
+        self.clock = clock or clocks.SystemClock()
+        # Higher than that of an earlier life, unless the clock was set back;
+        # the roster corrects that when it hears of the earlier life.
+        epoch = int(self.clock.read_wall().timestamp() * 1000)
+        self.core = cores.Core(
+            self.options,
+            epoch,
+            machine.decode,
+            random.Random(),
+            self.clock.read_elapsed(),
+        )
+        self.fleet = fleets.Fleet(
+            self.core,
+            self.clock,
+            machine.open_store(self.options.platform.address),
+        )
+        self.metrics = metrics.Metrics()
+        self.facts = coordination.Facts(self.core, self.clock)
+        self.gateway = gateway.Gateway(
+            coordination.Coordination(
+                self.fleet, self.facts, self.clock, self.metrics
+            ),
+            backends.Backends(
+                self.clock,
+                datetime.timedelta(seconds=self.options.timeouts.connect_s),
+                IDLE_LIMIT,
+                BACKEND_CONNECTIONS,
+                allows_unframed=True,
+            ),
+            self.clock,
+            self._observe,
+            machine.dialect,
+        )
+        self._stopping = threading.Event()
+        self._leaving = threading.Event()
+        self._reload = threading.Event()
+
+    def serve(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        self._mount()
+        self.fleet.start()
+        threading.Thread(target=self._watch_settings, daemon=True).start()
+        cherrypy.engine.start()
+        logs.log_event(
+            'started',
+            name=self.options.name,
+            label=self.options.label,
+            epoch=self.core.roster.own.epoch,
+            seeds=','.join(self.options.seeds),
+        )
+        threading.Thread(target=self._become_ready, daemon=True).start()
+        cherrypy.engine.block()
+        self._stopping.set()
+        self.fleet.close()
+        logs.log_event('stopped', name=self.options.name)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.core.roster.own.state == roster.State.READY
+
+    def list_addresses(self) -> tuple[str, ...]:
+        """Return the addresses that callers may use."""
+        with self.fleet.lock:
+            return self.core.list_addresses(ADDRESS_LIMIT)
+
+    @property
+    def answer_lifetime(self) -> datetime.timedelta:
+        """Return how long callers may keep the addresses."""
+        return min(ANSWER_LIFETIME, self.options.terms.longest_answer)
+
+    def _become_ready(self) -> None:
+        while not self._stopping.wait(0.02):
+            if self.core.published.policy is not None:
+                break
+        if self._leaving.is_set() or self._stopping.is_set():
+            return
+        with self.fleet.lock:
+            self.core.roster.set_state(
+                roster.State.READY, self.clock.read_elapsed()
+            )
+        logs.log_event(
+            'ready',
+            revision=self.core.published.revision,
+            version=self.core.published.policy.version,
+        )
+
+    def _mount(self) -> None:
+        cherrypy.config.update(
+            {'environment': 'production', 'log.screen': False}
+        )
+        cherrypy.log.error_log.setLevel(std_logging.WARNING)
+        addresses = self.options.addresses
+        cherrypy.server.unsubscribe()
+        listeners.make_server(
+            self.options, self.clock, self.gateway
+        ).subscribe()
+        pages = self._machine.make_pages(self)
+        for address in (addresses.health, addresses.directory):
+            self._listen(address, pages)
+        self._listen(addresses.operators, self._show_metrics)
+        handler = cherrypy.engine.signal_handler
+        handler.handlers = {
+            'SIGTERM': self.leave,
+            'SIGINT': self.leave,
+            'SIGHUP': self._reload.set,
+        }
+        handler.subscribe()
+
+    def _listen(self, address: str, app) -> None:
+        host, port = address.rsplit(':', 1)
+        server = wsgi.Server(
+            (host, int(port)), app, numthreads=PAGE_THREADS
+        )
+        servers.ServerAdapter(
+            cherrypy.engine, server, (host, int(port))
+        ).subscribe()
+
+    def _show_metrics(self, environ: dict, start_response) -> list[bytes]:
+        self.metrics.set_gauge('requests_running', self.gateway.running)
+        self.metrics.set_gauge('store_calls', self.fleet.store.calls)
+        body = self.metrics.render()
+        start_response(
+            '200 OK',
+            [
+                ('Content-Type', 'text/plain; version=0.0.4'),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        return [body]
+
+    def leave(self) -> None:
+        """Stop being given out, finish what runs, then end."""
+        if self._leaving.is_set():
+            return
+        self._leaving.set()
+        threading.Thread(target=self._drain).start()
+
+    def _drain(self) -> None:
+        grace = self.options.terms.grace
+        began = self.clock.read_elapsed()
+        logs.log_event(
+            'leaving',
+            name=self.options.name,
+            running=self.gateway.running,
+            grace_s=grace.total_seconds(),
+        )
+        self.fleet.leave()
+        serve_for = grace * SERVE_RATIO
+        self.gateway.drain(began + serve_for)
+        time.sleep(serve_for.total_seconds())
+        left = began + grace - EXIT_MARGIN - self.clock.read_elapsed()
+        is_idle = self.gateway.wait_idle(max(left, datetime.timedelta(0)))
+        if not is_idle:
+            logs.log_event(
+                'drain_incomplete',
+                logging.WARNING,
+                running=self.gateway.running,
+            )
+        cherrypy.engine.exit()
+
+    def _watch_settings(self) -> None:
+        """Load the settings again when they change or SIGHUP asks for it."""
+        known = self._read_stamp()
+        while not self._stopping.is_set():
+            asked = self._reload.wait(SETTINGS_INTERVAL.total_seconds())
+            self._reload.clear()
+            stamp = self._read_stamp()
+            if asked or stamp != known:
+                known = stamp
+                self._load_settings()
+
+    def _read_stamp(self) -> tuple[int, int]:
+        try:
+            status = self._path.stat()
+        except OSError:
+            # It is being replaced; the next look sees the new one.
+            return (0, 0)
+        return (status.st_mtime_ns, status.st_size)
+
+    def _load_settings(self) -> None:
+        try:
+            options = deployment.load_deployment(self._path)
+        except errors.FleetError as error:
+            logs.log_event(
+                'settings_refused', logging.WARNING, reason=error
+            )
+            return
+        with self.fleet.lock:
+            self.core.load_options(options)
+        self.options = options
+        logs.log_event('settings_loaded', seeds=','.join(options.seeds))
+
+    def _observe(
+        self, outcome: actions.Outcome, elapsed: datetime.timedelta
+    ) -> None:
+        self.metrics.record('request_seconds', elapsed, code=outcome.code)
+        self.metrics.count('requests', code=outcome.code, ran=outcome.ran)
+
+
+def run(path: pathlib.Path, machine: Machine) -> int:
+    """Run an instance with the settings at `path`; return the exit code."""
+    logs.set_up(sys.stdout)
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    try:
+        Entry(path, machine).serve()
+    except errors.FleetError as error:
+        logs.log_event('start_failed', logging.ERROR, reason=error)
+        return 1
+    return 0
--- a/cranberryscale/errors.py
+++ b/cranberryscale/errors.py
@@ -188,6 +188,12 @@
         RETRY_NOW,
         'no holder of the service\'s pools can be reached',
     ),
+    (
+        'repeats_spent',
+        _S.SERVICE_UNAVAILABLE,
+        RETRY_LATER,
+        'the service\'s budget of second attempts is spent',
+    ),
     (
         'no_backend_server',
         _S.SERVICE_UNAVAILABLE,
@@ -196,7 +202,7 @@
     ),
     (
         'deadline_too_short',
-        _S.GATEWAY_TIMEOUT,
+        _S.SERVICE_UNAVAILABLE,
         RETRY_LATER,
         'the request cannot finish before its deadline',
     ),
@@ -226,7 +232,7 @@
     ),
     (
         'backend_refused',
-        _S.BAD_GATEWAY,
+        _S.SERVICE_UNAVAILABLE,
         RETRY_LATER,
         'the backend server did not accept the request',
     ),
--- a/cranberryscale/logs.py
+++ b/cranberryscale/logs.py
@@ -1,14 +1,21 @@
 """Log lines: one event a line, as key=value pairs."""
 
+import atexit
 import json
 import logging as std_logging
+from logging import handlers as std_handlers
+import queue
 import re
+from typing import TextIO
 
 from absl import logging
 
 
 __all__ = ['format_event', 'log_event', 'set_up']
 
+# Two seconds of the busiest instance's lines.
+QUEUE_LINES = 2000
+
 _PLAIN = re.compile(r'[!#-<>-\[\]-~]+')
 
 
@@ -48,8 +55,63 @@
         return f'at={self.formatTime(record)} level={level} {text}'
 
 
-def set_up() -> None:
-    """Write events of this process and its libraries to standard error."""
+class _BoundedQueue(std_handlers.QueueHandler):
+    """Hand records to a writer thread; drop and count what is too much."""
+
+    def __init__(self, records: queue.Queue):
+        super().__init__(records)
+        self.dropped = 0
+
+    def prepare(self, record: std_logging.LogRecord) -> std_logging.LogRecord:
+        # Formatting belongs to the writer thread.
+        return record
+
+    def enqueue(self, record: std_logging.LogRecord) -> None:
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+
+
+class _Writer(std_logging.StreamHandler):
+    """Write records, and how many were dropped before them."""
+
+    def __init__(self, stream: TextIO, source: _BoundedQueue):
+        super().__init__(stream)
+        self._source = source
+        self._reported = 0
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        dropped = self._source.dropped - self._reported
+        if dropped:
+            self._reported += dropped
+            record.msg = '%s'
+            record.args = (
+                f'{record.getMessage()} dropped_before={dropped}',
+            )
+        super().emit(record)
+
+
+def set_up(stream: TextIO | None = None) -> None:
+    """Write events of this process and its libraries.
+
+    Without a stream they go to standard error. With one they are written
+    by a thread of their own, so that logging never blocks; at most
+    QUEUE_LINES wait, and further ones are counted.
+    """
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().setFormatter(_EventFormatter())
+    if stream is None:
+        return
+    source = _BoundedQueue(queue.Queue(QUEUE_LINES))
+    writer = _Writer(stream, source)
+    writer.setFormatter(_EventFormatter())
+    listener = std_handlers.QueueListener(source.queue, writer)
+    root = std_logging.getLogger()
+    root.handlers[:] = [source]
+    absl_logger = logging.get_absl_logger()
+    absl_logger.handlers[:] = [source]
+    absl_logger.propagate = False
+    listener.start()
+    atexit.register(listener.stop)
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -11,20 +11,30 @@
 import msgspec
 
 from cranberryscale import errors
+from cranberryscale.process import roster
+from cranberryscale.version import published
 
 
 __all__ = [
+    'AskQuota',
+    'AskServer',
     'BOOTSTRAP_CALLS',
     'CONTROL_CALLS',
     'CONTROL_REPLIES',
     'PROTOCOL_VERSION',
+    'ChangesReply',
+    'Check',
+    'CheckReply',
     'ConfirmationPull',
     'ConfirmationReply',
     'Done',
+    'Exchange',
+    'ExchangeReply',
     'Failure',
     'FetchSubtrees',
     'FetchView',
     'FinishOnce',
+    'FinishRequest',
     'GossipPull',
     'GossipReply',
     'GrantRecord',
@@ -34,7 +44,10 @@
     'PermitReports',
     'PoolSummary',
     'PoolSummaryReply',
+    'PullChanges',
+    'QuotaReply',
     'ReturnTokens',
+    'ServerReply',
     'ServerSummary',
     'SubtreeRecord',
     'SubtreesReply',
@@ -318,6 +331,106 @@
     servers: tuple[ServerSummary, ...]
 
 
+class Check(NamedTuple):
+    """Check that an instance lives and spread news of others.
+
+    `digest` sums up the sender's records; the receiver asks for all of
+    them when its own differ.
+    """
+
+    digest: int
+    news: tuple[roster.Record, ...] = ()
+
+
+class CheckReply(NamedTuple):
+    """Answer a check with news and the digest after taking them."""
+
+    digest: int
+    news: tuple[roster.Record, ...] = ()
+
+
+class Exchange(NamedTuple):
+    """Give all records of instances and ask for all."""
+
+    records: tuple[roster.Record, ...]
+
+
+class ExchangeReply(NamedTuple):
+    """Give all records of instances."""
+
+    records: tuple[roster.Record, ...]
+
+
+class PullChanges(NamedTuple):
+    """Ask for what changed in the store after a revision."""
+
+    revision: int
+
+
+class ChangesReply(NamedTuple):
+    """Give changes, complete up to `revision`.
+
+    `age_s` is how long ago the store last confirmed them, negative if this
+    instance has not heard of the store.
+    """
+
+    revision: int
+    age_s: float
+    changes: tuple[published.Change, ...] = ()
+
+
+class AskQuota(NamedTuple):
+    """Ask the holder of a customer to admit one request."""
+
+    customer: str
+
+
+class QuotaReply(NamedTuple):
+    """Admit a request, or say when to come back."""
+
+    is_admitted: bool
+    retry_after_s: float = 0.0
+
+
+class AskServer(NamedTuple):
+    """Ask the holder of a pool for a backend server; see dispatch.Ask."""
+
+    service: str
+    request_id: str
+    domain: str
+    target_s: float
+    waited_s: float
+    remaining_s: float
+    priority: int = 0
+    excluded: tuple[str, ...] = ()
+    is_repeat: bool = False
+    is_idempotent: bool = False
+
+
+class ServerReply(NamedTuple):
+    """Name a server, or refuse with a code of the error table.
+
+    With neither the request keeps its place in the queue and is asked for
+    again. `ejected` lists the servers that are out of use.
+    """
+
+    permit_id: int = 0
+    server: str = ''
+    patience_s: float = 0.0
+    code: str = ''
+    retry_after_s: float = 0.0
+    ejected: tuple[str, ...] = ()
+
+
+class FinishRequest(NamedTuple):
+    """Tell a pool's holder how a permitted request ended."""
+
+    service: str
+    permit_id: int
+    outcome: str
+    latency_s: float
+
+
 class Done(NamedTuple):
     """Acknowledge a message that has no other reply."""
 
@@ -354,6 +467,17 @@
     21: ConfirmationPull,
     22: ConfirmationReply,
     23: FinishOnce,
+    24: Check,
+    25: CheckReply,
+    26: Exchange,
+    27: ExchangeReply,
+    28: PullChanges,
+    29: ChangesReply,
+    30: AskQuota,
+    31: QuotaReply,
+    32: AskServer,
+    33: ServerReply,
+    34: FinishRequest,
 }
 _TAG_OF = {kind: tag for tag, kind in _TAGS.items()}
 _DECODERS = {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TAGS.items()}
@@ -367,6 +491,9 @@
     FetchSubtrees,
     SurveyPool,
     PoolSummary,
+    Check,
+    Exchange,
+    PullChanges,
 )
 CONTROL_REPLIES = (
     GossipReply,
@@ -375,6 +502,9 @@
     SubtreesReply,
     SurveyReply,
     PoolSummaryReply,
+    CheckReply,
+    ExchangeReply,
+    ChangesReply,
 )
 # Calls answered to a sender that proves the fleet's secret but is not yet in
 # the receiver's list; they change nothing at the receiver.
--- /dev/null
+++ b/cranberryscale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter for the users' machines: names, formats and calls."""
--- /dev/null
+++ b/cranberryscale/platform/documents.py
@@ -0,0 +1,251 @@
+"""The entries of the store, decoded into the project's types."""
+
+import datetime
+import json
+import re
+from typing import Any
+
+import msgspec
+
+from cranberryscale import errors
+from cranberryscale.version import configuration
+from cranberryscale.version import keys
+from cranberryscale.version import published
+
+
+__all__ = ['PREFIX', 'decode_entry']
+
+# All entries are read; the store holds nothing but what is decoded here.
+PREFIX = ''
+_SERVERS = 'servers/'
+_CONFIGURATION = 'op/config'
+_EVACUATIONS = 'op/evacuate/'
+
+_DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)')
+_VERSION = re.compile(r'[0-9a-f]{8}')
+_IDEMPOTENT = {'idempotent': True, 'non_idempotent': False}
+_SERVER_STATES = {'ready': False, 'draining': True}
+# Operators' timeouts are optional; then only the caller's deadline counts.
+_LONGEST = datetime.timedelta(minutes=5)
+
+
+class _Info(msgspec.Struct):
+    service: str
+    version: str
+    zone: str
+    slots: int
+
+
+class _Status(msgspec.Struct, rename='kebab'):
+    state: str
+    sequence: int
+    warmup_left: str = '0ms'
+
+
+class _Server(msgspec.Struct):
+    address: str
+    info: _Info
+    status: _Status
+    # Unix milliseconds of the server's start.
+    born: int = 0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename='kebab'):
+    name: str
+    host: str
+    prefix: str
+    # Whether a request may run more than once.
+    route_type: str
+    # How long a caller may be kept waiting.
+    timeout: str | None = None
+    target_latency: str | None = None
+    priority: int | None = None
+    split: list[_Split] | None = None
+    max_attempts: int | None = None
+    public: bool | None = None
+    service: str | None = None
+
+
+class _Service(msgspec.Struct, rename='kebab'):
+    name: str
+    max_conns: int | None = None
+    warmup: str | None = None
+    # Requests a second that a server bears while it is cold.
+    warmup_per_s: float | None = None
+
+
+class _Tenant(msgspec.Struct, rename='kebab'):
+    name: str
+    api_keys: list[str] | None = None
+    priority: int | None = None
+    # 0 or omitted: no limit.
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
+class _Limits(msgspec.Struct, rename='kebab'):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: str
+    idle_timeout: str
+
+
+class _Table(msgspec.Struct):
+    """Hold rows of values, of which null means omitted."""
+
+    columns: list[str]
+    rows: list[list[Any]]
+
+
+class _Document(msgspec.Struct):
+    version: str
+    routes: _Table
+    services: _Table
+    limits: _Limits
+    tenants: _Table | None = None
+
+
+def _read_duration(text: str) -> datetime.timedelta:
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        raise ValueError(f'duration {text!r}')
+    unit = 'milliseconds' if match[2] == 'ms' else 'seconds'
+    return datetime.timedelta(**{unit: float(match[1])})
+
+
+def _list_rows(table: _Table, kind: type) -> list[Any]:
+    def convert(row):
+        if len(row) != len(table.columns):
+            raise ValueError(f'a row of {len(row)} values')
+        pairs = zip(table.columns, row, strict=True)
+        return msgspec.convert(
+            {name: value for name, value in pairs if value is not None}, kind
+        )
+
+    return [convert(row) for row in table.rows]
+
+
+def _make_route(row: _Route, body_limit: int) -> configuration.Route:
+    parts = tuple(
+        configuration.Part(part.service, part.weight)
+        for part in row.split or ()
+        if part.weight > 0
+    )
+    if not (row.service or parts):
+        raise ValueError(f'route {row.name!r} names no service')
+    timeout = _read_duration(row.timeout) if row.timeout else _LONGEST
+    target = _read_duration(row.target_latency or '1s')
+    return configuration.Route(
+        row.name,
+        row.prefix,
+        row.service or parts[0].service,
+        row.host,
+        open_to_all=bool(row.public),
+        idempotent=_IDEMPOTENT[row.route_type],
+        timeout=timeout,
+        body_limit_bytes=body_limit,
+        parts=parts,
+        target=target,
+        priority=row.priority or 0,
+        max_attempts=max(1, row.max_attempts or 1),
+        retries_errors=True,
+    )
+
+
+def _make_service(row: _Service) -> configuration.Service:
+    return configuration.Service(
+        row.name,
+        warmup=_read_duration(row.warmup or '0ms'),
+        cold_rate_per_s=row.warmup_per_s or 0.0,
+        connections=row.max_conns or 400,
+    )
+
+
+def _make_customer(row: _Tenant) -> configuration.Customer:
+    return configuration.Customer(
+        row.name,
+        row.rate_per_s or 0.0,
+        int(row.burst or 0),
+        priority=row.priority,
+    )
+
+
+def _decode_policy(body: bytes) -> published.Policy:
+    document = msgspec.json.decode(body, type=_Document)
+    if not _VERSION.fullmatch(document.version):
+        raise ValueError(f'version {document.version!r}')
+    body_limit = document.limits.max_body_bytes
+    tenants = (
+        _list_rows(document.tenants, _Tenant) if document.tenants else []
+    )
+    digests = (
+        configuration.Key(keys.digest_key(key), tenant.name)
+        for tenant in tenants
+        for key in tenant.api_keys or ()
+    )
+    routes = _list_rows(document.routes, _Route)
+    services = _list_rows(document.services, _Service)
+    if document.tenants is None:
+        # Without customers no request carries a key.
+        for route in routes:
+            route.public = True
+    rules = configuration.Configuration(
+        versions={'operators': int(document.version, 16)},
+        customers={t.name: _make_customer(t) for t in tenants},
+        keys={key.digest: key for key in digests},
+        routes=tuple(_make_route(route, body_limit) for route in routes),
+        services={s.name: _make_service(s) for s in services},
+    )
+    limits = published.Limits(
+        document.limits.max_header_bytes,
+        body_limit,
+        _read_duration(document.limits.header_timeout),
+        _read_duration(document.limits.idle_timeout),
+    )
+    return published.Policy(int(document.version, 16), rules, limits)
+
+
+def _decode_server(name: str, body: bytes) -> published.ServerEntry:
+    entry = msgspec.json.decode(body, type=_Server)
+    host, _, port = entry.address.rpartition(':')
+    if not host or not port.isdigit() or entry.info.slots < 1:
+        raise ValueError(f'address {entry.address!r}')
+    return published.ServerEntry(
+        name,
+        entry.info.service,
+        entry.info.zone,
+        entry.address,
+        entry.info.slots,
+        _SERVER_STATES[entry.status.state],
+        _read_duration(entry.status.warmup_left),
+        entry.born,
+    )
+
+
+def _decode(key: str, body: bytes) -> published.Fact | None:
+    if key == _CONFIGURATION:
+        return _decode_policy(body)
+    if key.startswith(_SERVERS):
+        return _decode_server(key.removeprefix(_SERVERS), body)
+    if key.startswith(_EVACUATIONS):
+        json.loads(body)
+        return published.Evacuation(key.removeprefix(_EVACUATIONS))
+    return None
+
+
+def decode_entry(key: str, body: bytes) -> published.Fact | None:
+    """Return the fact in an entry, None for a key of no interest.
+
+    Raises DocumentInvalid; nothing of such an entry is used.
+    """
+    try:
+        return _decode(key, body)
+    except (ValueError, KeyError, msgspec.MsgspecError) as error:
+        raise errors.make_error(
+            'document_invalid', f'{key}: {type(error).__name__}: {error}'
+        ) from error
--- /dev/null
+++ b/cranberryscale/process/dispatch.py
@@ -0,0 +1,442 @@
+"""Which backend server runs a request, and which requests wait or go.
+
+The holder of a service's pool counts the requests of the whole fleet at each
+server. A request gets a free slot at the soundest server, else it waits in
+a short queue; what cannot be served in time is refused at once.
+
+Load patterns: a surge of all callers (the queue serves the urgent first, and
+among equals those that can still be on time); servers slow or gone (the
+expected wait grows with the slots that are left, so refusals begin at once);
+cold servers that return together (each gets no more than it bears).
+"""
+
+import collections
+from collections.abc import Iterable
+import datetime
+import itertools
+from typing import NamedTuple
+
+from cranberryscale.process import health
+from cranberryscale.process import repeats
+from cranberryscale.version import configuration
+
+
+__all__ = ['Ask', 'Denial', 'Permit', 'Pool', 'Queued', 'Result']
+
+ZERO = datetime.timedelta(0)
+# A failure domain's own servers are preferred while they are at most this
+# much fuller than others: bytes between domains cost.
+DISTANCE_COST = 0.6
+# A server without a recent good answer is a risk for what may run only once.
+UNPROVEN_COST = 0.3
+PROVEN_WITHIN = datetime.timedelta(seconds=2)
+DOUBT_COST = 10.0
+# Part of the rate that a cold server bears which is used; the rest covers
+# requests on their way.
+COLD_USE = 0.8
+COLD_WINDOW = datetime.timedelta(seconds=1)
+# Until answers are seen, a request is taken to need this part of the time
+# within which its answer is on time.
+USUAL_RATIO = 0.35
+USUAL_WEIGHT = 0.1
+# A second attempt is due when an answer takes longer than this part of the
+# time within which it is on time, and this many times longer than usual.
+PATIENCE_RATIO = 0.6
+PATIENCE_FACTOR = 2.5
+# A waiting instance asks again before this; otherwise it is gone.
+RENEW_WITHIN = datetime.timedelta(milliseconds=600)
+QUEUE_LIMIT = 512
+RETRY_MIN = datetime.timedelta(milliseconds=100)
+
+
+class Ask(NamedTuple):
+    """Describe a request that needs a backend server.
+
+    `target` is the time within which an answer is on time, counted from
+    the request's arrival `waited` ago; `remaining` is the time left.
+    """
+
+    request_id: str
+    sender: str
+    domain: str
+    target: datetime.timedelta
+    waited: datetime.timedelta
+    remaining: datetime.timedelta
+    priority: int = 0
+    excluded: tuple[str, ...] = ()
+    is_repeat: bool = False
+    is_idempotent: bool = False
+
+
+class Permit(NamedTuple):
+    """Allow a request at a server.
+
+    `patience` is how long silence of the server is usual.
+    """
+
+    permit_id: int
+    server: str
+    patience: datetime.timedelta
+
+
+class Denial(NamedTuple):
+    """Refuse a request with a code of the error table."""
+
+    code: str
+    retry_after: datetime.timedelta
+
+
+class Queued(NamedTuple):
+    """Keep a request's place for as long as it is asked for again."""
+
+    position: int
+
+
+Result = Permit | Denial | Queued
+
+
+class _Running(NamedTuple):
+    server: str
+    sender: str
+    kind: datetime.timedelta
+    since: datetime.timedelta
+    until: datetime.timedelta
+    is_repeat: bool
+
+
+class _Waiting:
+    def __init__(self, ask: Ask, now: datetime.timedelta):
+        self.ask = ask
+        self.due = now + ask.target - ask.waited
+        self.until = now + ask.remaining
+        self.renewed = now
+
+
+class _Server:
+    def __init__(self, entry: configuration.BackendServer):
+        self.entry = entry
+        self.health = health.ServerHealth()
+        self.running: set[int] = set()
+        self.starts: collections.deque[datetime.timedelta] = (
+            collections.deque()
+        )
+
+    def has_slot(self) -> bool:
+        return len(self.running) < self.entry.slots
+
+    def bears_start(
+        self, cold_rate_per_s: float, now: datetime.timedelta
+    ) -> bool:
+        """Tell whether one more request may start in this second."""
+        while self.starts and now - self.starts[0] >= COLD_WINDOW:
+            self.starts.popleft()
+        if not self.entry.is_cold or cold_rate_per_s <= 0:
+            return True
+        return len(self.starts) < max(1.0, cold_rate_per_s * COLD_USE)
+
+
+class Pool:
+    """Coordinate the backend servers of one service."""
+
+    def __init__(self, service: str, budget: repeats.RepeatBudget):
+        self.service = service
+        self._budget = budget
+        self._terms = configuration.Service(service)
+        self._floor_ratio = 1.0
+        self._servers: dict[str, _Server] = {}
+        self._running: dict[int, _Running] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._granted: dict[str, tuple[Permit, datetime.timedelta]] = {}
+        self._denied: dict[str, Denial] = {}
+        self._usual: dict[datetime.timedelta, float] = {}
+        self._ids = itertools.count(1)
+
+    def load(
+        self, published: configuration.Configuration, floor_ratio: float
+    ) -> None:
+        """Take the servers in use; what is known of the others is lost."""
+        self._floor_ratio = floor_ratio
+        self._terms = published.services.get(self.service, self._terms)
+        servers = {}
+        for entry in published.servers.values():
+            if entry.service != self.service:
+                continue
+            if published.is_server_out(entry):
+                continue
+            known = self._servers.get(entry.name)
+            if known is None or known.entry.started_ms != entry.started_ms:
+                known = _Server(entry)
+            known.entry = entry
+            servers[entry.name] = known
+        self._servers = servers
+
+    @property
+    def queue_length(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run."""
+        return len(self._running)
+
+    def list_ejected(self, now: datetime.timedelta) -> tuple[str, ...]:
+        """Return the servers that are out of use."""
+        return tuple(
+            name
+            for name, server in self._servers.items()
+            if server.health.judge(now) == health.Verdict.EJECTED
+        )
+
+    def ask(self, ask: Ask, now: datetime.timedelta) -> Result:
+        """Return a permit, a refusal or a place in the queue.
+
+        Asking again with the same request id keeps the place.
+        """
+        self.advance(now)
+        granted = self._granted.pop(ask.request_id, None)
+        if granted is not None:
+            return granted[0]
+        denied = self._denied.pop(ask.request_id, None)
+        if denied is not None:
+            return denied
+        known = self._waiting.get(ask.request_id)
+        if known is not None:
+            known.renewed = now
+            return Queued(self._count_ahead(known))
+        return self._admit(ask, now)
+
+    def _admit(self, ask: Ask, now: datetime.timedelta) -> Result:
+        if not any(self._list_usable(ask, now)):
+            return Denial('no_backend_server', max(RETRY_MIN, ask.target / 4))
+        if not ask.is_repeat:
+            self._budget.count_first(now)
+        elif not self._budget.take(now):
+            return Denial('repeats_spent', ask.target)
+        waiting = _Waiting(ask, now)
+        if not self._count_ahead(waiting):
+            server = self._choose(ask, now)
+            if server is not None:
+                return self._grant(ask, server, now)
+        wait = self._estimate_wait(waiting, now)
+        is_late = wait + self._find_usual(ask.target) > ask.remaining
+        if is_late or len(self._waiting) >= QUEUE_LIMIT:
+            if ask.is_repeat:
+                self._budget.give_back()
+            return Denial('pool_busy', max(wait / 2, RETRY_MIN))
+        self._waiting[ask.request_id] = waiting
+        return Queued(self._count_ahead(waiting))
+
+    def _grant(
+        self, ask: Ask, server: _Server, now: datetime.timedelta
+    ) -> Permit:
+        permit = Permit(
+            next(self._ids), server.entry.name, self._find_patience(ask)
+        )
+        server.running.add(permit.permit_id)
+        server.starts.append(now)
+        self._running[permit.permit_id] = _Running(
+            server.entry.name,
+            ask.sender,
+            ask.target,
+            now,
+            now + ask.remaining,
+            ask.is_repeat,
+        )
+        return permit
+
+    def report(
+        self,
+        permit_id: int,
+        outcome: str,
+        latency: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Take a permit back and learn from how the request ended.
+
+        `outcome` is "ok", "unused", "cancelled", "shed", "refused" (no
+        connection) or one of health.FAILURES.
+        """
+        running = self._running.pop(permit_id, None)
+        if running is None:
+            return
+        server = self._servers.get(running.server)
+        if server is not None:
+            had_room = len(server.running) <= max(1, server.entry.slots // 2)
+            server.running.discard(permit_id)
+            self._learn(server, running, outcome, latency, had_room, now)
+        self.advance(now)
+
+    def _learn(
+        self,
+        server: _Server,
+        running: _Running,
+        outcome: str,
+        latency: datetime.timedelta,
+        had_room: bool,
+        now: datetime.timedelta,
+    ) -> None:
+        match outcome:
+            case 'ok':
+                usual = self._find_usual(running.kind)
+                server.health.note_success(latency / usual, now)
+                self._note_latency(running.kind, latency)
+            case 'refused':
+                server.health.note_link(running.sender, now)
+            case 'shed':
+                server.health.note_shed(had_room, now)
+            case _ if outcome in health.FAILURES:
+                server.health.note_failure(now)
+        if running.is_repeat and outcome in ('unused', 'refused'):
+            self._budget.give_back()
+
+    def advance(self, now: datetime.timedelta) -> None:
+        """Give free slots to those that wait, and refuse the hopeless."""
+        self._expire(now)
+        if not self._waiting:
+            return
+        for waiting in sorted(
+            self._waiting.values(), key=lambda w: self._find_place(w, now)
+        ):
+            ask = waiting.ask
+            left = waiting.until - now
+            if now - waiting.renewed > RENEW_WITHIN:
+                del self._waiting[ask.request_id]
+            elif left < self._find_usual(ask.target) / 2:
+                del self._waiting[ask.request_id]
+                self._denied[ask.request_id] = Denial('pool_busy', RETRY_MIN)
+            else:
+                server = self._choose(ask, now)
+                if server is not None:
+                    del self._waiting[ask.request_id]
+                    permit = self._grant(
+                        ask._replace(remaining=left), server, now
+                    )
+                    self._granted[ask.request_id] = (permit, now)
+
+    @property
+    def has_results(self) -> bool:
+        """Tell whether requests that waited have an answer."""
+        return bool(self._granted or self._denied)
+
+    def _expire(self, now: datetime.timedelta) -> None:
+        over = [i for i, run in self._running.items() if now >= run.until]
+        for permit_id in over:
+            self._release(permit_id)
+        unclaimed = [
+            (request_id, permit.permit_id)
+            for request_id, (permit, at) in self._granted.items()
+            if now - at > RENEW_WITHIN
+        ]
+        for request_id, permit_id in unclaimed:
+            del self._granted[request_id]
+            self._release(permit_id)
+        if len(self._denied) > QUEUE_LIMIT:
+            self._denied.clear()
+
+    def _release(self, permit_id: int) -> None:
+        running = self._running.pop(permit_id, None)
+        if running is not None and running.server in self._servers:
+            self._servers[running.server].running.discard(permit_id)
+
+    def _find_place(self, waiting: _Waiting, now: datetime.timedelta):
+        # The urgent first; among equals, those that can still be on time.
+        usual = self._find_usual(waiting.ask.target)
+        is_late = now + usual > waiting.due
+        return (waiting.ask.priority, is_late, waiting.due)
+
+    def _count_ahead(self, waiting: _Waiting) -> int:
+        place = (waiting.ask.priority, waiting.due)
+        return sum(
+            (other.ask.priority, other.due) < place
+            for other in self._waiting.values()
+        )
+
+    def _list_usable(
+        self, ask: Ask, now: datetime.timedelta
+    ) -> Iterable[_Server]:
+        """Yield the servers that the request may go to, busy or not."""
+        forced = self._find_forced(now)
+        for name, server in self._servers.items():
+            if name in ask.excluded:
+                continue
+            verdict = server.health.judge(now)
+            if verdict == health.Verdict.EJECTED and name not in forced:
+                continue
+            yield server
+
+    def _find_forced(self, now: datetime.timedelta) -> frozenset[str]:
+        """Return the ejected servers that the floor keeps in use.
+
+        Those that were ejected first may have recovered.
+        """
+        ejected = sorted(
+            (server.health.ejected_at, name)
+            for name, server in self._servers.items()
+            if server.health.judge(now) == health.Verdict.EJECTED
+        )
+        total = len(self._servers)
+        allowed = total - int(-(-self._floor_ratio * total // 1))
+        surplus = max(0, len(ejected) - allowed)
+        return frozenset(name for _, name in ejected[:surplus])
+
+    def _choose(self, ask: Ask, now: datetime.timedelta) -> _Server | None:
+        rate = self._terms.cold_rate_per_s
+        free = (
+            server
+            for server in self._list_usable(ask, now)
+            if server.has_slot() and server.bears_start(rate, now)
+        )
+        return min(
+            free, key=lambda s: self._find_cost(s, ask, now), default=None
+        )
+
+    def _find_cost(
+        self, server: _Server, ask: Ask, now: datetime.timedelta
+    ) -> float:
+        cost = len(server.running) / server.entry.slots
+        cost += max(0.0, server.health.slowness - 1.0)
+        if server.entry.domain != ask.domain:
+            cost += DISTANCE_COST
+        if not ask.is_idempotent:
+            proven = server.health.succeeded_at
+            if proven is None or now - proven > PROVEN_WITHIN:
+                cost += UNPROVEN_COST
+        if server.entry.is_cold:
+            cost += 1.0
+        cost += DOUBT_COST * server.health.judge(now)
+        return cost
+
+    def _find_usual(self, kind: datetime.timedelta) -> datetime.timedelta:
+        usual = self._usual.get(kind)
+        if usual is None:
+            return kind * USUAL_RATIO
+        return datetime.timedelta(seconds=usual)
+
+    def _note_latency(
+        self, kind: datetime.timedelta, latency: datetime.timedelta
+    ) -> None:
+        known = self._find_usual(kind).total_seconds()
+        seen = latency.total_seconds()
+        # One slow server must not make slowness usual.
+        seen = min(seen, known * health.SLOW_RATIO)
+        self._usual[kind] = known + USUAL_WEIGHT * (seen - known)
+
+    def _find_patience(self, ask: Ask) -> datetime.timedelta:
+        return max(
+            ask.target * PATIENCE_RATIO,
+            self._find_usual(ask.target) * PATIENCE_FACTOR,
+        )
+
+    def _estimate_wait(
+        self, waiting: _Waiting, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return when a slot is free for the request, as things are."""
+        slots = sum(
+            server.entry.slots
+            for server in self._list_usable(waiting.ask, now)
+        )
+        busy = [self._find_usual(run.kind) for run in self._running.values()]
+        usual = sum(busy, ZERO) / len(busy) if busy else ZERO
+        ahead = self._count_ahead(waiting) + 1
+        return usual * ahead / max(1, slots)
--- /dev/null
+++ b/cranberryscale/process/following.py
@@ -0,0 +1,128 @@
+"""Who reads the store, and from whom the others learn.
+
+A few readers in each failure domain wait for changes at the store; the rest
+ask a reader of their own domain. Every answer carries the age of the store's
+last word. An instance whose knowledge gets old asks elsewhere and then reads
+the store itself, so that one instance that reaches the store is enough for
+all, and none is needed for itself.
+"""
+
+import datetime
+import random
+
+from cranberryscale.process import roster
+
+
+__all__ = ['Follower']
+
+READERS = 2
+# How often an instance asks a reader; a change has to be in force everywhere
+# within two seconds.
+PULL_INTERVAL = datetime.timedelta(milliseconds=400)
+# A reader's calls wait this long at most, so that silence shows soon.
+STORE_WAIT = datetime.timedelta(seconds=1)
+# Knowledge older than one wait and one pull has lost its reader.
+STALE_AFTER = datetime.timedelta(milliseconds=1700)
+# After this time without the store, entries may have lapsed: three missed
+# heartbeats take 4.5 s, of which part may lie before.
+OUTAGE_AFTER = datetime.timedelta(seconds=2.5)
+# Bounds the calls to a store that turns everybody away.
+RETRY_MIN = datetime.timedelta(milliseconds=300)
+RETRY_MAX = datetime.timedelta(seconds=2)
+
+
+class Follower:
+    """Keep the age of the instance's knowledge and choose its sources."""
+
+    def __init__(
+        self,
+        members: roster.Roster,
+        rng: random.Random,
+        now: datetime.timedelta,
+    ):
+        self._members = members
+        self._rng = rng
+        self._began = now
+        self._confirmed_at: datetime.timedelta | None = None
+        self._failed: dict[str, datetime.timedelta] = {}
+        self._retry_at = now
+        self._retry_delay = RETRY_MIN
+
+    def find_age(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Return how long ago the store last confirmed what is known."""
+        since = self._confirmed_at
+        return now - (self._began if since is None else since)
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Tell whether the store has been heard of at all."""
+        return self._confirmed_at is not None
+
+    def is_reader(self) -> bool:
+        """Tell whether this instance reads the store for its domain."""
+        own = self._members.own
+        return own.name in self._members.list_readers(own.domain, READERS)
+
+    def should_read(self, now: datetime.timedelta) -> bool:
+        """Tell whether to call the store now."""
+        if now < self._retry_at:
+            return False
+        is_stale = self.find_age(now) > STALE_AFTER
+        return not self.is_confirmed or is_stale or self.is_reader()
+
+    def note_store(self, at: datetime.timedelta) -> bool:
+        """Record an answer of the store; return True after an outage.
+
+        `at` is when the call that was answered began to be answered.
+        """
+        self._retry_delay = RETRY_MIN
+        return self._confirm(at)
+
+    def note_store_failure(self, now: datetime.timedelta) -> None:
+        """Record a call that failed, and wait longer for the next."""
+        spread = self._rng.uniform(0.5, 1.0)
+        self._retry_at = now + self._retry_delay * spread
+        self._retry_delay = min(self._retry_delay * 2, RETRY_MAX)
+
+    def choose_source(self, now: datetime.timedelta) -> str | None:
+        """Return the instance to ask next, None if none is needed."""
+        is_stale = self.find_age(now) > STALE_AFTER
+        if self.is_reader() and not is_stale:
+            return None
+        own = self._members.own
+        sources = [
+            name
+            for name in self._members.list_readers(own.domain, READERS)
+            if name != own.name and self._is_usable(name, now)
+        ]
+        if sources and not is_stale:
+            return sources[0]
+        others = [
+            record.name
+            for record in self._members.list_up()
+            if record.name != own.name and self._is_usable(record.name, now)
+        ]
+        return self._rng.choice(others) if others else None
+
+    def _is_usable(self, name: str, now: datetime.timedelta) -> bool:
+        return now >= self._failed.get(name, datetime.timedelta(0))
+
+    def note_pull(
+        self, age: datetime.timedelta | None, at: datetime.timedelta
+    ) -> bool:
+        """Record the age another instance gave; True after an outage.
+
+        `at` is when it was asked.
+        """
+        return age is not None and self._confirm(at - age)
+
+    def note_pull_failure(self, name: str, now: datetime.timedelta) -> None:
+        """Leave a source aside for a while."""
+        self._failed[name] = now + STALE_AFTER
+
+    def _confirm(self, at: datetime.timedelta) -> bool:
+        last = self._confirmed_at
+        if last is not None and at <= last:
+            return False
+        self._confirmed_at = at
+        return last is not None and at - last > OUTAGE_AFTER
--- /dev/null
+++ b/cranberryscale/process/roster.py
@@ -0,0 +1,281 @@
+"""Which instances there are, found from seeds and from each other.
+
+Each instance keeps one record of every instance. A record is replaced by
+one of a higher epoch, or of the same epoch and a later state. Only the
+instance itself raises its epoch: when it starts and when it learns that
+others believe it down. Every interval it checks one other instance, and
+news spread with the checks and at once to a few instances.
+"""
+
+from collections.abc import Iterable
+import datetime
+import enum
+import random
+from typing import NamedTuple
+import zlib
+
+from cranberryscale.process import ranking
+
+
+__all__ = ['Record', 'Roster', 'State']
+
+# One check of a random instance a period finds a lost one in about a second.
+CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
+# Two packets lost in a row are retransmitted within this time.
+CHECK_TIMEOUT = datetime.timedelta(milliseconds=350)
+# A single failed check may be a lost packet.
+FAILED_CHECKS = 2
+# Each piece of news is sent this often by each instance that learns it;
+# three copies reach all of some hundred instances within a few hops.
+NEWS_COPIES = 4
+NEWS_FANOUT = 3
+# Down instances are checked now and then, so that two sides of a partition
+# find each other again.
+REVIVAL_RATIO = 0.1
+FORGET_AFTER = datetime.timedelta(seconds=90)
+# Instances that left the count within this time may still serve callers on
+# the other side of a partition.
+RECENT = datetime.timedelta(seconds=8)
+# An instance coordinates others only after it has learned what they know.
+SETTLE = datetime.timedelta(seconds=2)
+
+
+class State(enum.IntEnum):
+    """Order the states of an instance within one epoch."""
+
+    STARTING = 0
+    READY = 1
+    LEAVING = 2
+    DOWN = 3
+
+
+class Record(NamedTuple):
+    """Describe an instance; `name` is its peer address."""
+
+    name: str
+    epoch: int
+    state: int
+    domain: str
+    callers: str
+    cores: float
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return what decides between two records of one instance."""
+        return (self.epoch, self.state)
+
+
+class Roster:
+    """Keep the records; `rng` chooses whom to check."""
+
+    def __init__(
+        self,
+        own: Record,
+        seeds: Iterable[str],
+        rng: random.Random,
+        now: datetime.timedelta,
+    ):
+        self.own = own
+        self._rng = rng
+        self.load_seeds(seeds)
+        self._records = {own.name: own}
+        self._changed_at = {own.name: now}
+        self._up_since = {own.name: now}
+        self._news: dict[str, int] = {}
+        self._queue: list[str] = []
+        # Checks that failed, by name: how many, and when the first began.
+        self._failures: dict[str, tuple[int, datetime.timedelta]] = {}
+        # Instances that this one alone believes down, because it heard of
+        # nobody in the meantime and may itself be cut off.
+        self._silent: set[str] = set()
+        self._contact_at = now
+
+    def load_seeds(self, seeds: Iterable[str]) -> None:
+        """Take the instances to ask first."""
+        self.seeds = tuple(s for s in seeds if s != self.own.name)
+
+    @property
+    def records(self) -> tuple[Record, ...]:
+        """Return all records, by name."""
+        return tuple(sorted(self._records.values()))
+
+    @property
+    def digest(self) -> int:
+        """Return a checksum of all records, to compare with others."""
+        text = repr([(r.name, r.rank) for r in self.records])
+        return zlib.crc32(text.encode())
+
+    def find(self, name: str) -> Record | None:
+        """Return the record of an instance, or None."""
+        return self._records.get(name)
+
+    def list_up(self) -> tuple[Record, ...]:
+        """Return the instances that are not down, this one included."""
+        return tuple(r for r in self.records if self._is_up(r))
+
+    def _is_up(self, record: Record) -> bool:
+        return record.state != State.DOWN and record.name not in self._silent
+
+    def list_ready(self) -> tuple[Record, ...]:
+        """Return the instances that callers may use."""
+        return tuple(r for r in self.list_up() if r.state == State.READY)
+
+    def count_recent(self, now: datetime.timedelta) -> int:
+        """Count the instances that are or lately were up."""
+        return sum(
+            record.state != State.DOWN
+            or now - self._changed_at[record.name] < RECENT
+            for record in self._records.values()
+        )
+
+    def choose_holder(
+        self, resource: ranking.Resource, now: datetime.timedelta
+    ) -> str:
+        """Return the instance that coordinates a resource, maybe this one.
+
+        Every instance chooses by its own records. Two that differ for a
+        moment are harmless, since each holder bounds what it gives out.
+        """
+        ready = self.list_ready()
+        settled = [r for r in ready if self._is_settled(r, now)]
+        chosen = ranking.choose(settled or ready, resource)
+        return chosen.name if chosen else self.own.name
+
+    def _is_settled(self, record: Record, now: datetime.timedelta) -> bool:
+        since = self._up_since.get(record.name, now)
+        return now - since >= SETTLE
+
+    def list_readers(
+        self, domain: str, count: int
+    ) -> tuple[str, ...]:
+        """Return the instances of a domain that read the store for it."""
+        resource = ranking.Resource('reader', domain)
+        there = [
+            r
+            for r in self.list_up()
+            if r.domain == domain and r.state != State.LEAVING
+        ]
+        ranked = ranking.order(there, resource)
+        return tuple(record.name for record in ranked[:count])
+
+    def set_state(self, state: State, now: datetime.timedelta) -> None:
+        """Change this instance's own state and spread it."""
+        if state != self.own.state:
+            self._put(self.own._replace(state=int(state)), now)
+
+    def merge(
+        self, records: Iterable[Record], now: datetime.timedelta
+    ) -> tuple[Record, ...]:
+        """Take records of others; return those that were news."""
+        return tuple(
+            record for record in records if self._merge_one(record, now)
+        )
+
+    def _merge_one(self, record: Record, now: datetime.timedelta) -> bool:
+        if record.name == self.own.name:
+            if record.rank > self.own.rank:
+                # An earlier life of this instance, or a false suspicion.
+                self._put(self.own._replace(epoch=record.epoch + 1), now)
+            return False
+        known = self._records.get(record.name)
+        if known is not None and known.rank >= record.rank:
+            return False
+        if known is None and record.state == State.DOWN:
+            return False
+        self._put(record, now)
+        return True
+
+    def _put(self, record: Record, now: datetime.timedelta) -> None:
+        known = self._records.get(record.name)
+        self._records[record.name] = record
+        if record.name == self.own.name:
+            self.own = record
+        self._changed_at[record.name] = now
+        was_up = known is not None and known.state != State.DOWN
+        if not was_up or known.epoch != record.epoch:
+            self._up_since[record.name] = now
+        self._news[record.name] = NEWS_COPIES
+        self._silent.discard(record.name)
+
+    def take_news(self) -> tuple[Record, ...]:
+        """Return the records to send with the next message."""
+        taken = tuple(self._records[name] for name in self._news)
+        self._news = {
+            name: left - 1 for name, left in self._news.items() if left > 1
+        }
+        return taken
+
+    @property
+    def has_news(self) -> bool:
+        """Tell whether something is to be spread at once."""
+        return bool(self._news)
+
+    def choose_listeners(self) -> tuple[str, ...]:
+        """Return a few instances to tell news to."""
+        others = [r.name for r in self.list_up() if r.name != self.own.name]
+        return tuple(
+            self._rng.sample(others, min(NEWS_FANOUT, len(others)))
+        )
+
+    def choose_check(self) -> str | None:
+        """Return the instance to check next, None if none is known."""
+        down = [r.name for r in self.records if not self._is_up(r)]
+        others = [r.name for r in self.list_up() if r.name != self.own.name]
+        lonely = len(down) > len(others)
+        if down and (lonely or self._rng.random() < REVIVAL_RATIO):
+            return self._rng.choice(down)
+        if not others:
+            return self._rng.choice(self.seeds) if self.seeds else None
+        self._queue = [name for name in self._queue if name in others]
+        if not self._queue:
+            self._queue = others
+            self._rng.shuffle(self._queue)
+        return self._queue.pop()
+
+    def choose_seed(self) -> str | None:
+        """Return a seed that is not known as up, or None."""
+        up = {record.name for record in self.list_up()}
+        missing = [seed for seed in self.seeds if seed not in up]
+        return self._rng.choice(missing) if missing else None
+
+    def check_soon(self, name: str) -> None:
+        """Check an instance next, since it failed to answer a request."""
+        self._queue.append(name)
+
+    def note_contact(self, name: str, now: datetime.timedelta) -> None:
+        """Record that an instance sent or answered a message."""
+        self._contact_at = now
+        self._failures.pop(name, None)
+        self._silent.discard(name)
+
+    def note_silence(
+        self, name: str, began: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Record a failed check; return True if it is now believed down."""
+        record = self._records.get(name)
+        if record is None or not self._is_up(record):
+            return False
+        count, first = self._failures.get(name, (0, began))
+        self._failures[name] = (count + 1, first)
+        if count + 1 < FAILED_CHECKS:
+            return False
+        del self._failures[name]
+        if self._contact_at > first:
+            self._put(record._replace(state=int(State.DOWN)), now)
+        else:
+            self._silent.add(name)
+        return True
+
+    def forget(self, now: datetime.timedelta) -> None:
+        """Drop instances that have been down for long."""
+        old = [
+            record.name
+            for record in self._records.values()
+            if record.state == State.DOWN
+            and now - self._changed_at[record.name] > FORGET_AFTER
+        ]
+        for name in old:
+            del self._records[name], self._changed_at[name]
+            self._up_since.pop(name, None)
+            self._news.pop(name, None)
+            self._silent.discard(name)
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -73,13 +73,21 @@
 
 
 class AskPermit(NamedTuple):
-    """Ask for a permit to run at a backend server of the service."""
+    """Ask for a permit to run at a backend server of the service.
+
+    An answer within `target` of the request's arrival, `waited` ago, is on
+    time. `is_repeat` marks a second attempt of the same request.
+    """
 
     service: str
     customer: str
     remaining: datetime.timedelta
     excluded: tuple[str, ...]
     probe_ok: bool
+    target: datetime.timedelta = datetime.timedelta(seconds=1)
+    waited: datetime.timedelta = datetime.timedelta(0)
+    priority: int = 0
+    is_repeat: bool = False
 
 
 class Forward(NamedTuple):
@@ -91,6 +99,8 @@
     deadline: datetime.timedelta
     first_byte_until: datetime.timedelta
     body_limit_bytes: int
+    customer: str = ''
+    is_repeatable: bool = False
 
 
 class Deliver(NamedTuple):
@@ -125,11 +135,15 @@
 
 
 class PermitGranted(NamedTuple):
-    """Allow one request at the server, started before this elapsed time."""
+    """Allow one request at the server, started before this elapsed time.
+
+    Silence of the server longer than `patience` is unusual.
+    """
 
     permit_id: str
     server: str
     start_until: datetime.timedelta
+    patience: datetime.timedelta | None = None
 
 
 class Denied(NamedTuple):
--- /dev/null
+++ b/cranberryscale/request/coordination.py
@@ -0,0 +1,293 @@
+"""How a request gets its place: from holders, or alone when they are silent.
+
+An instance that gets no answer decides by itself at once: it admits from its
+own part of the customer's rate, chooses a server by what it last heard and
+makes no second attempts.
+"""
+
+import datetime
+import threading
+from typing import NamedTuple
+
+from cranberryscale import clock as clocks
+from cranberryscale import core as cores
+from cranberryscale import errors
+from cranberryscale import fleet as fleets
+from cranberryscale import logs
+from cranberryscale import messages
+from cranberryscale.process import metrics
+from cranberryscale.request import actions
+from cranberryscale.request import routes
+from cranberryscale.version import configuration
+from cranberryscale.version import keys
+
+
+__all__ = ['Coordination', 'Facts']
+
+# A permit or admission is used at once; a process that was paused for longer
+# asks again.
+VALID = datetime.timedelta(seconds=1)
+ALONE = 'alone'
+
+
+class Facts:
+    """Answer request.actions.Facts from a core."""
+
+    def __init__(self, core: cores.Core, clock: clocks.Clock):
+        self.routes = routes.PrefixBook()
+        self._core = core
+        self._clock = clock
+
+    def get_configuration(self) -> configuration.Configuration:
+        """Return the configuration in force, or raise NotReady."""
+        return self._core.current
+
+    def read_elapsed(self) -> datetime.timedelta:
+        """Return the elapsed time."""
+        return self._clock.read_elapsed()
+
+    def may_serve_keyed(self) -> bool:
+        """Serve by the last known keys, however old.
+
+        An instance that nobody can tell of a withdrawal still serves; see
+        docs/limits.md.
+        """
+        return True
+
+    def find_customer(self, key: str) -> str | None:
+        """Return the customer of a key that is valid now, or None."""
+        try:
+            return keys.find_customer(self.get_configuration(), key).name
+        except errors.RequestError:
+            return None
+
+
+class _Permit(NamedTuple):
+    holder: str
+    number: int
+
+
+class Coordination:
+    """Do what the gateway needs from other instances."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        facts: Facts,
+        clock: clocks.Clock,
+        recorded: metrics.Metrics,
+    ):
+        self.facts = facts
+        self._fleet = fleet
+        self._core = fleet.core
+        self._clock = clock
+        self._metrics = recorded
+        self._lock = threading.Lock()
+        self._permits: dict[str, _Permit] = {}
+
+    # Customers' rates
+
+    def ask_tokens(
+        self, action: actions.AskTokens, request_id: str
+    ) -> actions.TokensGranted | actions.Denied:
+        """Return whether the request is inside its customer's rate."""
+        customer = self.facts.get_configuration().customers.get(
+            action.customer
+        )
+        if customer is not None and customer.rate_per_s <= 0:
+            return self._grant_tokens()
+        reply, holder = self._ask_quota(action.customer)
+        logs.log_event(
+            'quota',
+            request_id=request_id,
+            customer=action.customer,
+            holder=holder,
+            admitted=reply.is_admitted,
+            retry_after_s=round(reply.retry_after_s, 3),
+        )
+        if reply.is_admitted:
+            return self._grant_tokens()
+        return actions.Denied(
+            'rate_exceeded', datetime.timedelta(seconds=reply.retry_after_s)
+        )
+
+    def _grant_tokens(self) -> actions.TokensGranted:
+        # Admission is not asked for again while the request runs.
+        day = datetime.timedelta(days=1)
+        return actions.TokensGranted(self._clock.read_elapsed() + day)
+
+    def _ask_quota(self, customer: str) -> tuple[messages.QuotaReply, str]:
+        with self._fleet.lock:
+            now = self._clock.read_elapsed()
+            holder = self._core.find_quota_holder(customer, now)
+        if not self._fleet.is_silent(holder):
+            try:
+                reply = self._fleet.ask(
+                    holder,
+                    messages.AskQuota(customer),
+                    fleets.HOLDER_TIMEOUT,
+                )
+                return reply, holder
+            except errors.PeerError as error:
+                self._note_alone('quota', holder, error)
+        with self._fleet.lock:
+            admission = self._core.admit_alone(
+                customer, self._clock.read_elapsed()
+            )
+        retry_s = admission.retry_after.total_seconds()
+        return messages.QuotaReply(admission.is_admitted, retry_s), ALONE
+
+    def _note_alone(
+        self, matter: str, holder: str, error: errors.FleetError
+    ) -> None:
+        self._metrics.count('decisions_alone', matter=matter)
+        logs.log_event(
+            'decided_alone', matter=matter, holder=holder, code=error.code
+        )
+
+    # Backend servers
+
+    def ask_permit(
+        self, action: actions.AskPermit, request_id: str
+    ) -> actions.PermitGranted | actions.Denied:
+        """Return a permit, waiting in the pool's queue if need be."""
+        began = self._clock.read_elapsed()
+        result = self._ask_servers(action, request_id, began)
+        waited = self._clock.read_elapsed() - began
+        self._metrics.record('step_seconds', waited, step='permit')
+        return result
+
+    def _ask_servers(
+        self,
+        action: actions.AskPermit,
+        request_id: str,
+        began: datetime.timedelta,
+    ) -> actions.PermitGranted | actions.Denied:
+        while True:
+            with self._fleet.lock:
+                now = self._clock.read_elapsed()
+                holder = self._core.find_pool_holder(action.service, now)
+                unreached = self._core.fallback.list_unreached(now)
+            remaining = action.remaining - (now - began)
+            if remaining <= datetime.timedelta(0):
+                return actions.Denied('pool_busy')
+            if self._fleet.is_silent(holder):
+                return self._choose_alone(action, request_id)
+            message = messages.AskServer(
+                action.service,
+                f'{request_id}/{len(action.excluded)}',
+                self._core.options.domain,
+                action.target.total_seconds(),
+                (action.waited + (now - began)).total_seconds(),
+                remaining.total_seconds(),
+                action.priority,
+                tuple({*action.excluded, *unreached}),
+                action.is_repeat,
+                action.probe_ok,
+            )
+            try:
+                reply = self._fleet.ask(
+                    holder,
+                    message,
+                    fleets.HOLDER_TIMEOUT + fleets.QUEUE_WAIT,
+                )
+            except errors.PeerError as error:
+                self._note_alone('pool', holder, error)
+                return self._choose_alone(action, request_id)
+            if reply.server or reply.code:
+                return self._take_reply(action, request_id, holder, reply)
+
+    def _take_reply(
+        self,
+        action: actions.AskPermit,
+        request_id: str,
+        holder: str,
+        reply: messages.ServerReply,
+    ) -> actions.PermitGranted | actions.Denied:
+        with self._fleet.lock:
+            self._core.fallback.note_ejected(reply.ejected)
+        logs.log_event(
+            'permit',
+            request_id=request_id,
+            service=action.service,
+            holder=holder,
+            server=reply.server,
+            code=reply.code,
+            is_repeat=action.is_repeat,
+            excluded=','.join(action.excluded),
+            ejected=len(reply.ejected),
+        )
+        if reply.code:
+            return actions.Denied(
+                reply.code, datetime.timedelta(seconds=reply.retry_after_s)
+            )
+        patience = datetime.timedelta(seconds=reply.patience_s)
+        return self._grant(
+            reply.server, _Permit(holder, reply.permit_id), patience
+        )
+
+    def _choose_alone(
+        self, action: actions.AskPermit, request_id: str
+    ) -> actions.PermitGranted | actions.Denied:
+        if action.is_repeat:
+            return actions.Denied('repeats_spent')
+        with self._fleet.lock:
+            server = self._core.fallback.choose(
+                self.facts.get_configuration(),
+                action.service,
+                self._core.options.domain,
+                action.excluded,
+                self._clock.read_elapsed(),
+            )
+        logs.log_event(
+            'permit',
+            request_id=request_id,
+            service=action.service,
+            holder=ALONE,
+            server=server,
+        )
+        if server is None:
+            return actions.Denied('no_backend_server', action.target / 4)
+        return self._grant(server, _Permit(ALONE, 0), None)
+
+    def _grant(
+        self,
+        server: str,
+        permit: _Permit,
+        patience: datetime.timedelta | None,
+    ) -> actions.PermitGranted:
+        with self._fleet.lock:
+            self._core.fallback.note_start(server)
+        permit_id = f'{permit.holder}/{permit.number}'
+        with self._lock:
+            self._permits[permit_id] = permit
+        until = self._clock.read_elapsed() + VALID
+        return actions.PermitGranted(permit_id, server, until, patience)
+
+    def report_permit(self, action: actions.ReportPermit) -> None:
+        """Give a permit back; the report is sent by another thread."""
+        with self._lock:
+            permit = self._permits.pop(action.permit_id, None)
+        with self._fleet.lock:
+            self._core.fallback.note_end(
+                action.server, action.outcome, self._clock.read_elapsed()
+            )
+        if permit is None or permit.holder == ALONE:
+            return
+        self._fleet.send(
+            permit.holder,
+            messages.FinishRequest(
+                action.service,
+                permit.number,
+                action.outcome,
+                action.latency.total_seconds(),
+            ),
+        )
+
+    def settle_token(self, request_id: str, is_spent: bool) -> None:
+        """Do nothing: an admission cannot be given to another request."""
+
+    def finish_once(
+        self, customer: str, once_key: str, request_id: str, ran: str
+    ) -> None:
+        """Do nothing: no instance remembers idempotency keys for others."""
--- a/cranberryscale/request/decisions.py
+++ b/cranberryscale/request/decisions.py
@@ -1,6 +1,7 @@
 """What is known about one request and what follows from it."""
 
 import datetime
+import zlib
 
 from cranberryscale import errors
 from cranberryscale.request import actions
@@ -10,6 +11,7 @@
 __all__ = ['PERMIT_LATE', 'REPORTS', 'Decision']
 
 ATTEMPT_LIMIT = 3
+SERVER_ERROR = 500
 # Raised when the permit or token ran out before the first byte was sent.
 PERMIT_LATE = 'pool_unavailable'
 
@@ -40,6 +42,8 @@
         self.has_once = False
         self.may_have_run = False
         self.failure: errors.FleetError | None = None
+        # Set while an answer waits for a second attempt that may replace it.
+        self.held: actions.Answered | None = None
 
     def check(self) -> None:
         """Check key and route against the configuration in force now."""
@@ -64,6 +68,30 @@
             raise errors.make_error('customer_forbidden', self.route.name)
         self.customer = customer
 
+    @property
+    def service(self) -> str:
+        """Return the service that runs the request.
+
+        The part of a divided route follows from the request's id, so that
+        it stays the same for all attempts under one configuration.
+        """
+        draw = zlib.crc32(self.request.request_id.encode()) / 2**32
+        return self.route.choose_service(draw)
+
+    @property
+    def priority(self) -> int:
+        """Return the customer's priority, else that of the route."""
+        customers = self.facts.get_configuration().customers
+        customer = customers.get(self.customer)
+        if customer is None or customer.priority is None:
+            return self.route.priority
+        return customer.priority
+
+    @property
+    def may_try_again(self) -> bool:
+        """Tell whether the route allows one more attempt."""
+        return self.attempts < min(ATTEMPT_LIMIT, self.route.max_attempts)
+
     @property
     def deadline(self) -> datetime.timedelta:
         """Return when the request must have ended."""
@@ -98,7 +126,7 @@
         """Return the permit's server if the permit may be used now."""
         current = self.facts.get_configuration()
         server = current.servers.get(permit.server)
-        if server is None or server.service != self.route.service:
+        if server is None or server.service != self.service:
             return None
         if current.is_server_out(server):
             return None
@@ -108,8 +136,12 @@
     def may_retry(self, event: actions.Answered | actions.Failed) -> bool:
         """Tell whether to send the request once more."""
         match event:
-            case actions.Answered(not_run=not_run):
-                allowed = not_run
+            case actions.Answered(not_run=not_run, status=status):
+                allowed = not_run or (
+                    status >= SERVER_ERROR
+                    and self.route.retries_errors
+                    and self.is_repeatable
+                )
             case actions.Failed(error=error, is_sent=is_sent):
                 # A caller that left or failed to send needs no answer.
                 by_server = error.code in REPORTS
@@ -120,19 +152,25 @@
         return (
             allowed
             and event.can_resend
-            and self.attempts < ATTEMPT_LIMIT
+            and self.may_try_again
             and self.facts.read_elapsed() < self.deadline
             and self.facts.routes.take_retry(self.route)
         )
 
-    def limit_first_byte(self) -> datetime.timedelta:
+    def limit_first_byte(
+        self, patience: datetime.timedelta | None = None
+    ) -> datetime.timedelta:
         """Return when to give up on a silent server.
 
-        Half of the time is kept for a second attempt where one is allowed.
+        Half of the time is kept for a second attempt where one is allowed,
+        more if the server's silence is unusual after `patience`.
         """
-        if self.is_repeatable and self.attempts < ATTEMPT_LIMIT:
-            return self.deadline - self.remaining / 2
-        return self.deadline
+        if not (self.is_repeatable and self.may_try_again):
+            return self.deadline
+        half = self.deadline - self.remaining / 2
+        if patience is None:
+            return half
+        return min(half, self.facts.read_elapsed() + patience)
 
     def judge(self, event: actions.Failed) -> str:
         """Return what a failure says about the server."""
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -41,11 +41,15 @@
     state: decisions.Decision,
 ) -> Generator[actions.Action, actions.Event, actions.PermitGranted]:
     action = actions.AskPermit(
-        state.route.service,
+        state.service,
         state.customer,
         state.remaining,
         state.excluded,
         state.is_repeatable,
+        state.route.target,
+        state.facts.read_elapsed() - state.request.received,
+        state.priority,
+        state.attempts > 0,
     )
     match (yield action):
         case actions.PermitGranted() as permit:
@@ -63,7 +67,7 @@
 ) -> actions.ReportPermit:
     now = state.facts.read_elapsed()
     return actions.ReportPermit(
-        state.route.service,
+        state.service,
         permit.server,
         permit.permit_id,
         outcome,
@@ -84,7 +88,7 @@
         state.permits += 1
         if not state.has_valid_tokens:
             yield from _ask_tokens(state)
-        service = state.route.service
+        service = state.service
         permit = yield from _ask_permit(state)
         unused = _report(state, permit, 'unused')
         try:
@@ -102,9 +106,9 @@
         if server and state.has_valid_tokens and remaining:
             return permit, server
         yield unused
-        if server is None and state.route.service == service:
+        if server is None and state.service == service:
             state.excluded += (permit.server,)
-    raise errors.make_error('pool_unavailable', state.route.service)
+    raise errors.make_error('pool_unavailable', state.service)
 
 
 def _deliver(
@@ -128,6 +132,38 @@
     )
 
 
+def _deliver_held(
+    state: decisions.Decision,
+) -> Generator[actions.Action, actions.Event, actions.Outcome]:
+    """Deliver the answer that no second attempt has replaced."""
+    held, state.held = state.held, None
+    delivered = yield actions.Deliver()
+    if delivered.error is None:
+        return state.end('ok', errors.RAN, held.status)
+    return state.end(
+        delivered.error.code, delivered.error.entry.ran, held.status
+    )
+
+
+def _end_forward(
+    state: decisions.Decision,
+    permit: actions.PermitGranted,
+    event: actions.Answered | actions.Failed,
+    since: datetime.timedelta,
+) -> Generator[actions.Action, actions.Event, tuple[errors.FleetError, str]]:
+    """Report what did not serve; return the failure and what ran."""
+    if isinstance(event, actions.Answered) and event.not_run:
+        yield _report(state, permit, 'shed', since, event.cold)
+        error = errors.make_error('backend_refused', state.server)
+        return error, errors.NOT_RUN
+    if isinstance(event, actions.Answered):
+        yield _report(state, permit, 'error', since, event.cold)
+        error = errors.make_error('backend_broken', event.status)
+        return error, errors.UNKNOWN
+    yield _report(state, permit, state.judge(event), since)
+    return event.error, errors.UNKNOWN if event.is_sent else errors.NOT_RUN
+
+
 def _forward(
     state: decisions.Decision,
 ) -> Generator[actions.Action, actions.Event, actions.Outcome | None]:
@@ -136,6 +172,8 @@
         permit, server = yield from _prepare(state)
     except errors.FleetError:
         # Without a second attempt the first one's failure stands.
+        if state.held is not None:
+            return (yield from _deliver_held(state))
         if state.failure is not None:
             raise state.failure from None
         raise
@@ -147,24 +185,24 @@
         permit.permit_id,
         min(permit.start_until, state.tokens_until or permit.start_until),
         state.deadline,
-        state.limit_first_byte(),
+        state.limit_first_byte(permit.patience),
         state.route.body_limit_bytes,
+        state.customer,
+        state.is_repeatable,
     )
+    may_retry = state.may_retry(event)
     if isinstance(event, actions.Answered) and not event.not_run:
-        return (yield from _deliver(state, permit, event, since))
-    if isinstance(event, actions.Answered):
-        yield _report(state, permit, 'shed', since, event.cold)
-        error = errors.make_error('backend_refused', server.name)
-        ran = errors.NOT_RUN
-    else:
-        yield _report(state, permit, state.judge(event), since)
-        error = event.error
-        ran = errors.UNKNOWN if event.is_sent else errors.NOT_RUN
+        if not may_retry:
+            return (yield from _deliver(state, permit, event, since))
+        state.held = event
+    error, ran = yield from _end_forward(state, permit, event, since)
     if ran != errors.NOT_RUN:
         # It may have run, so its token is spent.
         state.may_have_run = True
         state.tokens_until = None
-    if not state.may_retry(event):
+    if not may_retry:
+        if state.held is not None:
+            return (yield from _deliver_held(state))
         raise error
     state.failure = error
     state.excluded += (server.name,)
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -10,6 +10,7 @@
 
 from cranberryscale import clock as clocks
 from cranberryscale.connection import backends as backend_connections
+from cranberryscale.connection import dialects
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale.request import actions
@@ -57,7 +58,9 @@
         backends: backend_connections.Backends,
         clock: clocks.Clock,
         observe: Observer | None = None,
+        dialect: dialects.Dialect = dialects.Dialect(),
     ):
+        self.dialect = dialect
         self.fleet = fleet
         self.backends = backends
         self.clock = clock
--- a/cranberryscale/request/headers.py
+++ b/cranberryscale/request/headers.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 import urllib.parse
 
+from cranberryscale.connection import dialects
 from cranberryscale.connection import framing
 from cranberryscale import errors
 
@@ -236,28 +237,47 @@
     key: str,
     origin: Origin,
     remaining: datetime.timedelta,
+    dialect: dialects.Dialect = dialects.Dialect(),
+    added: framing.Pairs = (),
 ) -> framing.Pairs:
-    """Return the headers for the backend server, without body framing."""
+    """Return the headers for the backend server, without body framing.
+
+    `added` are headers of the dialect, which callers must not set.
+    """
     remaining_ms = max(0, int(remaining.total_seconds() * 1000))
-    added = (
+    made = (
         ('X-Request-Id', origin.request_id),
         ('X-Deadline-Ms', str(remaining_ms)),
         *_list_trace(pairs),
-        (
-            'X-Forwarded-For',
-            _append(pairs, 'X-Forwarded-For', origin.address),
-        ),
-        ('X-Forwarded-Host', origin.host),
-        ('X-Forwarded-Proto', 'http'),
-        ('Forwarded', _append(pairs, 'Forwarded', _format_forwarded(origin))),
-        ('Via', _append(pairs, 'Via', VIA)),
+        *(_list_forwarding(pairs, origin) if dialect.adds_forwarding else ()),
+    )
+    clean = ((n, v) for n, v in made if not _holds(v, key))
+    kept = (
+        (name, value)
+        for name, value in _list_kept(pairs, key)
+        if _normalize(name) not in dialect.own_names
     )
-    clean = ((n, v) for n, v in added if not _holds(v, key))
-    return (('Host', origin.host), *_list_kept(pairs, key), *clean)
+    return (('Host', origin.host), *kept, *clean, *added)
+
+
+def _list_forwarding(
+    pairs: framing.Pairs, origin: Origin
+) -> Iterable[tuple[str, str]]:
+    yield (
+        'X-Forwarded-For',
+        _append(pairs, 'X-Forwarded-For', origin.address),
+    )
+    yield 'X-Forwarded-Host', origin.host
+    yield 'X-Forwarded-Proto', 'http'
+    yield 'Forwarded', _append(pairs, 'Forwarded', _format_forwarded(origin))
+    yield 'Via', _append(pairs, 'Via', VIA)
 
 
 def filter_answer(
-    pairs: framing.Pairs, request_id: str, has_body: bool
+    pairs: framing.Pairs,
+    request_id: str,
+    has_body: bool,
+    adds_forwarding: bool = True,
 ) -> framing.Pairs:
     """Return the headers for the caller; framing is passed on by value.
 
@@ -267,6 +287,8 @@
     if not has_body:
         dropped |= {'content-length'}
     kept = ((n, v) for n, v in pairs if _normalize(n) not in dropped)
+    if not adds_forwarding:
+        return (*kept, ('X-Request-Id', request_id))
     via = _append(pairs, 'Via', VIA)
     return (
         *((n, v) for n, v in kept if n.lower() != 'via'),
--- a/cranberryscale/request/routes.py
+++ b/cranberryscale/request/routes.py
@@ -8,7 +8,7 @@
 from cranberryscale.version import configuration
 
 
-__all__ = ['RouteBook', 'clean_path']
+__all__ = ['PrefixBook', 'RouteBook', 'clean_path']
 
 RETRY_BURST = 10.0
 # A route without recent requests may still retry once.
@@ -49,12 +49,13 @@
     """
     decoded = urllib.parse.unquote(path, errors='replace').replace('\\', '/')
     parts = [part for part in decoded.split('/') if part]
+    end = '/' if parts and decoded.endswith('/') else ''
     for part in parts:
         if part.partition(';')[0] in ('.', '..'):
             raise errors.make_error('bad_request', 'dot segment in the path')
     if any(c < ' ' or c == '\x7f' for c in decoded):
         raise errors.make_error('bad_request', 'control character in the path')
-    return '/' + '/'.join(parts)
+    return '/' + '/'.join(parts) + end
 
 
 class RouteBook:
@@ -110,3 +111,17 @@
                 return False
             self._budgets[route.name] = budget - 1
             return True
+
+
+class PrefixBook(RouteBook):
+    """Find routes whose prefixes end in a slash that the path must have.
+
+    Second attempts are bounded by the pool's holder for the whole fleet.
+    """
+
+    def _find_routes(self, host: str, path: str) -> list[configuration.Route]:
+        return super()._find_routes(host, path.rpartition('/')[0])
+
+    def take_retry(self, route: configuration.Route) -> bool:
+        """Return True."""
+        return True
--- a/cranberryscale/request/transfers.py
+++ b/cranberryscale/request/transfers.py
@@ -21,6 +21,10 @@
 
 __all__ = ['Transfer']
 
+# What may run only once is not sent on a connection that may have gone
+# silent since it last carried an answer.
+RUN_ONCE_IDLE = datetime.timedelta(seconds=1)
+
 _PORT = re.compile(r':[0-9]*$')
 
 
@@ -129,6 +133,7 @@
         call = self._call
         address = call.conn.remote_addr or ''
         host = self._host or action.server.address
+        dialect = self._gateway.dialect
         remaining = action.deadline - self._gateway.clock.read_elapsed()
         return heads.Head(
             self.method,
@@ -138,6 +143,8 @@
                 self.key,
                 headers.Origin(address, host, self.request_id),
                 remaining,
+                dialect,
+                tuple(dialect.list_added(action.server.name, action.customer)),
             ),
             call.inheaders.framing,
             self.request_id,
@@ -152,6 +159,7 @@
             action.deadline,
             action.first_byte_until,
             self._call.conn.socket.fileno(),
+            None if action.is_repeatable else RUN_ONCE_IDLE,
         )
         try:
             answer = self._gateway.backends.forward(
@@ -161,6 +169,7 @@
                 terms,
             )
             answer.prefetch()
+            self._check_origin(answer)
         except backends.ForwardFailed as failure:
             return actions.Failed(
                 failure.error, failure.is_sent, self._body.can_resend
@@ -169,17 +178,32 @@
             return actions.Failed(error, False, self._body.can_resend)
         return self._take_answer(answer)
 
+    def _check_origin(self, answer: backends.Answer) -> None:
+        """Raise ForwardFailed for a success that is not the server's."""
+        dialect = self._gateway.dialect
+        if answer.status >= 300:
+            return
+        is_own = dialect.is_signed(answer.pairs)
+        if not is_own or dialect.is_encoded(answer.pairs):
+            answer.cancel()
+            reason = 'encoded body' if is_own else 'no signature'
+            error = errors.make_error('answer_wrong', reason)
+            raise backends.ForwardFailed(error, True)
+
     def _take_answer(self, answer: backends.Answer) -> actions.Answered:
-        says = {name.lower(): value.lower() for name, value in answer.pairs}
-        not_run = answer.status == 503 and says.get('x-not-run') == 'true'
-        self._answer = answer
+        dialect = self._gateway.dialect
+        not_run = dialect.is_not_run(answer.status, answer.pairs)
         if not_run:
-            answer.cancel()
+            answer.finish()
+        else:
+            if self._answer is not None:
+                self._answer.finish()
+            self._answer = answer
         return actions.Answered(
             answer.status,
             not_run,
             self._body.can_resend,
-            says.get('x-cold-start') == 'true',
+            'true' in framing.find_values(answer.pairs, dialect.cold),
         )
 
     def _refuse(
@@ -187,7 +211,14 @@
     ) -> list[bytes]:
         """Answer with a typed error."""
         self._is_ended = True
-        reply = answers.make_reply(refusal.error, self.request_id, refusal.ran)
+        if self._answer is not None:
+            self._answer.cancel()
+        reply = answers.make_reply(
+            refusal.error,
+            self.request_id,
+            refusal.ran,
+            self._gateway.dialect.has_decimal_retry,
+        )
         if refusal.error.code == 'caller_gone':
             self._call.conn.abort()
         if refusal.error.code == 'shutting_down':
@@ -199,7 +230,10 @@
     def _begin_delivery(self) -> 'Transfer':
         answer = self._answer
         kept = headers.filter_answer(
-            answer.pairs, self.request_id, answer.status != 204
+            answer.pairs,
+            self.request_id,
+            answer.status != 204,
+            self._gateway.dialect.adds_forwarding,
         )
         if self._gateway.is_leaving:
             self._call.close_connection = True
--- a/cranberryscale/version/configuration.py
+++ b/cranberryscale/version/configuration.py
@@ -14,6 +14,7 @@
     'Customer',
     'FailureDomain',
     'Key',
+    'Part',
     'Route',
     'Service',
 ]
@@ -24,12 +25,16 @@
 
 
 class Customer(NamedTuple):
-    """Describe a customer and its budget over the whole fleet."""
+    """Describe a customer and its budget over the whole fleet.
+
+    `priority` goes before that of the route; None leaves the route's.
+    """
 
     name: str
     rate_per_s: float
     burst_requests: int
     team: str = ''
+    priority: int | None = None
 
 
 class Key(NamedTuple):
@@ -40,11 +45,23 @@
     withdrawn: bool = False
 
 
+class Part(NamedTuple):
+    """Name a service and its weight among the parts of a route."""
+
+    service: str
+    weight: float
+
+
 class Route(NamedTuple):
     """Map requests to a service.
 
     `methods` empty means all; `customers` empty means every customer.
     `idempotent` None means: by method. `open_to_all` routes need no key.
+    `parts` divides the requests among services by weight; without it all
+    go to `service`. An answer within `target` is on time. A smaller
+    `priority` is more urgent. `max_attempts` counts the backend servers
+    that one request may be sent to. `retries_errors` sends an idempotent
+    request to another server after an answer of 500 or more.
     """
 
     name: str
@@ -58,6 +75,20 @@
     timeout: datetime.timedelta = datetime.timedelta(seconds=10)
     retry_ratio: float = 0.1
     body_limit_bytes: int = 10 * 1024 * 1024
+    parts: tuple[Part, ...] = ()
+    target: datetime.timedelta = datetime.timedelta(seconds=1)
+    priority: int = 0
+    max_attempts: int = 3
+    retries_errors: bool = False
+
+    def choose_service(self, draw: float) -> str:
+        """Return the service for a draw from [0, 1)."""
+        total = sum(part.weight for part in self.parts)
+        for part in self.parts:
+            draw -= part.weight / total
+            if draw < 0:
+                return part.service
+        return self.parts[-1].service if self.parts else self.service
 
     def is_idempotent(self, method: str) -> bool:
         """Tell whether a request may run more than once."""
@@ -70,11 +101,15 @@
     """Describe a group of interchangeable backend servers.
 
     `floor_fraction` is the part of each pool that ejections leave in use.
+    A server that has started bears `cold_rate_per_s` for `warmup`.
     """
 
     name: str
     floor_fraction: float = 0.5
     queue_limit: int = 64
+    warmup: datetime.timedelta = datetime.timedelta(0)
+    cold_rate_per_s: float = 5.0
+    connections: int = 400
 
 
 class BackendServer(NamedTuple):
@@ -94,6 +129,8 @@
     ramp_completions: int = 10
     connections: int = 400
     state: str = 'in'
+    is_cold: bool = False
+    started_ms: int = 0
 
 
 class FailureDomain(NamedTuple):
--- /dev/null
+++ b/cranberryscale/version/deployment.py
@@ -0,0 +1,142 @@
+"""Settings of an instance whose machine gives it no list of instances."""
+
+import datetime
+import pathlib
+import re
+import tomllib
+from typing import Annotated
+from typing import Any
+
+import msgspec
+
+from cranberryscale import errors
+from cranberryscale.version import settings
+
+
+__all__ = ['Deployment', 'Terms', 'load_deployment', 'parse_deployment']
+
+_DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)')
+_UNITS = {'ms': 'milliseconds', 's': 'seconds'}
+
+Ratio = Annotated[float, msgspec.Meta(ge=0)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class Addresses(msgspec.Struct, frozen=True):
+    """Hold the host:port pairs that the instance listens on."""
+
+    callers: settings.Address
+    health: settings.Address
+    peers: settings.Address
+    directory: settings.Address
+    operators: settings.Address
+
+
+class Store(msgspec.Struct, frozen=True):
+    """Say where the platform's read-only store is."""
+
+    address: settings.Address
+
+
+class Terms(msgspec.Struct, frozen=True):
+    """Hold the bounds that the operators of the deployment set.
+
+    Each default is the value of the first deployments.
+    """
+
+    # How long an instance must be undisturbed before bounds apply to it.
+    contact: datetime.timedelta = datetime.timedelta(seconds=3)
+    # A leaving backend server gets nothing new after this time.
+    drain: datetime.timedelta = datetime.timedelta(seconds=2)
+    # From SIGTERM to SIGKILL.
+    grace: datetime.timedelta = datetime.timedelta(seconds=6)
+    config_apply: datetime.timedelta = datetime.timedelta(seconds=2)
+    evacuation: datetime.timedelta = datetime.timedelta(seconds=5)
+    # The longest lifetime of an answer of the directory.
+    longest_answer: datetime.timedelta = datetime.timedelta(seconds=5)
+    # Second attempts at a service in a window: ratio x requests + slack.
+    repeat_ratio: Ratio = 0.2
+    repeat_window: datetime.timedelta = datetime.timedelta(seconds=10)
+    repeat_slack: Ratio = 60
+    # Requests of a customer in a window: (rate x window + burst) x
+    # (1 + excess) + slack.
+    quota_window: datetime.timedelta = datetime.timedelta(seconds=5)
+    quota_excess: Ratio = 0.25
+    quota_slack: Ratio = 20
+    # The part of a service's backend servers that stays in use.
+    floor_ratio: Ratio = 0.7
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """Hold the settings of one instance; unknown fields are ignored.
+
+    `name` is the peer address, which is also how seeds are known. `label`
+    is the machine's name in logs. `cores` is the processor share, by which
+    work is spread over unequal instances.
+    """
+
+    name: settings.Address
+    domain: str
+    region: str
+    addresses: Addresses
+    platform: Store
+    label: str = ''
+    cores: Positive = 1.0
+    memory_mb: Positive = 300
+    seeds: tuple[settings.Address, ...] = ()
+    terms: Terms = Terms()
+    # Operators' limits come with the configuration; these bound a request
+    # before its route is known.
+    limits: settings.Limits = settings.Limits(
+        header_bytes=65536, body_bytes=64 * 1024 * 1024, threads=48
+    )
+    # Callers may reuse a connection that was idle for 12 s.
+    timeouts: settings.Timeouts = settings.Timeouts(
+        sender_s=20, connect_s=0.3, shutdown_s=5
+    )
+
+
+def _convert_duration(kind: type, value: Any) -> datetime.timedelta:
+    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+    if kind is not datetime.timedelta or match is None:
+        raise ValueError(f'{value!r} is not a duration such as "1500ms"')
+    return datetime.timedelta(**{_UNITS[match[2]]: float(match[1])})
+
+
+def _read_durations(data: dict[str, Any]) -> dict[str, Any]:
+    # msgspec reads ISO 8601 durations only, so ours are converted before.
+    terms = data.get('terms', {})
+    if not isinstance(terms, dict):
+        return data
+    kinds = {
+        field.name: field.type for field in msgspec.structs.fields(Terms)
+    }
+    read = {
+        name: _convert_duration(kinds[name], value)
+        if kinds.get(name) is datetime.timedelta
+        else value
+        for name, value in terms.items()
+    }
+    return data | {'terms': read}
+
+
+def parse_deployment(text: str, source: str) -> Deployment:
+    """Return the settings in a TOML text, or raise SettingsInvalid."""
+    try:
+        data = _read_durations(tomllib.loads(text))
+        return msgspec.convert(data, Deployment)
+    except (ValueError, msgspec.ValidationError) as error:
+        raise errors.make_error(
+            'settings_invalid', f'{source}: {error}'
+        ) from error
+
+
+def load_deployment(path: pathlib.Path) -> Deployment:
+    """Return the settings in a file, or raise SettingsInvalid."""
+    try:
+        text = path.read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.make_error(
+            'settings_invalid', f'{path}: {error}'
+        ) from error
+    return parse_deployment(text, str(path))
