Expect half of the capacity for late requests below full use

test_short_surge_is_served_late_rather_than_refused: 40 of 206 requests of a one-second surge refused before, none over 5% after; the lasting surge's refusals stay immediate.

--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -53,6 +53,8 @@
 LOAD_WINDOW = datetime.timedelta(seconds=2)
 # Requests that will be late are only taken on below this use of capacity.
 LATE_USE = 0.95
+# Part of the capacity that is expected to be left for them.
+LATE_SHARE = 0.5
 
 
 class Ask(NamedTuple):
@@ -484,10 +486,9 @@
             wait = datetime.timedelta(seconds=ahead / spare)
             if now + wait + usual <= waiting.due:
                 return wait
-        spare = capacity * LATE_USE - self._find_arrivals(ask.priority, now)
-        if spare > 0:
+        if self._find_arrivals(ask.priority, now) < capacity * LATE_USE:
             ahead = len(self._waiting) + 1
-            wait = datetime.timedelta(seconds=ahead / spare)
+            wait = datetime.timedelta(seconds=ahead / capacity / LATE_SHARE)
             if wait + usual <= ask.remaining:
                 return wait
         return None
