Avoid servers longer after a failure; count only attempts that may have run

A failed server is now the last choice for four seconds, and an unproven one is avoided by what may run only once.

An attempt that never reached a server no longer uses up the route's attempts, and the budget of second attempts counts only what arrived.

--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -27,10 +27,9 @@
 ZERO = datetime.timedelta(0)
 # A failure domain's own servers are preferred while they are at most this
 # much fuller than others: bytes between domains cost.
-DISTANCE_COST = 0.6
+DISTANCE_COST = 0.9
 # A server without a recent good answer is a risk for what may run only once.
-UNPROVEN_COST = 0.3
-PROVEN_WITHIN = datetime.timedelta(seconds=2)
+UNPROVEN_COST = 0.8
 DOUBT_COST = 10.0
 # Part of the rate that a cold server bears which is used; the rest covers
 # requests on their way.
@@ -419,8 +418,7 @@
         if server.entry.domain != ask.domain:
             cost += DISTANCE_COST
         if not ask.is_idempotent:
-            proven = server.health.succeeded_at
-            if proven is None or now - proven > PROVEN_WITHIN:
+            if not server.health.is_proven(now):
                 cost += UNPROVEN_COST
         if server.entry.is_cold:
             cost += 1.0
--- a/cranberryscale/process/health.py
+++ b/cranberryscale/process/health.py
@@ -12,10 +12,15 @@
 
 __all__ = ['FAILURES', 'ServerHealth', 'Verdict']
 
-# A server is the last choice for this long after one failure.
-DOUBT = datetime.timedelta(seconds=2)
-# Failures further apart than this are taken as unrelated: with 1.2% of
-# normal failures and four requests a second, one in 80 pairs is nearer.
+# A server is the last choice for this long after one failure; gray periods
+# last for several seconds.
+DOUBT = datetime.timedelta(seconds=4)
+SLOW_DOUBT = datetime.timedelta(seconds=2)
+LINK_DOUBT = datetime.timedelta(seconds=1)
+# How long a good answer speaks for a server.
+PROVEN = datetime.timedelta(seconds=2)
+# Failures further apart than this are taken as unrelated: where one request
+# in a hundred fails, pairs that are nearer are rare.
 RELATED = datetime.timedelta(seconds=8)
 # Gray periods last for several seconds; after this a server is tried again.
 EJECTION = datetime.timedelta(seconds=4)
@@ -68,12 +73,18 @@
             return Verdict.DOUBTFUL
         return Verdict.SOUND
 
+    def is_proven(self, now: datetime.timedelta) -> bool:
+        """Tell whether the last thing seen was a good answer, and lately."""
+        if self.succeeded_at is None or now - self.succeeded_at > PROVEN:
+            return False
+        return self.failed_at is None or self.failed_at < self.succeeded_at
+
     def note_success(self, ratio: float, now: datetime.timedelta) -> None:
         """Record an answer; `ratio` is its latency over the usual one."""
         self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
         self._slow_run = self._slow_run + 1 if ratio >= SLOW_RATIO else 0
         if self._slow_run >= SLOW_RUN:
-            self._doubt(now, DOUBT)
+            self._doubt(now, SLOW_DOUBT)
         self.succeeded_at = now
         self._successes += 1
         if self._successes >= 2:
@@ -91,7 +102,7 @@
         """Record that an instance could not connect."""
         self._links[sender] = now
         recent = [at for at in self._links.values() if now - at < LINK_WINDOW]
-        self._doubt(now, DOUBT)
+        self._doubt(now, LINK_DOUBT)
         if len(recent) >= LINK_WITNESSES:
             self._eject(now)
 
--- a/cranberryscale/request/decisions.py
+++ b/cranberryscale/request/decisions.py
@@ -36,6 +36,9 @@
         self.customer = ''
         self.server = ''
         self.attempts = 0
+        # Attempts that a server may have run.
+        self.runs = 0
+        self.has_arrived = False
         self.permits = 0
         self.excluded: tuple[str, ...] = ()
         self.tokens_until: datetime.timedelta | None = None
@@ -90,7 +93,8 @@
     @property
     def may_try_again(self) -> bool:
         """Tell whether the route allows one more attempt."""
-        return self.attempts < min(ATTEMPT_LIMIT, self.route.max_attempts)
+        may_run = self.runs < self.route.max_attempts
+        return may_run and self.attempts < ATTEMPT_LIMIT
 
     @property
     def deadline(self) -> datetime.timedelta:
@@ -133,6 +137,18 @@
         in_time = self.facts.read_elapsed() < permit.start_until
         return server if in_time else None
 
+    def note_attempt(
+        self, event: actions.Answered | actions.Failed
+    ) -> None:
+        """Count an attempt by whether it arrived and may have run."""
+        match event:
+            case actions.Answered(not_run=not_run):
+                self.has_arrived = True
+                self.runs += not not_run
+            case actions.Failed(is_sent=True):
+                self.has_arrived = True
+                self.runs += 1
+
     def may_retry(self, event: actions.Answered | actions.Failed) -> bool:
         """Tell whether to send the request once more."""
         match event:
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -49,7 +49,7 @@
         state.route.target,
         state.facts.read_elapsed() - state.request.received,
         state.priority,
-        state.attempts > 0,
+        state.has_arrived,
     )
     match (yield action):
         case actions.PermitGranted() as permit:
@@ -190,6 +190,7 @@
         state.customer,
         state.is_repeatable,
     )
+    state.note_attempt(event)
     may_retry = state.may_retry(event)
     if isinstance(event, actions.Answered) and not event.not_run:
         if not may_retry:
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -312,3 +312,56 @@
         with pytest.raises(errors.RequestError):
             harness.routes.clean_path(path)
     assert harness.routes.clean_path('/%72/%2Fx//y') == '/r/x/y'
+
+
+def test_attempts_that_never_ran_do_not_use_up_the_routes_attempts():
+    """A server that cannot be reached leaves the one allowed run."""
+    refused = failed('backend_refused', False)
+    script = Script(refused, OK, max_attempts=1)
+    outcome = script.run()
+    assert (outcome.code, outcome.attempts) == ('ok', 2)
+
+
+def test_an_error_of_the_server_is_replaced_by_another_servers_answer():
+    error = actions.Answered(500)
+    script = Script(error, OK, retries_errors=True, max_attempts=2)
+    outcome = script.run()
+    assert (outcome.code, outcome.status, outcome.attempts) == ('ok', 200, 2)
+    assert script.list_reports() == ['error', 'ok']
+
+
+def test_what_runs_once_is_not_repeated_after_an_error():
+    error = actions.Answered(500)
+    script = Script(error, OK, method='POST', retries_errors=True)
+    assert (script.run().status, script.count(actions.Forward)) == (500, 1)
+
+
+@pytest.mark.parametrize('is_denied', [True, False])
+def test_without_a_second_answer_the_servers_own_error_is_delivered(is_denied):
+    """A failure of the proxy in its place would hide what happened."""
+    script = Script(
+        actions.Answered(500),
+        failed('backend_broken', True),
+        retries_errors=True,
+    )
+    if is_denied:
+        script.replies['AskPermit'] = [
+            actions.PermitGranted('p', 'b1', START + SECOND),
+            actions.Denied('repeats_spent'),
+        ]
+    assert script.run().status == 500
+    assert script.count(actions.Deliver) == 1
+    assert script.count(actions.Refuse) == 0
+
+
+def test_a_second_attempt_is_marked_only_if_the_first_arrived():
+    """The budget of second attempts counts what servers received."""
+    for first, is_repeat in (
+        (failed('backend_refused', False), False),
+        (SHED, True),
+        (failed('backend_timeout', True), True),
+    ):
+        script = Script(first, OK)
+        script.run()
+        asked = [a for a in script.seen if isinstance(a, actions.AskPermit)]
+        assert [a.is_repeat for a in asked] == [False, is_repeat]
