--- a/cranberryscale/connection/answers.py
+++ b/cranberryscale/connection/answers.py
@@ -31,9 +31,7 @@
     body: bytes
 
 
-def _find_retry_s(
-    error: errors.FleetError, has_decimals: bool
-) -> float | int:
+def _find_retry_s(error: errors.FleetError, has_decimals: bool) -> float | int:
     if has_decimals and error.entry.status in PROMISES:
         wait = error.retry_after or SHORT_RETRY
         return round(max(wait, SHORT_RETRY).total_seconds(), 2)
--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -174,9 +174,7 @@
         self.is_ended = False
         self.is_echoed = False
         self._is_body_sent = False
-        self._connection = pool.take(
-            terms.start_until, terms.idle_limit
-        )
+        self._connection = pool.take(terms.start_until, terms.idle_limit)
         self.wire: streams.Wire = self._connection.sock
         self.wire.start_exchange(terms.deadline)
         self.wire.watch(terms.caller)
--- a/cranberryscale/connection/dialects.py
+++ b/cranberryscale/connection/dialects.py
@@ -69,6 +69,4 @@
     @property
     def own_names(self) -> frozenset[str]:
         """Return the names that callers must not set."""
-        return frozenset(
-            name for name in (self.target, self.customer) if name
-        )
+        return frozenset(name for name in (self.target, self.customer) if name)
--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -109,9 +109,7 @@
         self._load_pools()
         return events
 
-    def advance(
-        self, now: datetime.timedelta
-    ) -> tuple[published.Event, ...]:
+    def advance(self, now: datetime.timedelta) -> tuple[published.Event, ...]:
         """Let time pass."""
         events = self.published.advance(now)
         self.roster.forget(now)
@@ -141,9 +139,7 @@
 
     # Who decides
 
-    def find_quota_holder(
-        self, customer: str, now: datetime.timedelta
-    ) -> str:
+    def find_quota_holder(self, customer: str, now: datetime.timedelta) -> str:
         """Return the instance that admits a customer's requests."""
         resource = ranking.Resource('customer', customer)
         return self.roster.choose_holder(resource, now)
--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -187,9 +187,7 @@
 
     def _listen(self, address: str, app) -> None:
         host, port = address.rsplit(':', 1)
-        server = wsgi.Server(
-            (host, int(port)), app, numthreads=PAGE_THREADS
-        )
+        server = wsgi.Server((host, int(port)), app, numthreads=PAGE_THREADS)
         servers.ServerAdapter(
             cherrypy.engine, server, (host, int(port))
         ).subscribe()
@@ -260,9 +258,7 @@
         try:
             options = deployment.load_deployment(self._path)
         except errors.FleetError as error:
-            logs.log_event(
-                'settings_refused', logging.WARNING, reason=error
-            )
+            logs.log_event('settings_refused', logging.WARNING, reason=error)
             return
         with self.fleet.lock:
             self.core.load_options(options)
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -145,9 +145,7 @@
             raise
         with self.lock:
             self._silent.pop(target, None)
-            self.core.roster.note_contact(
-                target, self._clock.read_elapsed()
-            )
+            self.core.roster.note_contact(target, self._clock.read_elapsed())
         return reply
 
     def _note_silence(self, target: str) -> None:
@@ -291,9 +289,7 @@
             logs.log_event('exchange_failed', target=target, code=error.code)
             return
         with self.lock:
-            self.core.roster.merge(
-                reply.records, self._clock.read_elapsed()
-            )
+            self.core.roster.merge(reply.records, self._clock.read_elapsed())
 
     def _keep_pulling(self) -> None:
         interval = following.PULL_INTERVAL.total_seconds()
--- a/cranberryscale/logs.py
+++ b/cranberryscale/logs.py
@@ -86,9 +86,7 @@
         if dropped:
             self._reported += dropped
             record.msg = '%s'
-            record.args = (
-                f'{record.getMessage()} dropped_before={dropped}',
-            )
+            record.args = (f'{record.getMessage()} dropped_before={dropped}',)
         super().emit(record)
 
 
--- a/cranberryscale/platform/documents.py
+++ b/cranberryscale/platform/documents.py
@@ -180,9 +180,7 @@
     if not _VERSION.fullmatch(document.version):
         raise ValueError(f'version {document.version!r}')
     body_limit = document.limits.max_body_bytes
-    tenants = (
-        _list_rows(document.tenants, _Tenant) if document.tenants else []
-    )
+    tenants = _list_rows(document.tenants, _Tenant) if document.tenants else []
     digests = (
         configuration.Key(keys.digest_key(key), tenant.name)
         for tenant in tenants
--- a/cranberryscale/platform/store.py
+++ b/cranberryscale/platform/store.py
@@ -105,9 +105,7 @@
             after = page.items[-1].key
         raise errors.make_error('platform_malformed', 'too many pages')
 
-    def wait_changes(
-        self, revision: int, wait: datetime.timedelta
-    ) -> Reading:
+    def wait_changes(self, revision: int, wait: datetime.timedelta) -> Reading:
         """Return the changes after a revision, or all if it is too old."""
         fields = {
             'prefix': documents.PREFIX,
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -317,9 +317,7 @@
             if server is not None:
                 del self._waiting[ask.request_id]
                 left = waiting.until - now
-                permit = self._grant(
-                    ask._replace(remaining=left), server, now
-                )
+                permit = self._grant(ask._replace(remaining=left), server, now)
                 self._granted[ask.request_id] = (permit, now)
 
     def _drop_hopeless(
@@ -446,9 +444,7 @@
             self._find_usual(ask.target) * PATIENCE_FACTOR,
         )
 
-    def _find_capacity(
-        self, ask: Ask, now: datetime.timedelta
-    ) -> float:
+    def _find_capacity(self, ask: Ask, now: datetime.timedelta) -> float:
         """Return how many requests a second the usable servers complete."""
         slots = sum(s.entry.slots for s in self._list_usable(ask, now))
         busy = [self._find_usual(run.kind) for run in self._running.values()]
@@ -456,9 +452,7 @@
         usual = usual or self._find_usual(ask.target)
         return slots / usual.total_seconds()
 
-    def _find_arrivals(
-        self, priority: int, now: datetime.timedelta
-    ) -> float:
+    def _find_arrivals(self, priority: int, now: datetime.timedelta) -> float:
         """Return how many requests a second arrive that go first."""
         while self._arrivals and now - self._arrivals[0][0] > LOAD_WINDOW:
             self._arrivals.popleft()
--- a/cranberryscale/process/health.py
+++ b/cranberryscale/process/health.py
@@ -106,9 +106,7 @@
         if len(recent) >= LINK_WITNESSES:
             self._eject(now)
 
-    def note_shed(
-        self, had_room: bool, now: datetime.timedelta
-    ) -> None:
+    def note_shed(self, had_room: bool, now: datetime.timedelta) -> None:
         """Record a refusal; `had_room` if its slots were not all in use."""
         self._doubt(now, SHED_PAUSE)
         if had_room:
--- a/cranberryscale/process/roster.py
+++ b/cranberryscale/process/roster.py
@@ -150,9 +150,7 @@
         since = self._up_since.get(record.name, now)
         return now - since >= SETTLE
 
-    def list_readers(
-        self, domain: str, count: int
-    ) -> tuple[str, ...]:
+    def list_readers(self, domain: str, count: int) -> tuple[str, ...]:
         """Return the instances of a domain that read the store for it."""
         resource = ranking.Resource('reader', domain)
         there = [
@@ -218,9 +216,7 @@
     def choose_listeners(self) -> tuple[str, ...]:
         """Return a few instances to tell news to."""
         others = [r.name for r in self.list_up() if r.name != self.own.name]
-        return tuple(
-            self._rng.sample(others, min(NEWS_FANOUT, len(others)))
-        )
+        return tuple(self._rng.sample(others, min(NEWS_FANOUT, len(others))))
 
     def find_check_interval(
         self, now: datetime.timedelta
--- a/cranberryscale/request/decisions.py
+++ b/cranberryscale/request/decisions.py
@@ -137,9 +137,7 @@
         in_time = self.facts.read_elapsed() < permit.start_until
         return server if in_time else None
 
-    def note_attempt(
-        self, event: actions.Answered | actions.Failed
-    ) -> None:
+    def note_attempt(self, event: actions.Answered | actions.Failed) -> None:
         """Count an attempt by whether it arrived and may have run."""
         match event:
             case actions.Answered(not_run=not_run):
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -108,9 +108,7 @@
     terms = data.get('terms', {})
     if not isinstance(terms, dict):
         return data
-    kinds = {
-        field.name: field.type for field in msgspec.structs.fields(Terms)
-    }
+    kinds = {field.name: field.type for field in msgspec.structs.fields(Terms)}
     read = {
         name: _convert_duration(kinds[name], value)
         if kinds.get(name) is datetime.timedelta
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -140,13 +140,13 @@
     assert network.count_up(alone) == 1
     network.cut.clear()
     epochs = {
-        name: network.members[name].own.epoch for name in names if name != alone
+        name: network.members[name].own.epoch
+        for name in names
+        if name != alone
     }
     network.run(3)
     assert {network.count_up(name) for name in names} == {12}
-    assert epochs == {
-        name: network.members[name].own.epoch for name in epochs
-    }
+    assert epochs == {name: network.members[name].own.epoch for name in epochs}
 
 
 def test_two_sides_of_a_partition_find_each_other_again():
