--- /dev/null
+++ b/standins/machines.py
@@ -0,0 +1,512 @@
+"""Stand-ins for the users' machines: store, backend servers, instances.
+
+The store and the servers run as threads of the caller's process; the
+instances are real processes with settings of their own on loopback.
+"""
+
+import base64
+from collections.abc import Iterable
+import http.server
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from typing import Any
+from typing import NamedTuple
+import urllib.parse
+
+import urllib3
+
+from standins import fleet
+
+
+__all__ = ['Fleet', 'Instance', 'Server', 'Store', 'make_policy']
+
+ROOT = pathlib.Path(__file__).parent.parent
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 10.0
+DOMAINS = ('a', 'b', 'c')
+HOST = 'h.example'
+LISTENERS = ('callers', 'health', 'peers', 'directory', 'operators')
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    disable_nagle_algorithm = True
+    wbufsize = -1
+
+    def log_message(self, *_values) -> None:
+        """Log nothing; tests look at the counters."""
+
+    def send(
+        self, status: int, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _Listener(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, owner: Any, handler: type):
+        super().__init__(('127.0.0.1', 0), handler)
+        self.owner = owner
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Return host:port."""
+        return f'127.0.0.1:{self.server_port}'
+
+    def handle_error(self, request, client_address) -> None:
+        """Ignore connections that end early."""
+
+
+class _StoreHandler(_Handler):
+    def do_GET(self) -> None:
+        """Answer a call of the platform's store."""
+        store = self.server.owner
+        path, _, query = self.path.partition('?')
+        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        store.calls += 1
+        if store.is_silent:
+            time.sleep(STOP_LIMIT_S)
+        if store.refusal:
+            self.send(store.refusal, b'')
+            return
+        match path:
+            case '/cranberryscale/kv-range':
+                self._send_json(store.read_range(fields))
+            case '/cranberryscale/kv-watch':
+                answer = store.wait_events(fields)
+                if answer is None:
+                    self.send(410, b'')
+                else:
+                    self._send_json(answer)
+            case _:
+                self.send(404, b'')
+
+    def _send_json(self, value: Any) -> None:
+        body = json.dumps(value).encode()
+        self.send(200, body, {'Content-Type': 'application/json'})
+
+
+class Store:
+    """Hold entries with revisions; `refusal` is a status for all calls."""
+
+    def __init__(self, page: int = 500):
+        self.calls = 0
+        self.refusal = 0
+        self.is_silent = False
+        self._page = page
+        self._changed = threading.Condition()
+        self._items: dict[str, dict] = {}
+        self._events: list[dict] = []
+        self._first = 1
+        self.revision = 1
+        self._listener = _Listener(self, _StoreHandler)
+        self.address = self._listener.address
+
+    def put(self, key: str, body: bytes) -> int:
+        """Write an entry and return its revision."""
+        with self._changed:
+            self.revision += 1
+            item = {
+                'key': key,
+                'value': base64.b64encode(body).decode(),
+                'revision': self.revision,
+                'created': self.revision,
+                'lease': 0,
+            }
+            self._items[key] = item
+            self._events.append(item)
+            self._changed.notify_all()
+            return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an entry."""
+        with self._changed:
+            self.revision += 1
+            if self._items.pop(key, None) is not None:
+                self._events.append(
+                    {'key': key, 'revision': self.revision, 'removed': True}
+                )
+            self._changed.notify_all()
+
+    def drop_history(self) -> None:
+        """Forget all events, so that watches have to read anew."""
+        with self._changed:
+            self._events.clear()
+            self._first = self.revision + 1
+
+    def read_range(self, fields: dict[str, str]) -> dict:
+        """Return one page of entries."""
+        prefix, after = fields.get('prefix', ''), fields.get('after', '')
+        with self._changed:
+            keys = sorted(
+                key
+                for key in self._items
+                if key.startswith(prefix) and key > after
+            )
+            return {
+                'items': [self._items[key] for key in keys[: self._page]],
+                'has-more': len(keys) > self._page,
+                'current-rev': self.revision,
+            }
+
+    def wait_events(self, fields: dict[str, str]) -> dict | None:
+        """Return events after a revision, None if they are forgotten."""
+        after, wait_s = int(fields['after']), int(fields['wait-ms']) / 1000
+        with self._changed:
+            if after + 1 < self._first:
+                return None
+            self._changed.wait_for(lambda: self.revision > after, wait_s)
+            newer = [e for e in self._events if e['revision'] > after]
+            return {'events': newer, 'current-rev': self.revision}
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._listener.shutdown()
+        self._listener.server_close()
+
+
+class _ServerHandler(_Handler):
+    def answer(self) -> None:
+        """Run a request, or say that it does not run."""
+        server: Server = self.server.owner
+        request_id = self.headers.get('X-Request-Id', '')
+        body = self.rfile.read(int(self.headers.get('Content-Length', '0')))
+        target = self.headers.get('X-Target-Instance')
+        echo = {'X-Request-Id': request_id}
+        if target not in (None, server.name):
+            self.send(421, b'', echo)
+            return
+        if not server.start(request_id, self.headers, self.command, self.path):
+            self.send(503, b'', echo | {'X-Not-Executed': '1'})
+            return
+        try:
+            time.sleep(server.work_s)
+            status = server.status
+            answer = f'{server.name} {request_id} '.encode() + body
+            seal = {'X-Upstream-Seal': f'{server.name}.{request_id}'}
+            self.send(status, answer, echo | seal)
+        finally:
+            server.finish()
+
+    do_GET = do_POST = answer
+
+
+class Run(NamedTuple):
+    """Describe a request that a server ran."""
+
+    server: str
+    request_id: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    at_s: float
+
+
+class Server:
+    """Be one backend server; all its runs are recorded in `runs`."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        domain: str,
+        runs: list[Run],
+        slots: int = 4,
+        work_s: float = 0.03,
+    ):
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.slots = slots
+        self.work_s = work_s
+        self.status = 200
+        self._runs = runs
+        self._running = 0
+        self._lock = threading.Lock()
+        self._listener = _Listener(self, _ServerHandler)
+        self.address = self._listener.address
+
+    def start(self, request_id, headers, method: str, path: str) -> bool:
+        """Take a slot and record the run; False if none is free."""
+        with self._lock:
+            if self._running >= self.slots:
+                return False
+            self._running += 1
+        names = {name.lower(): value for name, value in headers.items()}
+        self._runs.append(
+            Run(self.name, request_id, method, path, names, time.monotonic())
+        )
+        return True
+
+    def finish(self) -> None:
+        """Give the slot back."""
+        with self._lock:
+            self._running -= 1
+
+    def make_entry(self, state: str = 'ready', warmup: str = '0ms') -> bytes:
+        """Return what the server writes to the store."""
+        return json.dumps(
+            {
+                'address': self.address,
+                'born': 1,
+                'info': {
+                    'service': self.service,
+                    'version': 'v1',
+                    'zone': self.domain,
+                    'slots': self.slots,
+                },
+                'status': {
+                    'state': state,
+                    'sequence': 1,
+                    'warmup-left': warmup,
+                },
+            }
+        ).encode()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._listener.shutdown()
+        self._listener.server_close()
+
+
+def make_policy(
+    version: int,
+    keys: dict[str, list[str]],
+    rate_per_s: float = 0,
+    timeout: str = '2s',
+) -> bytes:
+    """Return a configuration: /read/ may be repeated, /book/ may not."""
+    route_columns = ['name', 'host', 'prefix', 'route-type', 'timeout']
+    route_columns += ['target-latency', 'priority', 'max-attempts', 'service']
+    return json.dumps(
+        {
+            'version': f'{version:08x}',
+            'routes': {
+                'columns': route_columns,
+                'rows': [
+                    ['r1', HOST, '/read/', 'idempotent']
+                    + [timeout, '500ms', 2, 2, 'x'],
+                    ['r2', HOST, '/book/', 'non_idempotent']
+                    + [timeout, '500ms', 1, 2, 'y'],
+                ],
+            },
+            'services': {
+                'columns': ['name', 'max-conns', 'warmup', 'warmup-per-s'],
+                'rows': [['x', 400, '1s', 5.0], ['y', 400, '1s', 5.0]],
+            },
+            'limits': {
+                'max-header-bytes': 16384,
+                'max-body-bytes': 1048576,
+                'header-timeout': '3s',
+                'idle-timeout': '15s',
+            },
+            'tenants': {
+                'columns': ['name', 'api-keys', 'rate-per-s', 'burst'],
+                'rows': [
+                    [name, list(own), rate_per_s, int(rate_per_s)]
+                    for name, own in keys.items()
+                ],
+            },
+        }
+    ).encode()
+
+
+class Instance:
+    """Run one instance as a process."""
+
+    def __init__(self, number: int, folder: pathlib.Path, store: str):
+        self.label = f'i{number:02}'
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        ports = fleet.find_ports(len(LISTENERS))
+        self.addresses = {
+            name: f'127.0.0.1:{port}'
+            for name, port in zip(LISTENERS, ports, strict=True)
+        }
+        self.log = folder / f'{self.label}.log'
+        self._settings = folder / f'{self.label}.toml'
+        self._store = store
+        self.process: subprocess.Popen | None = None
+
+    def start(self, seeds: Iterable[str]) -> None:
+        """Start the process, again if it has ended."""
+        listed = ', '.join(f'"{seed}"' for seed in seeds)
+        addresses = '\n'.join(
+            f'{name} = "{address}"' for name, address in self.addresses.items()
+        )
+        self._settings.write_text(
+            f'name = "{self.addresses["peers"]}"\n'
+            f'label = "{self.label}"\n'
+            f'domain = "{self.domain}"\n'
+            'region = "r"\n'
+            f'seeds = [{listed}]\n'
+            f'[addresses]\n{addresses}\n'
+            f'[platform]\naddress = "{self._store}"\n'
+        )
+        environment = os.environ | {
+            'CRANBERRYSCALE_BOOT': str(self._settings),
+            'PYTHONPATH': str(ROOT),
+        }
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'cranberryscale.platform.program'],
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                env=environment,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Return the exit code once the process has ended."""
+        return self.process.wait(limit_s)
+
+    def fetch(self, listener: str, path: str) -> tuple[int, bytes]:
+        """Return status and body of a page, 0 if there is no answer."""
+        try:
+            answer = urllib3.request(
+                'GET',
+                f'http://{self.addresses[listener]}{path}',
+                retries=False,
+                timeout=1.0,
+            )
+        except urllib3.exceptions.HTTPError:
+            return 0, b''
+        return answer.status, answer.data
+
+    def is_ready(self) -> bool:
+        """Tell whether the instance says that it is ready."""
+        return self.fetch('health', '/cranberryscale/ready')[0] == 200
+
+    def list_addresses(self) -> list[str]:
+        """Return the addresses that the instance gives to callers."""
+        status, body = self.fetch('directory', '/cranberryscale/resolve')
+        return json.loads(body)['addresses'] if status == 200 else []
+
+
+class Fleet:
+    """Run a store, servers of the services x and y, and instances."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        instances: int = 3,
+        servers: int = 3,
+        keys: dict[str, list[str]] | None = None,
+        rate_per_s: float = 0,
+    ):
+        self.runs: list[Run] = []
+        self.store = Store()
+        self.keys = keys or {'t1': ['key-of-t1-0001']}
+        self.store.put(
+            'op/config', make_policy(1, self.keys, rate_per_s=rate_per_s)
+        )
+        self.servers = [
+            Server(
+                f's-{service}{number}',
+                service,
+                DOMAINS[number % len(DOMAINS)],
+                self.runs,
+            )
+            for service in ('x', 'y')
+            for number in range(servers)
+        ]
+        for server in self.servers:
+            self.store.put(f'servers/{server.name}', server.make_entry())
+        self.instances = [
+            Instance(number, folder, self.store.address)
+            for number in range(instances)
+        ]
+        self.seeds = [
+            instance.addresses['peers'] for instance in self.instances[:3]
+        ]
+
+    def __enter__(self) -> 'Fleet':
+        """Start the instances and wait until all know each other."""
+        for instance in self.instances:
+            instance.start(self.seeds)
+        self.wait_for(self.is_joined)
+        return self
+
+    def __exit__(self, *_) -> None:
+        """End what this object started."""
+        for instance in self.instances:
+            if instance.process is not None:
+                instance.send_signal(signal.SIGCONT)
+                instance.send_signal(signal.SIGKILL)
+        for instance in self.instances:
+            if instance.process is not None:
+                instance.process.wait(STOP_LIMIT_S)
+        for server in self.servers:
+            server.close()
+        self.store.close()
+
+    def is_joined(self) -> bool:
+        """Tell whether every instance names all that run."""
+        wanted = {i.addresses['callers'] for i in self.instances}
+        return all(set(i.list_addresses()) == wanted for i in self.instances)
+
+    @staticmethod
+    def wait_for(check, limit_s: float = START_LIMIT_S) -> None:
+        """Wait until the check holds, or raise TimeoutError."""
+        until = time.monotonic() + limit_s
+        while not check():
+            if time.monotonic() > until:
+                raise TimeoutError(getattr(check, '__name__', 'check'))
+            time.sleep(0.05)
+
+
+def send_request(
+    address: str,
+    path: str,
+    request_id: str,
+    key: str = '',
+    method: str = 'GET',
+    body: bytes = b'',
+    deadline_ms: int = 2000,
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one request on a connection of its own.
+
+    Returns status, headers and body; status 0 if the connection ended
+    without a whole answer.
+    """
+    headers = {
+        'Host': HOST,
+        'X-Request-Id': request_id,
+        'X-Deadline-Ms': str(deadline_ms),
+    }
+    if key:
+        headers['Authorization'] = f'Bearer {key}'
+    try:
+        answer = urllib3.request(
+            method,
+            f'http://{address}{path}',
+            headers=headers,
+            body=body or None,
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(total=deadline_ms / 1000 + 1),
+        )
+    except (urllib3.exceptions.HTTPError, socket.error):
+        return 0, {}, b''
+    found = {name.lower(): value for name, value in answer.headers.items()}
+    return answer.status, found, answer.data
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,198 @@
+"""Guard that every instance keeps up with the store, whoever reaches it."""
+
+import datetime
+import random
+
+from cranberryscale.process import fallback
+from cranberryscale.process import following
+from cranberryscale.process import roster
+from cranberryscale.version import configuration
+
+
+START = datetime.timedelta(seconds=100)
+SECOND = datetime.timedelta(seconds=1)
+STEP = datetime.timedelta(milliseconds=100)
+
+
+class Play:
+    """Let instances follow a store that turns `refused` away."""
+
+    def __init__(self, count=12):
+        self.now = START
+        self.calls = 0
+        self.refused = set()
+        self.lost = set()
+        records = [
+            roster.Record(f'n{n:02}', 1, 1, 'abc'[n % 3], f'c{n}', 1.0)
+            for n in range(count)
+        ]
+        self.followers = {}
+        for n, record in enumerate(records):
+            rng = random.Random(n)
+            members = roster.Roster(record, (), rng, START)
+            members.merge(records, START)
+            self.followers[record.name] = following.Follower(
+                members, rng, START
+            )
+        self.reading = {}
+        self.pull_at = {}
+
+    def step(self):
+        self.now += STEP
+        for name, follower in self.followers.items():
+            if name in self.lost:
+                continue
+            self.read(name, follower)
+            if self.now >= self.pull_at.get(name, START):
+                self.pull_at[name] = self.now + following.PULL_INTERVAL
+                self.pull(follower)
+
+    def read(self, name, follower):
+        if name in self.reading:
+            if self.now < self.reading[name]:
+                return
+            del self.reading[name]
+            if name in self.refused:
+                follower.note_store_failure(self.now)
+            else:
+                follower.note_store(self.now)
+        if follower.should_read(self.now):
+            self.calls += 1
+            wait = STEP if name in self.refused else following.STORE_WAIT
+            self.reading[name] = self.now + wait
+
+    def pull(self, follower):
+        source = follower.choose_source(self.now)
+        if source is None:
+            return
+        if source in self.lost:
+            follower.note_pull_failure(source, self.now)
+            return
+        other = self.followers[source]
+        age = other.find_age(self.now) if other.is_confirmed else None
+        follower.note_pull(age, self.now)
+        if age is None or age > following.STALE_AFTER:
+            follower.note_pull_failure(source, self.now)
+
+    def run(self, seconds):
+        for _ in range(int(seconds * SECOND / STEP)):
+            self.step()
+
+    def find_oldest(self):
+        return max(
+            follower.find_age(self.now)
+            for name, follower in self.followers.items()
+            if name not in self.lost
+        )
+
+    def list_readers(self):
+        return [n for n, f in self.followers.items() if f.is_reader()]
+
+
+def test_a_few_read_for_all():
+    """The store's calls are priced and limited."""
+    play = Play(44)
+    play.run(3)
+    play.calls = 0
+    play.run(10)
+    assert play.find_oldest() <= 2 * SECOND
+    assert len(play.list_readers()) == 6
+    assert play.calls <= 6 * 11
+
+
+def test_readers_that_are_turned_away_are_replaced():
+    play = Play()
+    play.run(3)
+    play.refused = set(play.list_readers())
+    play.run(4)
+    assert play.find_oldest() <= 2.5 * SECOND
+
+
+def test_one_instance_that_reaches_the_store_is_enough():
+    play = Play()
+    play.run(3)
+    play.refused = set(list(play.followers)[1:])
+    play.run(6)
+    assert play.find_oldest() <= 3 * SECOND
+
+
+def test_lost_readers_are_replaced():
+    play = Play()
+    play.run(3)
+    play.lost = set(play.list_readers())
+    play.run(4)
+    assert play.find_oldest() <= 2.5 * SECOND
+
+
+def test_a_store_that_is_away_is_not_flooded():
+    play = Play(44)
+    play.run(3)
+    play.refused = set(play.followers)
+    play.run(3)
+    play.calls = 0
+    play.run(10)
+    assert play.calls <= 44 * 10 / (following.RETRY_MAX / SECOND) * 2.2
+
+
+def test_an_outage_is_noticed_by_all_when_it_ends():
+    """Entries may have lapsed meanwhile."""
+    play = Play()
+    play.run(3)
+    follower = play.followers['n00']
+    assert follower.note_store(play.now) is False
+    later = play.now + following.OUTAGE_AFTER + SECOND
+    assert follower.note_store(later) is True
+    other = play.followers['n01']
+    assert other.note_pull(0 * SECOND, later + SECOND) is True
+
+
+def test_knowledge_never_gets_younger_by_hearsay():
+    play = Play()
+    play.run(3)
+    follower = play.followers['n00']
+    before = follower.find_age(play.now)
+    follower.note_pull(50 * SECOND, play.now)
+    assert follower.find_age(play.now) == before
+
+
+def make_servers(count):
+    return configuration.Configuration(
+        servers={
+            f's{n}': configuration.BackendServer(
+                f's{n}', 'x', 'abc'[n % 3], f'h{n}:1', 2
+            )
+            for n in range(count)
+        }
+    )
+
+
+def test_alone_an_instance_spreads_requests_and_avoids_what_failed():
+    """The holder is silent; every instance may choose alone at once."""
+    chooser = fallback.Fallback(random.Random(1))
+    published = make_servers(6)
+    chosen = []
+    for _ in range(60):
+        server = chooser.choose(published, 'x', 'a', (), START)
+        chooser.note_start(server)
+        chosen.append(server)
+    assert max(map(chosen.count, set(chosen))) <= 20
+    chooser.note_end('s0', 'error', START)
+    chooser.note_end('s1', 'refused', START)
+    chooser.note_ejected(['s2'])
+    later = {
+        chooser.choose(published, 'x', 'a', ('s3',), START) for _ in range(50)
+    }
+    assert later and later <= {'s4', 's5'}
+    assert chooser.list_unreached(START) == ('s1',)
+    assert chooser.list_unreached(START + fallback.UNREACHED) == ()
+
+
+def test_alone_an_instance_sends_nothing_to_cold_or_leaving_servers():
+    published = make_servers(3)
+    servers = published.servers
+    servers['s0'] = servers['s0']._replace(is_cold=True)
+    servers['s1'] = servers['s1']._replace(state='out')
+    chooser = fallback.Fallback(random.Random(1))
+    chosen = {chooser.choose(published, 'x', 'a', (), START) for _ in range(9)}
+    assert chosen == {'s2'}
+    assert chooser.choose(published, 'x', 'a', ('s2',), START) is None
