Keep a silent server's request until another server takes it

The logs of front-lisboa-a-8 show two attempts, each cut after 0.6 of the time within which an answer is on time: the count of runs was read before the second attempt was counted, so the last one was cut as well.

The last attempt now waits until the deadline. A silent server is given up only once another server is reserved; without budget the exchange goes on.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -24,7 +24,7 @@
 from cranberryscale import errors
 
 
-__all__ = ['Answer', 'Backends', 'ForwardFailed', 'Terms']
+__all__ = ['Answer', 'Backends', 'ForwardFailed', 'Pending', 'Terms']
 
 
 PREFETCH_BYTES = 65536
@@ -40,7 +40,8 @@
 
     Nothing is sent from `start_until` on. The first byte of the answer must
     arrive by `first_byte_until`, the last one by `deadline`. A connection
-    is reused only if it was idle for less than `idle_limit`.
+    is reused only if it was idle for less than `idle_limit`. With
+    `may_resume` a silent server leaves the exchange pending.
     """
 
     start_until: datetime.timedelta
@@ -48,6 +49,7 @@
     first_byte_until: datetime.timedelta
     caller: int = -1
     idle_limit: datetime.timedelta | None = None
+    may_resume: bool = False
 
 
 class ForwardFailed(Exception):  # noqa: N818
@@ -179,6 +181,11 @@
         self.wire.start_exchange(terms.deadline)
         self.wire.watch(terms.caller)
 
+    @property
+    def deadline(self) -> datetime.timedelta:
+        """Return when the exchange ends."""
+        return self._terms.deadline
+
     def end(self, keep: bool) -> None:
         """Release the connection once, to be reused only if it is clean."""
         if self.is_ended:
@@ -264,12 +271,27 @@
         finally:
             body.stop_watching()
 
-    def run(self, body: framing.EmptyBody) -> Answer:
+    def run(self, body: framing.EmptyBody) -> 'Answer | Pending':
         """Return the answer, or raise ForwardFailed."""
         with self.translate_errors():
             self._send_head()
             self._try_body(body)
-            self.wire.set_deadline(self._terms.first_byte_until)
+        try:
+            return self.wait(self._terms.first_byte_until)
+        except streams.DeadlinePassed:
+            return Pending(self)
+
+    def wait(self, until: datetime.timedelta) -> Answer:
+        """Return the answer, or raise ForwardFailed.
+
+        Raises DeadlinePassed and stays open if nothing has come and the
+        wait may go on.
+        """
+        is_last = not self._terms.may_resume or until >= self._terms.deadline
+        self.wire.set_deadline(until)
+        if not (is_last or self.wire.wait_readable()):
+            raise streams.DeadlinePassed(until)
+        with self.translate_errors():
             head = heads.read_head(self.wire.stream)
             self.wire.set_deadline(self._terms.deadline)
             answer = Answer(self, head)
@@ -286,6 +308,21 @@
             raise errors.make_error('answer_crossed', 'no echo on reuse')
 
 
+class Pending:
+    """Hold an exchange with a server that has said nothing so far."""
+
+    def __init__(self, exchange: _Exchange):
+        self._exchange = exchange
+
+    def resume(self) -> Answer:
+        """Wait until the deadline; raise ForwardFailed without an answer."""
+        return self._exchange.wait(self._exchange.deadline)
+
+    def cancel(self) -> None:
+        """Close the connection, which cancels the request."""
+        self._exchange.end(False)
+
+
 class Backends:
     """Forward requests to backend servers by address ("host:port").
 
@@ -333,8 +370,12 @@
         head: heads.Head,
         body: framing.EmptyBody,
         terms: Terms,
-    ) -> Answer:
-        """Return the answer once its head arrived, or raise ForwardFailed."""
+    ) -> Answer | Pending:
+        """Return the answer once its head arrived, or raise ForwardFailed.
+
+        With `may_resume` a server that is silent until `first_byte_until`
+        leaves the exchange pending.
+        """
         try:
             exchange = _Exchange(
                 self._find_pool(address), head, terms, self._allows_unframed
--- a/cranberryscale/connection/streams.py
+++ b/cranberryscale/connection/streams.py
@@ -128,6 +128,17 @@
                 self.sent_bytes += count
                 view = view[count:]
 
+    def wait_readable(self) -> bool:
+        """Wait for bytes, an end or the other socket; False if none came."""
+        try:
+            self._wait(self._reading)
+        except DeadlinePassed:
+            return False
+        except OtherReady:
+            # Reported by the next operation.
+            return True
+        return True
+
     def is_readable(self) -> bool:
         """Tell whether bytes, an end or an error are waiting."""
         return self.fileno() in dict(self._reading.poll(0))
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -26,6 +26,8 @@
     'Refuse',
     'ReportPermit',
     'Request',
+    'Resume',
+    'Silent',
     'TokensGranted',
 ]
 
@@ -91,7 +93,11 @@
 
 
 class Forward(NamedTuple):
-    """Send the request to the server, starting before `start_until`."""
+    """Send the request to the server, starting before `start_until`.
+
+    With `may_resume`, silence until `first_byte_until` leaves the exchange
+    open.
+    """
 
     server: configuration.BackendServer
     permit_id: str
@@ -101,6 +107,11 @@
     body_limit_bytes: int
     customer: str = ''
     is_repeatable: bool = False
+    may_resume: bool = False
+
+
+class Resume(NamedTuple):
+    """Go on waiting for the server that was silent."""
 
 
 class Deliver(NamedTuple):
@@ -125,7 +136,9 @@
     ran: str
 
 
-Action = AskTokens | AskPermit | Forward | Deliver | ReportPermit | Refuse
+Action = (
+    AskTokens | AskPermit | Forward | Resume | Deliver | ReportPermit | Refuse
+)
 
 
 class TokensGranted(NamedTuple):
@@ -176,13 +189,27 @@
     can_resend: bool = True
 
 
+class Silent(NamedTuple):
+    """Report that nothing came so far and the exchange is still open."""
+
+    can_resend: bool = True
+
+
 class Delivered(NamedTuple):
     """Report the end of the delivery; `error` None means complete."""
 
     error: errors.FleetError | None = None
 
 
-Event = TokensGranted | PermitGranted | Denied | Answered | Failed | Delivered
+Event = (
+    TokensGranted
+    | PermitGranted
+    | Denied
+    | Answered
+    | Failed
+    | Silent
+    | Delivered
+)
 
 
 class Outcome(NamedTuple):
--- a/cranberryscale/request/decisions.py
+++ b/cranberryscale/request/decisions.py
@@ -47,6 +47,8 @@
         self.failure: errors.FleetError | None = None
         # Set while an answer waits for a second attempt that may replace it.
         self.held: actions.Answered | None = None
+        # Set while a second attempt is due in place of a silent server.
+        self.reserved: actions.PermitGranted | None = None
 
     def check(self) -> None:
         """Check key and route against the configuration in force now."""
@@ -179,7 +181,8 @@
         Half of the time is kept for a second attempt where one is allowed,
         more if the server's silence is unusual after `patience`.
         """
-        if not (self.is_repeatable and self.may_try_again):
+        is_last = self.runs + 1 >= self.route.max_attempts
+        if is_last or not (self.is_repeatable and self.may_try_again):
             return self.deadline
         half = self.deadline - self.remaining / 2
         if patience is None:
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -89,7 +89,9 @@
         if not state.has_valid_tokens:
             yield from _ask_tokens(state)
         service = state.service
-        permit = yield from _ask_permit(state)
+        permit, state.reserved = state.reserved, None
+        if permit is None:
+            permit = yield from _ask_permit(state)
         unused = _report(state, permit, 'unused')
         try:
             # Only the token is renewed when the permit took longer than the
@@ -132,6 +134,31 @@
     )
 
 
+def _replace_silent(
+    state: decisions.Decision, event: actions.Silent
+) -> Generator[actions.Action, actions.Event, actions.Event]:
+    """Reserve another server, or go on waiting if there is none.
+
+    Giving the silent server up before another is certain would lose an
+    answer that may still come.
+    """
+    timeout = actions.Failed(
+        errors.make_error('backend_timeout', state.server),
+        True,
+        event.can_resend,
+    )
+    if event.can_resend and state.has_valid_tokens:
+        excluded, arrived = state.excluded, state.has_arrived
+        state.excluded += (state.server,)
+        state.has_arrived = True
+        try:
+            state.reserved = yield from _ask_permit(state)
+            return timeout
+        except errors.FleetError:
+            state.excluded, state.has_arrived = excluded, arrived
+    return (yield actions.Resume())
+
+
 def _deliver_held(
     state: decisions.Decision,
 ) -> Generator[actions.Action, actions.Event, actions.Outcome]:
@@ -180,16 +207,20 @@
     state.server = server.name
     state.attempts += 1
     since = state.facts.read_elapsed()
+    first_byte_until = state.limit_first_byte(permit.patience)
     event = yield actions.Forward(
         server,
         permit.permit_id,
         min(permit.start_until, state.tokens_until or permit.start_until),
         state.deadline,
-        state.limit_first_byte(permit.patience),
+        first_byte_until,
         state.route.body_limit_bytes,
         state.customer,
         state.is_repeatable,
+        permit.patience is not None and first_byte_until < state.deadline,
     )
+    if isinstance(event, actions.Silent):
+        event = yield from _replace_silent(state, event)
     state.note_attempt(event)
     may_retry = state.may_retry(event)
     if isinstance(event, actions.Answered) and not event.not_run:
--- a/cranberryscale/request/transfers.py
+++ b/cranberryscale/request/transfers.py
@@ -1,5 +1,6 @@
 """One request's way through the gateway: drive the decision, stream bytes."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import datetime
 import errno
@@ -48,6 +49,7 @@
         self._steps = None
         self._forward: actions.Forward | None = None
         self._answer: backends.Answer | None = None
+        self._pending: backends.Pending | None = None
         self._refusal: actions.Refuse | None = None
         self._is_ended = False
         self.is_counted = False
@@ -121,7 +123,10 @@
                 return fleet.ask_permit(action, self.request_id)
             case actions.Forward():
                 self._forward = action
+                self._cancel_pending()
                 return self._send(action)
+            case actions.Resume():
+                return self._receive(self._pending.resume)
             case actions.ReportPermit():
                 self._forward = None
                 fleet.report_permit(action)
@@ -160,14 +165,27 @@
             action.first_byte_until,
             self._call.conn.socket.fileno(),
             None if action.is_repeatable else RUN_ONCE_IDLE,
+            action.may_resume,
         )
-        try:
-            answer = self._gateway.backends.forward(
+        return self._receive(
+            lambda: self._gateway.backends.forward(
                 action.server.address,
                 self._make_head(action),
                 self._body,
                 terms,
             )
+        )
+
+    def _receive(
+        self, receive: Callable[[], backends.Answer | backends.Pending]
+    ) -> actions.Event:
+        """Return what came of an exchange."""
+        self._pending = None
+        try:
+            answer = receive()
+            if isinstance(answer, backends.Pending):
+                self._pending = answer
+                return actions.Silent(self._body.can_resend)
             answer.prefetch()
             self._check_origin(answer)
         except backends.ForwardFailed as failure:
@@ -178,6 +196,11 @@
             return actions.Failed(error, False, self._body.can_resend)
         return self._take_answer(answer)
 
+    def _cancel_pending(self) -> None:
+        if self._pending is not None:
+            self._pending.cancel()
+            self._pending = None
+
     def _check_origin(self, answer: backends.Answer) -> None:
         """Raise ForwardFailed for a success that is not the server's."""
         dialect = self._gateway.dialect
@@ -211,6 +234,7 @@
     ) -> list[bytes]:
         """Answer with a typed error."""
         self._is_ended = True
+        self._cancel_pending()
         if self._answer is not None:
             self._answer.cancel()
         reply = answers.make_reply(
@@ -228,6 +252,7 @@
         return [] if self.method == 'HEAD' else [reply.body]
 
     def _begin_delivery(self) -> 'Transfer':
+        self._cancel_pending()
         answer = self._answer
         kept = headers.filter_answer(
             answer.pairs,
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -365,3 +365,46 @@
         script.run()
         asked = [a for a in script.seen if isinstance(a, actions.AskPermit)]
         assert [a.is_repeat for a in asked] == [False, is_repeat]
+
+
+def run_silent(script, *permits):
+    script.replies['AskPermit'] = [
+        actions.PermitGranted(
+            'p', 'b1', START + SECOND, datetime.timedelta(milliseconds=300)
+        ),
+        *permits,
+    ]
+    return script.run()
+
+
+def test_a_silent_server_is_given_up_only_for_another():
+    """Without budget for a second attempt the answer is waited for."""
+    script = Script(actions.Silent(), OK, max_attempts=2)
+    second = actions.PermitGranted('q', 'b2', START + SECOND)
+    assert run_silent(script, second).code == 'ok'
+    assert script.list_reports() == ['silent', 'ok']
+    forwards = [a for a in script.seen if isinstance(a, actions.Forward)]
+    assert [f.may_resume for f in forwards] == [True, False]
+    assert forwards[1].first_byte_until == forwards[1].deadline
+
+    script = Script(actions.Silent(), max_attempts=2)
+    script.replies['Resume'] = [OK]
+    outcome = run_silent(script, actions.Denied('repeats_spent'))
+    assert (outcome.code, outcome.attempts) == ('ok', 1)
+    assert script.list_reports() == ['ok']
+
+
+def test_the_last_attempt_waits_until_the_deadline():
+    """Given up early, it fails requests that only needed more time."""
+    script = Script(OK, max_attempts=1)
+    run_silent(script)
+    (forward,) = [a for a in script.seen if isinstance(a, actions.Forward)]
+    assert forward.first_byte_until == forward.deadline
+    assert not forward.may_resume
+
+
+def test_what_runs_once_waits_until_the_deadline():
+    script = Script(OK, method='POST')
+    run_silent(script)
+    (forward,) = [a for a in script.seen if isinstance(a, actions.Forward)]
+    assert forward.first_byte_until == forward.deadline
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """Guard the gateway over real sockets, against hostile and broken peers."""
 
+import contextlib
 import datetime
 import json
 import socket
@@ -12,6 +13,7 @@
 import pytest
 
 from cranberryscale import errors
+from cranberryscale.request import actions
 
 SECOND = datetime.timedelta(seconds=1)
 KEY = harness.KEY.encode()
@@ -544,3 +546,40 @@
             sock.shutdown(socket.SHUT_WR)
             harness.read_all(sock)
     assert b'200 OK' in stack.ask(GET)
+
+
+@pytest.mark.parametrize('has_second', [True, False])
+def test_silent_server_keeps_its_request_until_another_takes_it(has_second):
+    """The exchange stays open while a second attempt is asked for."""
+    answered = []
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        if number == 1:
+            time.sleep(0.4)
+        with contextlib.suppress(OSError):
+            sock.sendall(HELLO)
+            answered.append(number)
+
+    with harness.Stack(serve) as made:
+        original = made.fleet.ask_permit
+
+        def ask_permit(action, request_id):
+            if action.is_repeat and not has_second:
+                return actions.Denied('repeats_spent')
+            permit = original(action, request_id)
+            patience = datetime.timedelta(milliseconds=100)
+            return permit._replace(patience=patience)
+
+        made.fleet.ask_permit = ask_permit
+        began = time.monotonic()
+        data = made.ask(GET)
+        took = time.monotonic() - began
+        assert b'hello' in data
+        if has_second:
+            assert took < 0.35
+            assert made.fleet.reports == ['silent', 'ok']
+        else:
+            assert took >= 0.35
+            assert made.fleet.reports == ['ok']
+            assert answered == [1]
