Trace a request through the logs of all instances

cranberryscale trace ID LOG... prints the quota, dispatch, permit and request lines of one id in order. Decisions are logged with the version, revision and age of the configuration that they rest on; the holder of a pool logs queue, running requests and servers that are out.

--- a/cranberryscale/commands.py
+++ b/cranberryscale/commands.py
@@ -19,6 +19,7 @@
 from cranberryscale import instance
 from cranberryscale import logs
 from cranberryscale import operators
+from cranberryscale import traces
 from cranberryscale.version import settings
 from cranberryscale.version import subtrees
 from cranberryscale.version import tree
@@ -204,6 +205,17 @@
     manifest.set_defaults(run=_make_manifest)
 
 
+def _trace(options: argparse.Namespace) -> int:
+    try:
+        found = traces.find_lines(options.logs, options.request_id)
+    except OSError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_INVALID
+    for line in found:
+        sys.stdout.write(traces.format_line(line) + '\n')
+    return EXIT_OK if found else EXIT_INVALID
+
+
 def _add_watching(commands) -> None:
     show = commands.add_parser('status', help='show the fleet')
     _add_fleet_options(show)
@@ -243,6 +255,15 @@
     which.set_defaults(run=_which)
 
 
+def _add_tracing(commands) -> None:
+    trace = commands.add_parser(
+        'trace', help='show the decisions on a request from instances\' logs'
+    )
+    trace.add_argument('request_id')
+    trace.add_argument('logs', type=pathlib.Path, nargs='+', metavar='LOG')
+    trace.set_defaults(run=_trace)
+
+
 def _make_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='cranberryscale',
@@ -254,6 +275,7 @@
     _add_checking(commands)
     _add_watching(commands)
     _add_asking(commands)
+    _add_tracing(commands)
     return parser
 
 
--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -93,6 +93,15 @@
             raise errors.make_error('not_ready')
         return self.published.current
 
+    def describe_knowledge(self, now: datetime.timedelta) -> dict[str, object]:
+        """Return version and age of what decisions rest on, for the log."""
+        policy = self.published.policy
+        return {
+            'version': policy.version if policy else 0,
+            'revision': self.published.revision,
+            'age_ms': round(self.follower.find_age(now).total_seconds() * 1e3),
+        }
+
     def take_reading(
         self,
         changes: tuple[published.Change, ...],
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -198,10 +198,37 @@
                     if is_queued:
                         self._changed.wait(QUEUE_WAIT.total_seconds())
                         reply = self._decide(sender, message)
+                    self._log_dispatch(sender, message, reply)
                 case messages.FinishRequest():
                     self._changed.notify_all()
             return reply
 
+    def _log_dispatch(
+        self,
+        sender: str,
+        message: messages.AskServer,
+        reply: messages.ServerReply,
+    ) -> None:
+        if not (reply.server or reply.code):
+            # Asked again in a moment.
+            return
+        pool = self.core.pools[message.service]
+        logs.log_event(
+            'dispatch',
+            request_id=message.request_id.partition('/')[0],
+            service=message.service,
+            sender=sender,
+            server=reply.server,
+            code=reply.code,
+            waited_ms=round(message.waited_s * 1000),
+            remaining_ms=round(message.remaining_s * 1000),
+            priority=message.priority,
+            queued=pool.queue_length,
+            running=pool.running,
+            out=','.join(reply.ejected),
+            **self.core.describe_knowledge(self._clock.read_elapsed()),
+        )
+
     def _decide(self, sender: str, message: Any) -> Any:
         return self.core.answer(sender, message, self._clock.read_elapsed())
 
--- a/cranberryscale/request/coordination.py
+++ b/cranberryscale/request/coordination.py
@@ -104,6 +104,7 @@
             holder=holder,
             admitted=reply.is_admitted,
             retry_after_s=round(reply.retry_after_s, 3),
+            **self._core.describe_knowledge(self._clock.read_elapsed()),
         )
         if reply.is_admitted:
             return self._grant_tokens()
@@ -215,7 +216,7 @@
             code=reply.code,
             is_repeat=action.is_repeat,
             excluded=','.join(action.excluded),
-            ejected=len(reply.ejected),
+            **self._core.describe_knowledge(self._clock.read_elapsed()),
         )
         if reply.code:
             return actions.Denied(
@@ -245,6 +246,7 @@
             service=action.service,
             holder=ALONE,
             server=server,
+            **self._core.describe_knowledge(self._clock.read_elapsed()),
         )
         if server is None:
             return actions.Denied('no_backend_server', action.target / 4)
