End in time at SIGTERM; give no whole rate while others are unknown

Cause: cheroot joins its worker threads, which wait for a silent server. - Instances that start together each took themselves for the holder of every customer until they knew each other and gave the whole rate. They now give the part that all of them may give at once. - A holder without configuration made its asker answer 500; the asker now decides alone. - An instance that starts asks others before the store.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -214,6 +214,16 @@
             self.published.list_since(revision),
         )
 
+    def _find_rate_ratio(self, now: datetime.timedelta) -> float:
+        """Return the part of customers' rates that a holder may give."""
+        up = len(self.roster.list_up())
+        recent = self.roster.count_recent(now)
+        if not self.roster.has_settled(now):
+            # Instances that start together do not know each other yet, and
+            # each takes itself for the holder.
+            return 1 / max(recent, quotas.ASSUMED_INSTANCES)
+        return up / max(up, recent)
+
     def _answer_quota(
         self, customer: str, now: datetime.timedelta
     ) -> messages.QuotaReply:
@@ -221,8 +231,7 @@
         if known is None:
             # The asker may know a later configuration.
             raise errors.make_error('not_holder', customer)
-        up = len(self.roster.list_up())
-        ratio = up / max(up, self.roster.count_recent(now))
+        ratio = self._find_rate_ratio(now)
         admission = self._quota_holder.admit(known, ratio, now)
         return messages.QuotaReply(
             admission.is_admitted, admission.retry_after.total_seconds()
--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import datetime
 import logging as std_logging
+import os
 import pathlib
 import random
 import signal
@@ -10,6 +11,7 @@
 import threading
 import time
 from typing import NamedTuple
+from typing import NoReturn
 
 from absl import logging
 from cheroot import wsgi
@@ -36,6 +38,9 @@
 __all__ = ['Entry', 'Machine']
 
 PAGE_THREADS = 3
+# The requests that run were waited for before.
+STOP_TIMEOUT_S = 0.2
+STOP_LIMIT_S = 0.3
 # Callers keep an answer of the directory this long.
 ANSWER_LIFETIME = datetime.timedelta(seconds=2)
 ADDRESS_LIMIT = 64
@@ -187,7 +192,12 @@
 
     def _listen(self, address: str, app) -> None:
         host, port = address.rsplit(':', 1)
-        server = wsgi.Server((host, int(port)), app, numthreads=PAGE_THREADS)
+        server = wsgi.Server(
+            (host, int(port)),
+            app,
+            numthreads=PAGE_THREADS,
+            shutdown_timeout=STOP_TIMEOUT_S,
+        )
         servers.ServerAdapter(
             cherrypy.engine, server, (host, int(port))
         ).subscribe()
@@ -233,6 +243,9 @@
                 logging.WARNING,
                 running=self.gateway.running,
             )
+        timer = threading.Timer(STOP_LIMIT_S, _end_process)
+        timer.daemon = True
+        timer.start()
         cherrypy.engine.exit()
 
     def _watch_settings(self) -> None:
@@ -272,13 +285,20 @@
         self.metrics.count('requests', code=outcome.code, ran=outcome.ran)
 
 
-def run(path: pathlib.Path, machine: Machine) -> int:
-    """Run an instance with the settings at `path`; return the exit code."""
+def _end_process(code: int = 0) -> NoReturn:
+    """End now: threads that wait for silent servers would hold it back."""
+    logs.flush()
+    os._exit(code)
+
+
+def run(path: pathlib.Path, machine: Machine) -> NoReturn:
+    """Run an instance with the settings at `path`, and end the process."""
     logs.set_up(sys.stdout)
     signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    code = 0
     try:
         Entry(path, machine).serve()
     except errors.FleetError as error:
         logs.log_event('start_failed', logging.ERROR, reason=error)
-        return 1
-    return 0
+        code = 1
+    _end_process(code)
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -39,6 +39,7 @@
 SILENCE = datetime.timedelta(seconds=1)
 PULL_TIMEOUT = datetime.timedelta(milliseconds=400)
 EXCHANGE_TIMEOUT = datetime.timedelta(milliseconds=700)
+EXCHANGE_INTERVAL = datetime.timedelta(seconds=1)
 SEED_INTERVAL = datetime.timedelta(seconds=2)
 JOIN_INTERVAL = datetime.timedelta(milliseconds=200)
 IDLE_POLL = datetime.timedelta(milliseconds=100)
@@ -81,6 +82,7 @@
         self._stopping = threading.Event()
         self._silent: dict[str, datetime.timedelta] = {}
         self._store_is_up: bool | None = None
+        self._exchange_at = clock.read_elapsed()
         name, epoch = core.options.name, core.roster.own.epoch
         signer = frames.Signer(name, epoch, '')
         self.client = peers.PeerClient(signer)
@@ -304,9 +306,19 @@
             self.core.roster.merge(reply.news, now)
             differs = reply.digest != self.core.roster.digest
         if differs and not check.news:
-            self._exchange(target)
+            self._exchange_seldom(target)
         return True
 
+    def _exchange_seldom(self, target: str) -> None:
+        # While many instances start, records differ at every check; news
+        # carry most of them.
+        now = self._clock.read_elapsed()
+        with self.lock:
+            if now < self._exchange_at:
+                return
+            self._exchange_at = now + EXCHANGE_INTERVAL
+        self._exchange(target)
+
     def _exchange(self, target: str) -> None:
         with self.lock:
             message = messages.Exchange(self.core.roster.records)
--- a/cranberryscale/logs.py
+++ b/cranberryscale/logs.py
@@ -1,6 +1,6 @@
 """Log lines: one event a line, as key=value pairs."""
 
-import atexit
+from collections.abc import Callable
 import json
 import logging as std_logging
 from logging import handlers as std_handlers
@@ -11,11 +11,14 @@
 from absl import logging
 
 
-__all__ = ['format_event', 'log_event', 'set_up']
+__all__ = ['flush', 'format_event', 'log_event', 'set_up']
 
 # Two seconds of the busiest instance's lines.
 QUEUE_LINES = 2000
 
+# Functions that end the writer threads.
+_stops: list[Callable[[], None]] = []
+
 _PLAIN = re.compile(r'[!#-<>-\[\]-~]+')
 
 
@@ -112,4 +115,10 @@
     absl_logger.handlers[:] = [source]
     absl_logger.propagate = False
     listener.start()
-    atexit.register(listener.stop)
+    _stops.append(listener.stop)
+
+
+def flush() -> None:
+    """Write what waits, before the process ends."""
+    while _stops:
+        _stops.pop()()
--- a/cranberryscale/platform/program.py
+++ b/cranberryscale/platform/program.py
@@ -2,7 +2,7 @@
 
 import os
 import pathlib
-import sys
+from typing import NoReturn
 
 from cranberryscale import entry
 from cranberryscale.platform import dialect
@@ -18,16 +18,16 @@
 SETTINGS_VARIABLE = 'CRANBERRYSCALE_BOOT'
 
 
-def main() -> int:
-    """Run until SIGTERM; return the exit code."""
+def main() -> NoReturn:
+    """Run until SIGTERM, and end the process."""
     machine = entry.Machine(
         store.StoreClient,
         documents.decode_entry,
         dialect.DIALECT,
         pages.Pages,
     )
-    return entry.run(pathlib.Path(os.environ[SETTINGS_VARIABLE]), machine)
+    entry.run(pathlib.Path(os.environ[SETTINGS_VARIABLE]), machine)
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    main()
--- a/cranberryscale/process/following.py
+++ b/cranberryscale/process/following.py
@@ -67,8 +67,14 @@
         """Tell whether to call the store now."""
         if now < self._retry_at:
             return False
-        is_stale = self.find_age(now) > STALE_AFTER
-        return not self.is_confirmed or is_stale or self.is_reader()
+        if self.find_age(now) > STALE_AFTER:
+            return True
+        if (
+            not self._members.is_joined
+            and now - self._began < roster.JOIN_TIME
+        ):
+            return False
+        return self.is_reader()
 
     def note_store(self, at: datetime.timedelta) -> bool:
         """Record an answer of the store; return True after an outage.
--- a/cranberryscale/process/quotas.py
+++ b/cranberryscale/process/quotas.py
@@ -19,7 +19,7 @@
 from cranberryscale.version import configuration
 
 
-__all__ = ['Admission', 'QuotaHolder', 'QuotaShare']
+__all__ = ['ASSUMED_INSTANCES', 'Admission', 'QuotaHolder', 'QuotaShare']
 
 # What a holder that has just started may give at once; the sum with an
 # earlier holder's stays under the excess that operators tolerate.
--- a/cranberryscale/process/roster.py
+++ b/cranberryscale/process/roster.py
@@ -40,6 +40,8 @@
 # Instances that left the count within this time may still serve callers on
 # the other side of a partition.
 RECENT = datetime.timedelta(seconds=8)
+# News of all instances reach a new one within this time.
+JOIN_TIME = datetime.timedelta(milliseconds=700)
 # An instance coordinates others only after it has learned what they know.
 SETTLE = datetime.timedelta(seconds=2)
 
@@ -94,6 +96,7 @@
         self._silent: set[str] = set()
         self._contact_at = now
         self._alarm_until = now
+        self._joined_at: datetime.timedelta | None = None
 
     def load_seeds(self, seeds: Iterable[str]) -> None:
         """Take the instances to ask first."""
@@ -114,6 +117,17 @@
         """Return the record of an instance, or None."""
         return self._records.get(name)
 
+    def has_settled(self, now: datetime.timedelta) -> bool:
+        """Tell whether this instance has had time to hear of all others."""
+        if not self.is_joined:
+            return False
+        return self._joined_at is None or now - self._joined_at >= JOIN_TIME
+
+    @property
+    def is_joined(self) -> bool:
+        """Tell whether others are known, or there are none to know."""
+        return len(self._records) > 1 or not self.seeds
+
     def list_up(self) -> tuple[Record, ...]:
         """Return the instances that are not down, this one included."""
         return tuple(r for r in self.records if self._is_up(r))
@@ -194,6 +208,8 @@
         if record.name == self.own.name:
             self.own = record
         self._changed_at[record.name] = now
+        if self._joined_at is None and len(self._records) > 1:
+            self._joined_at = now
         was_up = known is not None and known.state != State.DOWN
         if not was_up or known.epoch != record.epoch:
             self._up_since[record.name] = now
--- a/cranberryscale/request/coordination.py
+++ b/cranberryscale/request/coordination.py
@@ -129,7 +129,7 @@
                     fleets.HOLDER_TIMEOUT,
                 )
                 return reply, holder
-            except errors.PeerError as error:
+            except errors.FleetError as error:
                 self._note_alone('quota', holder, error)
         with self._fleet.lock:
             admission = self._core.admit_alone(
@@ -192,7 +192,7 @@
                     message,
                     fleets.HOLDER_TIMEOUT + fleets.QUEUE_WAIT,
                 )
-            except errors.PeerError as error:
+            except errors.FleetError as error:
                 self._note_alone('pool', holder, error)
                 return self._choose_alone(action, request_id)
             if reply.server or reply.code:
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -92,7 +92,7 @@
     )
     # Callers may reuse a connection that was idle for 12 s.
     timeouts: settings.Timeouts = settings.Timeouts(
-        sender_s=20, connect_s=0.3, shutdown_s=5
+        sender_s=20, connect_s=0.3, shutdown_s=0.2
     )
 
 
--- /dev/null
+++ b/tests/test_coordination.py
@@ -0,0 +1,133 @@
+"""Guard that a request goes on when the instances it asks do not help."""
+
+import datetime
+import threading
+
+import pytest
+import test_core
+
+from cranberryscale import clock
+from cranberryscale import errors
+from cranberryscale import messages
+from cranberryscale.process import metrics
+from cranberryscale.request import actions
+from cranberryscale.request import coordination
+
+
+START = test_core.START
+SECOND = test_core.SECOND
+WALL = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+
+
+class FakeFleet:
+    """Answer with `replies` by message type; an exception is raised."""
+
+    def __init__(self, core, replies):
+        self.core = core
+        self.lock = threading.RLock()
+        self.replies = replies
+        self.asked = []
+        self.sent = []
+        self.silent = False
+
+    def is_silent(self, target):
+        return self.silent
+
+    def ask(self, target, message, timeout):
+        self.asked.append(message)
+        reply = self.replies[type(message)]
+        if isinstance(reply, list):
+            reply = reply.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+    def send(self, target, message):
+        self.sent.append(message)
+
+
+def make(core=None, **replies):
+    core = core or test_core.make_core()
+    found = {getattr(messages, name): r for name, r in replies.items()}
+    fleet = FakeFleet(core, found)
+    manual = clock.ManualClock(WALL, START)
+    facts = coordination.Facts(core, manual)
+    return fleet, coordination.Coordination(
+        fleet, facts, manual, metrics.Metrics()
+    )
+
+
+ASK = actions.AskPermit('x', 'c', SECOND, (), True)
+LOST = [
+    errors.make_error('peer_unreachable'),
+    errors.make_error('not_ready'),
+    errors.make_error('not_holder'),
+]
+
+
+@pytest.mark.parametrize('error', LOST, ids=lambda e: e.code)
+def test_a_holder_that_does_not_help_leaves_the_instance_to_itself(error):
+    fleet, made = make(AskQuota=error, AskServer=error)
+    granted = made.ask_tokens(actions.AskTokens('c', ''), 'r')
+    assert isinstance(granted, actions.TokensGranted)
+    permit = made.ask_permit(ASK, 'r')
+    assert permit.server == 'i1'
+    report = actions.ReportPermit('x', 'i1', permit.permit_id, 'ok', SECOND)
+    made.report_permit(report)
+    assert fleet.sent == []
+
+
+def test_a_silent_holder_is_not_asked():
+    fleet, made = make()
+    fleet.silent = True
+    assert made.ask_permit(ASK, 'r').server == 'i1'
+    assert fleet.asked == []
+
+
+def test_alone_no_second_attempt_is_made():
+    """All instances may be alone at once; together they would be too many."""
+    _, made = make(AskServer=LOST[0])
+    answer = made.ask_permit(ASK._replace(is_repeat=True), 'r')
+    assert answer.code == 'repeats_spent'
+
+
+def test_alone_the_own_part_of_the_rate_is_all_there_is():
+    _, made = make(AskQuota=LOST[0])
+    ask = actions.AskTokens('c', '')
+    answers = [made.ask_tokens(ask, f'r{n}') for n in range(20)]
+    denied = [a for a in answers if isinstance(a, actions.Denied)]
+    assert len(denied) >= 17
+    assert denied[0].code == 'rate_exceeded'
+    assert denied[0].retry_after > 0 * SECOND
+
+
+def test_a_place_in_the_queue_is_asked_for_again():
+    queued = messages.ServerReply()
+    given = messages.ServerReply(3, 'i1', 0.2)
+    fleet, made = make(AskServer=[queued, queued, given])
+    permit = made.ask_permit(ASK, 'r')
+    assert (permit.server, permit.patience) == ('i1', 0.2 * SECOND)
+    assert len({m.request_id for m in fleet.asked}) == 1
+    made.report_permit(
+        actions.ReportPermit('x', 'i1', permit.permit_id, 'ok', SECOND)
+    )
+    (sent,) = fleet.sent
+    assert (sent.permit_id, sent.outcome) == (3, 'ok')
+
+
+def test_a_server_that_this_instance_cannot_reach_is_named_to_the_holder():
+    given = messages.ServerReply(3, 'i1', 0.2)
+    fleet, made = make(AskServer=given)
+    permit = made.ask_permit(ASK, 'r')
+    made.report_permit(
+        actions.ReportPermit('x', 'i1', permit.permit_id, 'refused', SECOND)
+    )
+    made.ask_permit(ASK, 'r2')
+    assert fleet.asked[-1].excluded == ('i1',)
+
+
+def test_a_refusal_of_the_holder_keeps_its_code_and_time():
+    denial = messages.ServerReply(code='pool_busy', retry_after_s=0.4)
+    _, made = make(AskServer=denial)
+    answer = made.ask_permit(ASK, 'r')
+    assert answer == actions.Denied('pool_busy', 0.4 * SECOND)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,146 @@
+"""Guard what one instance answers to others, without I/O."""
+
+import datetime
+import random
+
+import pytest
+import test_published
+
+from cranberryscale import core as cores
+from cranberryscale import errors
+from cranberryscale import messages
+from cranberryscale.platform import documents
+from cranberryscale.process import roster
+from cranberryscale.version import deployment
+
+
+START = datetime.timedelta(seconds=100)
+SECOND = datetime.timedelta(seconds=1)
+CUSTOMERS = {
+    'columns': ['name', 'api-keys', 'priority', 'rate-per-s', 'burst'],
+    'rows': [['c', ['k1'], 1, 37, 37]],
+}
+
+
+def make_options(number, seeds=()):
+    address = f'10.0.0.{number}'
+    listed = ', '.join(f'"{seed}"' for seed in seeds)
+    return deployment.parse_deployment(
+        f'name = "{address}:1"\ndomain = "a"\nregion = "r"\n'
+        f'seeds = [{listed}]\nunknown = 5\n'
+        f'[addresses]\ncallers = "{address}:2"\nhealth = "{address}:3"\n'
+        f'peers = "{address}:1"\ndirectory = "{address}:4"\n'
+        f'operators = "{address}:5"\n'
+        '[platform]\naddress = "10.9.9.9:1"\n'
+        '[terms]\ndrain = "2500ms"\n',
+        'test',
+    )
+
+
+def make_core(number=1, seeds=()):
+    core = cores.Core(
+        make_options(number, seeds),
+        1,
+        documents.decode_entry,
+        random.Random(number),
+        START,
+    )
+    body = test_published.make_policy(tenants=CUSTOMERS)
+    changes = [
+        test_published.make_change('op/config', 1, body),
+        test_published.make_change(
+            'servers/i1', 2, test_published.make_server()
+        ),
+    ]
+    core.take_reading(tuple(changes), 2, True, False, START)
+    core.roster.set_state(roster.State.READY, START)
+    return core
+
+
+def make_ask(**fields):
+    values = {
+        'service': 'x',
+        'request_id': 'r/0',
+        'domain': 'a',
+        'target_s': 0.5,
+        'waited_s': 0.0,
+        'remaining_s': 1.0,
+    }
+    return messages.AskServer(**(values | fields))
+
+
+def test_settings_are_read_and_unknown_fields_ignored():
+    options = make_options(1)
+    assert options.terms.drain == 2.5 * SECOND
+    assert options.terms.grace == 6 * SECOND
+
+
+@pytest.mark.parametrize(
+    'line', ['[terms]\ndrain = "soon"', '[terms]\ndrain = 5', 'cores = -1']
+)
+def test_bad_settings_are_refused(line):
+    text = 'name = "h:1"\ndomain = "a"\nregion = "r"\n' + line
+    with pytest.raises(errors.SettingsInvalid):
+        deployment.parse_deployment(text, 'test')
+
+
+def test_a_permit_is_given_and_taken_back():
+    core = make_core()
+    reply = core.answer('e', make_ask(), START)
+    assert reply.server == 'i1'
+    assert core.pools['x'].running == 1
+    core.answer(
+        'e', messages.FinishRequest('x', reply.permit_id, 'ok', 0.1), START
+    )
+    assert core.pools['x'].running == 0
+
+
+def test_a_server_that_leaves_gets_no_more_permits():
+    core = make_core()
+    core.answer('e', make_ask(), START)
+    body = test_published.make_server('draining')
+    change = test_published.make_change('servers/i1', 9, body)
+    core.take_reading((change,), 9, False, False, START)
+    reply = core.answer('e', make_ask(request_id='r2/0'), START)
+    assert (reply.server, reply.code) == ('', 'no_backend_server')
+
+
+def test_others_learn_what_this_instance_knows_and_how_old_it_is():
+    core = make_core()
+    reply = core.answer('e', messages.PullChanges(0), START)
+    assert reply.age_s < 0
+    core.follower.note_store(START)
+    reply = core.answer('e', messages.PullChanges(1), START + SECOND)
+    assert (reply.age_s, reply.revision) == (1.0, 2)
+    assert [change.key for change in reply.changes] == ['servers/i1']
+
+
+def test_an_instance_without_configuration_says_so():
+    core = cores.Core(
+        make_options(1), 1, documents.decode_entry, random.Random(1), START
+    )
+    for message in (messages.AskQuota('c'), make_ask()):
+        with pytest.raises(errors.NotReady):
+            core.answer('e', message, START)
+
+
+def test_an_unknown_customer_is_refused_with_a_type():
+    """The asker may know a later configuration than the holder."""
+    with pytest.raises(errors.NotHolder):
+        make_core().answer('e', messages.AskQuota('nobody'), START)
+
+
+def test_foreign_messages_are_refused():
+    with pytest.raises(errors.MessageUndecodable):
+        make_core().answer('e', messages.FetchView(), START)
+
+
+def test_addresses_are_those_of_ready_instances_up_to_a_limit():
+    core = make_core()
+    records = [
+        roster.Record(f'10.1.0.{n}:1', 1, 1, 'a', f'10.1.0.{n}:2', 1.0)
+        for n in range(100)
+    ]
+    core.answer('e', messages.Exchange(tuple(records)), START)
+    chosen = core.list_addresses(64)
+    assert len(set(chosen)) == 64
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -247,3 +247,19 @@
             _, status, headers, body = ask(fleet, 0)
         assert float(headers['retry-after']) > 0
         assert json.loads(body)['ran'] == 'not run'
+
+
+def test_a_silent_server_does_not_hold_an_instance_back_at_its_end(tmp_path):
+    """Seen on Ponte Nova's fresh-d678: three were killed after the grace."""
+    with machines.Fleet(tmp_path, instances=1, servers=1) as fleet:
+        for server in fleet.servers:
+            server.work_s = 30
+        thread = threading.Thread(
+            target=lambda: ask(fleet, 0, deadline_ms=20000), daemon=True
+        )
+        thread.start()
+        time.sleep(0.3)
+        began = time.monotonic()
+        fleet.instances[0].send_signal(signal.SIGTERM)
+        assert fleet.instances[0].wait(8) == 0
+        assert time.monotonic() - began < 6
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -8,7 +8,9 @@
 import random
 
 import pytest
+import test_core
 
+from cranberryscale import messages
 from cranberryscale.process import quotas
 from cranberryscale.version import configuration
 
@@ -135,3 +137,20 @@
         start=START + 5 * SECOND,
     )
     assert find_most(times) <= (2.0 * WINDOW_S + 2) * (1 + EXCESS) + SLACK
+
+
+def test_instances_that_start_together_do_not_each_give_the_whole_rate():
+    """All were lost; each believes for a moment that it is the only one."""
+    instances = [
+        test_core.make_core(number, seeds=('10.9.9.9:1',))
+        for number in range(44)
+    ]
+    times = []
+    for core in instances:
+        times += send(
+            lambda t, c=core: (
+                c.answer('x', messages.AskQuota('c'), t).is_admitted
+            ),
+            0.7,
+        )
+    assert find_most(times) <= BOUND
