Let late requests wait while there is time; treat a server's refusal lightly

A late request may now wait for a part of its spare time, a smaller one in a surge. Such a refusal ran nothing; it now counts little. The usual latency follows the median instead of a mean.

--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -41,7 +41,7 @@
 # Until answers are seen, a request is taken to need this part of the time
 # within which its answer is on time.
 USUAL_RATIO = 0.35
-USUAL_WEIGHT = 0.1
+USUAL_STEP = 0.05
 # A second attempt is due when an answer takes longer than this part of the
 # time within which it is on time, and this many times longer than usual.
 PATIENCE_RATIO = 0.6
@@ -53,10 +53,12 @@
 # The span over which arrivals are counted. A surge shorter than half of it
 # is taken on whole and served late.
 LOAD_WINDOW = datetime.timedelta(seconds=2)
-# Requests that will be late are only taken on below this use of capacity.
+# Above this use of capacity arrivals count as a surge.
 LATE_USE = 0.95
-# Part of the capacity that is expected to be left for them.
-LATE_SHARE = 0.5
+# Part of the time left that a late request may wait for those ahead of it;
+# new ones that can be on time overtake it meanwhile.
+LATE_SHARE = 0.6
+SURGE_SHARE = 0.35
 
 
 class Ask(NamedTuple):
@@ -502,11 +504,13 @@
     def _note_latency(
         self, kind: datetime.timedelta, latency: datetime.timedelta
     ) -> None:
+        # Follows the median: servers that are slow must not make slowness
+        # usual while most are not.
         known = self._find_usual(kind).total_seconds()
-        seen = latency.total_seconds()
-        # One slow server must not make slowness usual.
-        seen = min(seen, known * health.SLOW_RATIO)
-        self._usual[kind] = known + USUAL_WEIGHT * (seen - known)
+        is_longer = latency.total_seconds() > known
+        self._usual[kind] = known * (
+            1 + USUAL_STEP if is_longer else 1 - USUAL_STEP
+        )
 
     def _find_patience(self, ask: Ask) -> datetime.timedelta:
         return max(
@@ -536,8 +540,8 @@
 
         A request that can be on time waits for those ahead of it and for
         the more urgent ones that arrive meanwhile. One that will be late is
-        served from what all others leave, so while arrivals take up the
-        capacity it is not served at all.
+        served from what all others leave. While arrivals take up the
+        capacity only few such wait, for when the surge ends.
         """
         ask = waiting.ask
         usual = self._find_usual(ask.target)
@@ -548,12 +552,12 @@
             wait = datetime.timedelta(seconds=ahead / spare)
             if now + wait + usual <= waiting.due:
                 return wait
-        if self._find_arrivals(ask.priority, now) < capacity * LATE_USE:
-            ahead = len(self._waiting) + 1
-            wait = datetime.timedelta(seconds=ahead / capacity / LATE_SHARE)
-            if wait + usual <= ask.remaining:
-                return wait
-        return None
+        ahead = len(self._waiting) + 1
+        wait = datetime.timedelta(seconds=ahead / capacity)
+        is_surge = self._find_arrivals(ask.priority, now) > capacity * LATE_USE
+        spare_time = ask.remaining - usual
+        limit = spare_time * (SURGE_SHARE if is_surge else LATE_SHARE)
+        return wait if wait <= limit else None
 
     def _find_retry(self, ask: Ask) -> datetime.timedelta:
         """Return when to come back: after what waits now, spread evenly.
--- a/cranberryscale/process/health.py
+++ b/cranberryscale/process/health.py
@@ -19,6 +19,8 @@
 # these say less.
 WEAK_EVIDENCE = 2.5
 WEAK_FAILURES = frozenset(('silent', 'truncated', 'crossed', 'wrong'))
+# A refusal ran nothing and can be repeated at once.
+SHED_EVIDENCE = 0.8
 # From here on a server is the last choice; two failures in a row reach the
 # second limit, and the server is left out for the pause.
 SUSPECT_EVIDENCE = 2.0
@@ -139,7 +141,7 @@
         """Record a refusal; `had_room` if its slots were not all in use."""
         self._doubt(now, SHED_PAUSE)
         if had_room:
-            self.note_failure('shed', now)
+            self._weigh(SHED_EVIDENCE, now)
 
     def _doubt(
         self, now: datetime.timedelta, pause: datetime.timedelta
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -371,3 +371,34 @@
     load.finish()
     assert load.find_share('pool_busy') <= 0.03
     assert load.find_share('error') <= 0.03
+
+
+def test_requests_that_will_be_late_wait_while_there_is_time():
+    """All servers take four times as long for a while.
+
+    Seen on Ponte Nova's scale-1: requests with 4.5 s left were refused with
+    one in the queue, since the usual latency had grown past the target.
+    """
+    pool = make_pool(make_configuration(6, slots=6))
+
+    def run(server, now):
+        return 'ok', 490 * MS * (4 if now < START + 6 * SECOND else 1)
+
+    load = Load(pool, run)
+    load.play(15, 16, target=1500 * MS, remaining=5 * SECOND)
+    load.finish()
+    assert load.find_share('pool_busy') <= 0.02
+
+
+def test_servers_that_all_shed_half_still_serve():
+    """A refusal of a server ran nothing: another one may take it."""
+    pool = make_pool(make_configuration(9))
+    rng = random.Random(7)
+
+    def run(server, now):
+        return ('shed', MS) if rng.random() < 0.55 else ('ok', WORK)
+
+    load = Load(pool, run)
+    load.play(10, 40, is_idempotent=False)
+    load.finish()
+    assert load.find_share('pool_busy') <= 0.02
