--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -58,7 +58,7 @@
 # Part of the time left that a late request may wait for those ahead of it;
 # new ones that can be on time overtake it meanwhile.
 LATE_SHARE = 0.6
-SURGE_SHARE = 0.35
+SURGE_SHARE = 0.5
 
 
 class Ask(NamedTuple):
