--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -115,6 +115,7 @@
             self.clock,
             self._observe,
             machine.dialect,
+            lambda: self.core.describe_knowledge(self.clock.read_elapsed()),
         )
         self._stopping = threading.Event()
         self._leaving = threading.Event()
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -50,7 +50,10 @@
 
 
 class Gateway:
-    """Serve callers; `observe` is called with each outcome."""
+    """Serve callers; `observe` is called with each outcome.
+
+    `describe` returns version and age of the configuration, for the log.
+    """
 
     def __init__(
         self,
@@ -59,7 +62,9 @@
         clock: clocks.Clock,
         observe: Observer | None = None,
         dialect: dialects.Dialect = dialects.Dialect(),
+        describe: Callable[[], dict[str, object]] = dict,
     ):
+        self._describe = describe
         self.dialect = dialect
         self.fleet = fleet
         self.backends = backends
@@ -158,6 +163,7 @@
             ran=outcome.ran,
             attempts=outcome.attempts,
             duration_ms=round(elapsed.total_seconds() * 1000, 1),
+            **self._describe(),
         )
 
     def log_fault(self, request_id: str, kind: str, where: str) -> None:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -152,7 +152,11 @@
         text = fleet.instances[0].log.read_text()
         lines = [line for line in text.splitlines() if request_id in line]
         events = {line.split('event=')[1].split()[0] for line in lines}
-        return {'permit', 'request'} <= events
+        has_age = all('version=' in x and 'age_ms=' in x for x in lines)
+        return has_age and {'permit', 'request', 'dispatch'} & events >= {
+            'permit',
+            'request',
+        }
 
     fleet.wait_for(has_lines, 3)
 
