Remove twins, dead fields and repeated work found in a read-through

- Durations are parsed in one place (version/durations), settings files read in one (settings.read_text).
- A permit's holder and number follow from its id; the table beside it is gone.
- The holder writes its log line outside the fleet's lock.
- Fields that nothing read are gone (Queued.position, _Running.since, Service.connections), and the answer header for cold starts of the platform, which never held what was looked for.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -30,7 +30,7 @@
 PREFETCH_BYTES = 65536
 # The server counts from when it sent the answer, and may close a little early.
 KEEP_ALIVE_MARGIN = datetime.timedelta(seconds=1)
-MOMENT = datetime.timedelta(milliseconds=100)
+KEEP_ALIVE_MIN = datetime.timedelta(milliseconds=100)
 
 _DIGEST = re.compile(r'(?:^|,)\s*sha-256=:([A-Za-z0-9+/]{43}=):')
 
@@ -200,7 +200,7 @@
     def limit_idle(self, keep_alive: datetime.timedelta | None) -> None:
         """Keep the connection for less than the server says it does."""
         if keep_alive is not None:
-            limit = max(keep_alive - KEEP_ALIVE_MARGIN, MOMENT)
+            limit = max(keep_alive - KEEP_ALIVE_MARGIN, KEEP_ALIVE_MIN)
             self._connection.idle_limit = min(
                 self._connection.idle_limit, limit
             )
--- a/cranberryscale/connection/dialects.py
+++ b/cranberryscale/connection/dialects.py
@@ -18,7 +18,8 @@
     """Hold the names; the defaults are the project's own.
 
     `not_run` states that a request did not run, if it has the value
-    `not_run_value` (any value if empty). `target` names the backend server
+    `not_run_value` (any value if empty) and one of `not_run_statuses`.
+    `target` names the backend server
     for which a request is meant; others answer 421 and do not run it.
     `customer` names the customer. An answer without `signature` was not
     made by the backend server. `cold` states a cold start.
@@ -28,6 +29,7 @@
 
     not_run: str = 'x-not-run'
     not_run_value: str = 'true'
+    not_run_statuses: frozenset[int] = frozenset((503,))
     target: str = ''
     customer: str = ''
     signature: str = ''
@@ -40,11 +42,16 @@
         if self.target and status == _MISDIRECTED:
             return True
         values = framing.find_values(pairs, self.not_run)
-        if status < 400 or not values:
+        if status not in self.not_run_statuses or not values:
             return False
         wanted = self.not_run_value
         return not wanted or values[0].lower() == wanted
 
+    def is_cold(self, pairs: framing.Pairs) -> bool:
+        """Tell whether the backend server states a cold start."""
+        values = framing.find_values(pairs, self.cold)
+        return bool(values) and values[-1].lower() == 'true'
+
     def is_signed(self, pairs: framing.Pairs) -> bool:
         """Tell whether the answer is the backend server's own."""
         return not self.signature or bool(
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -200,10 +200,11 @@
                     if is_queued:
                         self._changed.wait(QUEUE_WAIT.total_seconds())
                         reply = self._decide(sender, message)
-                    self._log_dispatch(sender, message, reply)
                 case messages.FinishRequest():
                     self._changed.notify_all()
-            return reply
+        if isinstance(message, messages.AskServer):
+            self._log_dispatch(sender, message, reply)
+        return reply
 
     def _log_dispatch(
         self,
--- a/cranberryscale/platform/dialect.py
+++ b/cranberryscale/platform/dialect.py
@@ -8,10 +8,12 @@
 DIALECT = dialects.Dialect(
     not_run='x-not-executed',
     not_run_value='',
+    not_run_statuses=frozenset(range(400, 600)),
     target='x-target-instance',
     customer='x-tenant',
     signature='x-upstream-seal',
-    cold='x-warmup-ms',
+    # Cold starts are told by the entries of servers, not by answers.
+    cold='',
     has_decimal_retry=True,
     adds_forwarding=False,
 )
--- a/cranberryscale/platform/documents.py
+++ b/cranberryscale/platform/documents.py
@@ -9,6 +9,7 @@
 
 from cranberryscale import errors
 from cranberryscale.version import configuration
+from cranberryscale.version import durations
 from cranberryscale.version import keys
 from cranberryscale.version import published
 
@@ -21,7 +22,6 @@
 _CONFIGURATION = 'op/config'
 _EVACUATIONS = 'op/evacuate/'
 
-_DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)')
 _VERSION = re.compile(r'[0-9a-f]{8}')
 _IDEMPOTENT = {'idempotent': True, 'non_idempotent': False}
 _SERVER_STATES = {'ready': False, 'draining': True}
@@ -73,7 +73,6 @@
 
 class _Service(msgspec.Struct, rename='kebab'):
     name: str
-    max_conns: int | None = None
     warmup: str | None = None
     # Requests a second that a server bears while it is cold.
     warmup_per_s: float | None = None
@@ -110,14 +109,6 @@
     tenants: _Table | None = None
 
 
-def _read_duration(text: str) -> datetime.timedelta:
-    match = _DURATION.fullmatch(text)
-    if match is None:
-        raise ValueError(f'duration {text!r}')
-    unit = 'milliseconds' if match[2] == 'ms' else 'seconds'
-    return datetime.timedelta(**{unit: float(match[1])})
-
-
 def _list_rows(table: _Table, kind: type) -> list[Any]:
     def convert(row):
         if len(row) != len(table.columns):
@@ -138,8 +129,10 @@
     )
     if not (row.service or parts):
         raise ValueError(f'route {row.name!r} names no service')
-    timeout = _read_duration(row.timeout) if row.timeout else _LONGEST
-    target = _read_duration(row.target_latency or '1s')
+    timeout = (
+        durations.parse_duration(row.timeout) if row.timeout else _LONGEST
+    )
+    target = durations.parse_duration(row.target_latency or '1s')
     return configuration.Route(
         row.name,
         row.prefix,
@@ -160,9 +153,8 @@
 def _make_service(row: _Service) -> configuration.Service:
     return configuration.Service(
         row.name,
-        warmup=_read_duration(row.warmup or '0ms'),
+        warmup=durations.parse_duration(row.warmup or '0ms'),
         cold_rate_per_s=row.warmup_per_s or 0.0,
-        connections=row.max_conns or 400,
     )
 
 
@@ -202,8 +194,8 @@
     limits = published.Limits(
         document.limits.max_header_bytes,
         body_limit,
-        _read_duration(document.limits.header_timeout),
-        _read_duration(document.limits.idle_timeout),
+        durations.parse_duration(document.limits.header_timeout),
+        durations.parse_duration(document.limits.idle_timeout),
     )
     return published.Policy(int(document.version, 16), rules, limits)
 
@@ -220,7 +212,7 @@
         entry.address,
         entry.info.slots,
         _SERVER_STATES[entry.status.state],
-        _read_duration(entry.status.warmup_left),
+        durations.parse_duration(entry.status.warmup_left),
         entry.born,
     )
 
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -101,8 +101,6 @@
 class Queued(NamedTuple):
     """Keep a request's place for as long as it is asked for again."""
 
-    position: int
-
 
 Result = Permit | Denial | Queued
 
@@ -111,7 +109,6 @@
     server: str
     sender: str
     kind: datetime.timedelta
-    since: datetime.timedelta
     until: datetime.timedelta
     is_repeat: bool
 
@@ -224,7 +221,7 @@
         known = self._waiting.get(ask.request_id)
         if known is not None:
             known.renewed = now
-            return Queued(self._count_ahead(known))
+            return Queued()
         return self._admit(ask, now)
 
     def _admit(self, ask: Ask, now: datetime.timedelta) -> Result:
@@ -257,7 +254,7 @@
                 self._budget.give_back()
             return Denial('pool_busy', self._find_retry(ask))
         self._waiting[ask.request_id] = waiting
-        return Queued(self._count_ahead(waiting))
+        return Queued()
 
     def _grant(
         self, ask: Ask, server: _Server, now: datetime.timedelta
@@ -271,7 +268,6 @@
             server.entry.name,
             ask.sender,
             ask.target,
-            now,
             now + ask.remaining,
             ask.is_repeat,
         )
--- a/cranberryscale/request/coordination.py
+++ b/cranberryscale/request/coordination.py
@@ -6,8 +6,6 @@
 """
 
 import datetime
-import threading
-from typing import NamedTuple
 
 from cranberryscale import clock as clocks
 from cranberryscale import core as cores
@@ -62,11 +60,6 @@
             return None
 
 
-class _Permit(NamedTuple):
-    holder: str
-    number: int
-
-
 class Coordination:
     """Do what the gateway needs from other instances."""
 
@@ -82,8 +75,6 @@
         self._core = fleet.core
         self._clock = clock
         self._metrics = recorded
-        self._lock = threading.Lock()
-        self._permits: dict[str, _Permit] = {}
 
     # Customers' rates
 
@@ -224,7 +215,7 @@
             )
         patience = datetime.timedelta(seconds=reply.patience_s)
         return self._grant(
-            reply.server, _Permit(holder, reply.permit_id), patience
+            reply.server, f'{holder}/{reply.permit_id}', patience
         )
 
     def _choose_alone(
@@ -250,37 +241,33 @@
         )
         if server is None:
             return actions.Denied('no_backend_server', action.target / 4)
-        return self._grant(server, _Permit(ALONE, 0), None)
+        return self._grant(server, ALONE, None)
 
     def _grant(
         self,
         server: str,
-        permit: _Permit,
+        permit_id: str,
         patience: datetime.timedelta | None,
     ) -> actions.PermitGranted:
         with self._fleet.lock:
             self._core.fallback.note_start(server)
-        permit_id = f'{permit.holder}/{permit.number}'
-        with self._lock:
-            self._permits[permit_id] = permit
         until = self._clock.read_elapsed() + VALID
         return actions.PermitGranted(permit_id, server, until, patience)
 
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Give a permit back; the report is sent by another thread."""
-        with self._lock:
-            permit = self._permits.pop(action.permit_id, None)
         with self._fleet.lock:
             self._core.fallback.note_end(
                 action.server, action.outcome, self._clock.read_elapsed()
             )
-        if permit is None or permit.holder == ALONE:
+        if action.permit_id == ALONE:
             return
+        holder, _, number = action.permit_id.rpartition('/')
         self._fleet.send(
-            permit.holder,
+            holder,
             messages.FinishRequest(
                 action.service,
-                permit.number,
+                int(number),
                 action.outcome,
                 action.latency.total_seconds(),
             ),
--- a/cranberryscale/request/transfers.py
+++ b/cranberryscale/request/transfers.py
@@ -226,7 +226,7 @@
             answer.status,
             not_run,
             self._body.can_resend,
-            'true' in framing.find_values(answer.pairs, dialect.cold),
+            dialect.is_cold(answer.pairs),
         )
 
     def _refuse(
--- a/cranberryscale/version/configuration.py
+++ b/cranberryscale/version/configuration.py
@@ -109,7 +109,6 @@
     queue_limit: int = 64
     warmup: datetime.timedelta = datetime.timedelta(0)
     cold_rate_per_s: float = 5.0
-    connections: int = 400
 
 
 class BackendServer(NamedTuple):
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -2,7 +2,6 @@
 
 import datetime
 import pathlib
-import re
 import tomllib
 from typing import Annotated
 from typing import Any
@@ -10,14 +9,12 @@
 import msgspec
 
 from cranberryscale import errors
+from cranberryscale.version import durations
 from cranberryscale.version import settings
 
 
 __all__ = ['Deployment', 'Terms', 'load_deployment', 'parse_deployment']
 
-_DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)')
-_UNITS = {'ms': 'milliseconds', 's': 'seconds'}
-
 Ratio = Annotated[float, msgspec.Meta(ge=0)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 
@@ -96,13 +93,6 @@
     )
 
 
-def _convert_duration(kind: type, value: Any) -> datetime.timedelta:
-    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
-    if kind is not datetime.timedelta or match is None:
-        raise ValueError(f'{value!r} is not a duration such as "1500ms"')
-    return datetime.timedelta(**{_UNITS[match[2]]: float(match[1])})
-
-
 def _read_durations(data: dict[str, Any]) -> dict[str, Any]:
     # msgspec reads ISO 8601 durations only, so ours are converted before.
     terms = data.get('terms', {})
@@ -110,7 +100,7 @@
         return data
     kinds = {field.name: field.type for field in msgspec.structs.fields(Terms)}
     read = {
-        name: _convert_duration(kinds[name], value)
+        name: durations.parse_duration(value)
         if kinds.get(name) is datetime.timedelta
         else value
         for name, value in terms.items()
@@ -131,10 +121,4 @@
 
 def load_deployment(path: pathlib.Path) -> Deployment:
     """Return the settings in a file, or raise SettingsInvalid."""
-    try:
-        text = path.read_text('utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.make_error(
-            'settings_invalid', f'{path}: {error}'
-        ) from error
-    return parse_deployment(text, str(path))
+    return parse_deployment(settings.read_text(path), str(path))
--- /dev/null
+++ b/cranberryscale/version/durations.py
@@ -0,0 +1,18 @@
+"""Durations written as a number and its unit, for example "1500ms"."""
+
+import datetime
+import re
+
+
+__all__ = ['parse_duration']
+
+_DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)')
+_UNITS = {'ms': 'milliseconds', 's': 'seconds'}
+
+
+def parse_duration(text: object) -> datetime.timedelta:
+    """Return the duration, or raise ValueError."""
+    match = _DURATION.fullmatch(text) if isinstance(text, str) else None
+    if match is None:
+        raise ValueError(f'{text!r} is not a duration such as "1500ms"')
+    return datetime.timedelta(**{_UNITS[match[2]]: float(match[1])})
--- a/cranberryscale/version/published.py
+++ b/cranberryscale/version/published.py
@@ -137,7 +137,7 @@
             event for change in changes for event in self._take(change, now)
         ]
         self.revision = max(self.revision, revision)
-        return self._finish(events)
+        return self._finish(events) if events else ()
 
     def replace(
         self, entries: Iterable[Change], revision: int, now: datetime.timedelta
--- a/cranberryscale/version/settings.py
+++ b/cranberryscale/version/settings.py
@@ -9,7 +9,7 @@
 from cranberryscale import errors
 
 
-__all__ = ['Settings', 'load_settings', 'parse_settings']
+__all__ = ['Settings', 'load_settings', 'parse_settings', 'read_text']
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = Annotated[int, msgspec.Meta(gt=0)]
@@ -113,12 +113,16 @@
         ) from error
 
 
-def load_settings(path: pathlib.Path) -> Settings:
-    """Return the settings in a file, or raise SettingsInvalid."""
+def read_text(path: pathlib.Path) -> str:
+    """Return the text of a settings file, or raise SettingsInvalid."""
     try:
-        text = path.read_text('utf-8')
+        return path.read_text('utf-8')
     except (OSError, UnicodeDecodeError) as error:
         raise errors.make_error(
             'settings_invalid', f'{path}: {error}'
         ) from error
-    return parse_settings(text, str(path))
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Return the settings in a file, or raise SettingsInvalid."""
+    return parse_settings(read_text(path), str(path))
--- /dev/null
+++ b/tests/test_dialects.py
@@ -0,0 +1,38 @@
+"""Guard what counts as a statement that a request did not run."""
+
+import pytest
+
+from cranberryscale.connection import dialects
+from cranberryscale.platform import dialect
+
+
+OWN = dialects.Dialect()
+
+
+@pytest.mark.parametrize(
+    'names,status,pairs,expected',
+    [
+        (OWN, 503, (('X-Not-Run', 'True'),), True),
+        (OWN, 503, (('X-Not-Run', 'no'),), False),
+        (OWN, 503, (), False),
+        # The project's own servers promise it with 503 only.
+        (OWN, 500, (('X-Not-Run', 'true'),), False),
+        (OWN, 421, (), False),
+        (dialect.DIALECT, 503, (('X-Not-Executed', '1'),), True),
+        (dialect.DIALECT, 400, (('X-Not-Executed', '1'),), True),
+        (dialect.DIALECT, 421, (), True),
+        (dialect.DIALECT, 503, (), False),
+        (dialect.DIALECT, 200, (('X-Not-Executed', '1'),), False),
+    ],
+)
+def test_only_a_clear_statement_counts_as_not_run(
+    names, status, pairs, expected
+):
+    """A request that ran must not be sent again."""
+    assert names.is_not_run(status, pairs) is expected
+
+
+def test_a_cold_start_is_told_in_any_case_of_letters():
+    assert OWN.is_cold((('X-Cold-Start', 'True'),))
+    assert not OWN.is_cold((('X-Cold-Start', '0'),))
+    assert not dialect.DIALECT.is_cold((('X-Cold-Start', 'true'),))
