Divide the servers of a service into cells by failure domain

Cause: one instance coordinated all servers of a service.

A request takes a free slot of its own domain, then of another, and only then a place in the shortest queue. The budget of repeats is divided among the cells.

Ruled out: one holder with more processor share, since the smallest instances have 0.43 cores and any instance may be lost.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -13,6 +13,7 @@
 
 from cranberryscale import errors
 from cranberryscale import messages
+from cranberryscale.process import cells
 from cranberryscale.process import dispatch
 from cranberryscale.process import fallback
 from cranberryscale.process import following
@@ -32,7 +33,6 @@
     return dispatch.Ask(
         ask.request_id,
         sender,
-        ask.domain,
         datetime.timedelta(seconds=ask.target_s),
         datetime.timedelta(seconds=ask.waited_s),
         datetime.timedelta(seconds=ask.remaining_s),
@@ -40,6 +40,7 @@
         ask.excluded,
         ask.is_repeat,
         ask.is_idempotent,
+        ask.may_wait,
     )
 
 
@@ -76,7 +77,8 @@
             terms.quota_excess, terms.quota_slack
         )
         self._quota_share = quotas.QuotaShare()
-        self.pools: dict[str, dispatch.Pool] = {}
+        self.pools: dict[cells.Cell, dispatch.Pool] = {}
+        self._cell_counts: dict[str, dict[str, int]] = {}
         self._loaded: configuration.Configuration | None = None
 
     def load_options(self, options: deployment.Deployment) -> None:
@@ -132,17 +134,22 @@
         if self._loaded is self.published.current:
             return
         self._loaded = self.published.current
+        self._cell_counts = cells.count_cells(self._loaded)
         for pool in self.pools.values():
             pool.load(self._loaded)
 
-    def _find_pool(self, service: str) -> dispatch.Pool:
-        pool = self.pools.get(service)
+    def _find_pool(self, cell: cells.Cell) -> dispatch.Pool:
+        pool = self.pools.get(cell)
         if pool is None:
             terms = self.options.terms
+            count = sum(self._cell_counts.get(cell.service, {}).values())
             budget = repeats.RepeatBudget(
-                terms.repeat_ratio, terms.repeat_slack, terms.repeat_window
+                terms.repeat_ratio,
+                terms.repeat_slack / max(1, count),
+                terms.repeat_window,
             )
-            pool = self.pools[service] = dispatch.Pool(service, budget)
+            pool = dispatch.Pool(cell.service, budget, cell.covers)
+            self.pools[cell] = pool
             pool.load(self.current)
         return pool
 
@@ -153,10 +160,22 @@
         resource = ranking.Resource('customer', customer)
         return self.roster.choose_holder(resource, now)
 
-    def find_pool_holder(self, service: str, now: datetime.timedelta) -> str:
-        """Return the instance that coordinates a service's servers."""
-        resource = ranking.Resource('pool', service)
-        return self.roster.choose_holder(resource, now)
+    def list_cells(
+        self, service: str, request_id: str
+    ) -> tuple[cells.Cell, ...]:
+        """Return the cells of a service to ask, the nearest first."""
+        counts = self._cell_counts.get(service, {})
+        return cells.order_cells(
+            service, counts, self.options.domain, request_id
+        )
+
+    def find_cell_holder(
+        self, cell: cells.Cell, now: datetime.timedelta
+    ) -> str:
+        """Return the instance that coordinates a cell's servers."""
+        name = f'{cell.service}/{cell.index}/{cell.count}'
+        resource = ranking.Resource('pool', name)
+        return self.roster.choose_holder(resource, now, cell.domain)
 
     def list_addresses(self, limit: int) -> tuple[str, ...]:
         """Return the addresses of instances for callers to choose from."""
@@ -240,7 +259,7 @@
     def _answer_server(
         self, sender: str, ask: messages.AskServer, now: datetime.timedelta
     ) -> messages.ServerReply:
-        pool = self._find_pool(ask.service)
+        pool = self._find_pool(ask.cell)
         result = pool.ask(_convert_ask(ask, sender), now)
         ejected = pool.list_ejected(now)
         match result:
@@ -257,13 +276,15 @@
                     retry_after_s=retry_after.total_seconds(),
                     ejected=ejected,
                 )
-            case _:
-                return messages.ServerReply()
+            case dispatch.Queued(wait):
+                return messages.ServerReply(
+                    ejected=ejected, wait_s=wait.total_seconds()
+                )
 
     def _answer_finish(
         self, message: messages.FinishRequest, now: datetime.timedelta
     ) -> messages.Done:
-        pool = self.pools.get(message.service)
+        pool = self.pools.get(message.cell)
         if pool is not None:
             pool.report(
                 message.permit_id,
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -197,7 +197,7 @@
             match message:
                 case messages.AskServer():
                     is_queued = not (reply.server or reply.code)
-                    if is_queued:
+                    if is_queued and message.may_wait:
                         self._changed.wait(QUEUE_WAIT.total_seconds())
                         reply = self._decide(sender, message)
                 case messages.FinishRequest():
@@ -215,11 +215,12 @@
         if not (reply.server or reply.code):
             # Asked again in a moment.
             return
-        pool = self.core.pools[message.service]
+        pool = self.core.pools[message.cell]
         logs.log_event(
             'dispatch',
             request_id=message.request_id.partition('/')[0],
-            service=message.service,
+            service=message.cell.service,
+            domain=message.cell.domain,
             sender=sender,
             server=reply.server,
             code=reply.code,
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from cranberryscale import errors
+from cranberryscale.process import cells
 from cranberryscale.process import roster
 from cranberryscale.version import published
 
@@ -393,11 +394,10 @@
 
 
 class AskServer(NamedTuple):
-    """Ask the holder of a pool for a backend server; see dispatch.Ask."""
+    """Ask the holder of a cell for a backend server; see dispatch.Ask."""
 
-    service: str
+    cell: cells.Cell
     request_id: str
-    domain: str
     target_s: float
     waited_s: float
     remaining_s: float
@@ -405,13 +405,15 @@
     excluded: tuple[str, ...] = ()
     is_repeat: bool = False
     is_idempotent: bool = False
+    may_wait: bool = True
 
 
 class ServerReply(NamedTuple):
     """Name a server, or refuse with a code of the error table.
 
     With neither the request keeps its place in the queue and is asked for
-    again. `ejected` lists the servers that are out of use.
+    again, or may get one after `wait_s` if it did not ask for it. `ejected`
+    lists the servers that are out of use.
     """
 
     permit_id: int = 0
@@ -420,12 +422,13 @@
     code: str = ''
     retry_after_s: float = 0.0
     ejected: tuple[str, ...] = ()
+    wait_s: float = 0.0
 
 
 class FinishRequest(NamedTuple):
-    """Tell a pool's holder how a permitted request ended."""
+    """Tell a cell's holder how a permitted request ended."""
 
-    service: str
+    cell: cells.Cell
     permit_id: int
     outcome: str
     latency_s: float
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import datetime
 import itertools
@@ -25,9 +26,6 @@
 __all__ = ['Ask', 'Denial', 'Permit', 'Pool', 'Queued', 'Result']
 
 ZERO = datetime.timedelta(0)
-# A failure domain's own servers are preferred while they are at most this
-# much fuller than others: bytes between domains cost.
-DISTANCE_COST = 0.9
 # A server without a recent good answer is a risk for what may run only once.
 UNPROVEN_COST = 0.8
 SUSPECT_COST = 3.0
@@ -65,12 +63,12 @@
     """Describe a request that needs a backend server.
 
     `target` is the time within which an answer is on time, counted from
-    the request's arrival `waited` ago; `remaining` is the time left.
+    the request's arrival `waited` ago; `remaining` is the time left. Unless
+    it `may_wait`, the request wants a free slot at a good server only.
     """
 
     request_id: str
     sender: str
-    domain: str
     target: datetime.timedelta
     waited: datetime.timedelta
     remaining: datetime.timedelta
@@ -78,6 +76,7 @@
     excluded: tuple[str, ...] = ()
     is_repeat: bool = False
     is_idempotent: bool = False
+    may_wait: bool = True
 
 
 class Permit(NamedTuple):
@@ -99,7 +98,12 @@
 
 
 class Queued(NamedTuple):
-    """Keep a request's place for as long as it is asked for again."""
+    """Keep a request's place for as long as it is asked for again.
+
+    To one that may not wait: offer a place with this expected `wait`.
+    """
+
+    wait: datetime.timedelta = ZERO
 
 
 Result = Permit | Denial | Queued
@@ -152,11 +156,17 @@
 
 
 class Pool:
-    """Coordinate the backend servers of one service."""
+    """Coordinate those servers of one service for which `covers` holds."""
 
-    def __init__(self, service: str, budget: repeats.RepeatBudget):
+    def __init__(
+        self,
+        service: str,
+        budget: repeats.RepeatBudget,
+        covers: Callable[[configuration.BackendServer], bool] | None = None,
+    ):
         self.service = service
         self._budget = budget
+        self._covers = covers or (lambda server: server.service == service)
         self._terms = configuration.Service(service)
         # Set while no request may be repeated, so that they have to try
         # servers out.
@@ -178,9 +188,7 @@
         self._terms = published.services.get(self.service, self._terms)
         servers = {}
         for entry in published.servers.values():
-            if entry.service != self.service:
-                continue
-            if published.is_server_out(entry):
+            if published.is_server_out(entry) or not self._covers(entry):
                 continue
             known = self._servers.get(entry.name)
             if known is None or known.entry.started_ms != entry.started_ms:
@@ -228,14 +236,13 @@
         self._expire(now)
         if not any(self._list_usable(ask, now)):
             return Denial('no_backend_server', max(RETRY_MIN, ask.target / 4))
-        self._arrivals.append((now, ask.priority))
         if ask.is_idempotent:
             self._idempotent_at = now
         last = self._idempotent_at
         self._runs_once_only = last is None or now - last > LOAD_WINDOW
-        if not ask.is_repeat:
-            self._budget.count_first(now)
-        elif not self._budget.take(now):
+        if not ask.may_wait:
+            return self._offer(ask, now)
+        if not self._count(ask, now):
             return Denial('repeats_spent', ask.target)
         waiting = _Waiting(ask, now)
         if not self._count_ahead(waiting):
@@ -257,6 +264,32 @@
         self._waiting[ask.request_id] = waiting
         return Queued()
 
+    def _count(self, ask: Ask, now: datetime.timedelta) -> bool:
+        """Count an arrival; return False if it may not be repeated."""
+        self._arrivals.append((now, ask.priority))
+        if ask.is_repeat:
+            return self._budget.take(now)
+        self._budget.count_first(now)
+        return True
+
+    def _offer(self, ask: Ask, now: datetime.timedelta) -> Result:
+        """Return a permit for a good server, or what waiting would bring."""
+        waiting = _Waiting(ask, now)
+        if not self._count_ahead(waiting):
+            trials, good = (
+                self._list_trials(ask, now),
+                self._list_good(ask, now),
+            )
+            server = self._pick_first((trials, good), ask, now)
+            if server is not None:
+                if not self._count(ask, now):
+                    return Denial('repeats_spent', ask.target)
+                return self._grant(ask, server, now)
+        wait = self._estimate_wait(waiting, now)
+        if wait is None or len(self._waiting) >= QUEUE_LIMIT:
+            return Denial('pool_busy', self._find_retry(ask))
+        return Queued(wait)
+
     def _grant(
         self, ask: Ask, server: _Server, now: datetime.timedelta
     ) -> Permit:
@@ -393,19 +426,25 @@
 
         When all are bad, they serve nevertheless.
         """
-        reachable = [
+        return self._list_good(ask, now) or self._list_reachable(ask)
+
+    def _list_reachable(self, ask: Ask) -> list[_Server]:
+        return [
             server
             for name, server in self._servers.items()
             if name not in ask.excluded
         ]
+
+    def _list_good(self, ask: Ask, now: datetime.timedelta) -> list[_Server]:
         worst = health.Verdict.SLOW
         if ask.is_idempotent and self._budget.has_reserve(now):
             # One failure is seldom the server's last, and can be repeated.
             worst = health.Verdict.SUSPECT
-        good = [
-            server for server in reachable if server.health.judge(now) <= worst
+        return [
+            server
+            for server in self._list_reachable(ask)
+            if server.health.judge(now) <= worst
         ]
-        return good or reachable
 
     def _list_trials(
         self, ask: Ask, now: datetime.timedelta
@@ -431,6 +470,15 @@
             self._list_usable(ask, now),
             self._list_doubted(ask, suspect, worst, now),
         )
+        return self._pick_first(candidates, ask, now)
+
+    def _pick_first(
+        self,
+        candidates: Iterable[Iterable[_Server]],
+        ask: Ask,
+        now: datetime.timedelta,
+    ) -> _Server | None:
+        """Return a server of the first group that has a free slot."""
         chosen = (self._pick(servers, ask, now) for servers in candidates)
         return next(filter(None, chosen), None)
 
@@ -472,8 +520,6 @@
     ) -> float:
         cost = len(server.running) / server.entry.slots
         cost += max(0.0, server.health.slowness - 1.0)
-        if server.entry.domain != ask.domain:
-            cost += DISTANCE_COST
         is_risk = ask.is_repeat or not ask.is_idempotent
         if is_risk and not server.health.is_proven(now):
             cost += UNPROVEN_COST
--- a/cranberryscale/process/fallback.py
+++ b/cranberryscale/process/fallback.py
@@ -10,6 +10,7 @@
 import datetime
 import random
 
+from cranberryscale.process import cells
 from cranberryscale.version import configuration
 
 
@@ -28,12 +29,12 @@
         self._rng = rng
         self._unreached: dict[str, datetime.timedelta] = {}
         self._failed: dict[str, datetime.timedelta] = {}
-        self._ejected: frozenset[str] = frozenset()
+        self._ejected: dict[cells.Cell, frozenset[str]] = {}
         self._running: collections.Counter[str] = collections.Counter()
 
-    def note_ejected(self, servers: Iterable[str]) -> None:
-        """Take the holder's last word on servers out of use."""
-        self._ejected = frozenset(servers)
+    def note_ejected(self, cell: cells.Cell, servers: Iterable[str]) -> None:
+        """Take the last word of a cell's holder on servers out of use."""
+        self._ejected[cell] = frozenset(servers)
 
     def note_start(self, server: str) -> None:
         """Count a request that begins at a server."""
@@ -97,7 +98,8 @@
     ) -> bool:
         failed = self._failed.get(server.name)
         is_failing = failed is not None and now - failed < FAILED
-        return not is_failing and server.name not in self._ejected
+        is_out = any(server.name in names for names in self._ejected.values())
+        return not (is_failing or is_out)
 
     def _find_cost(
         self, server: configuration.BackendServer, domain: str
--- a/cranberryscale/process/roster.py
+++ b/cranberryscale/process/roster.py
@@ -150,14 +150,20 @@
         )
 
     def choose_holder(
-        self, resource: ranking.Resource, now: datetime.timedelta
+        self,
+        resource: ranking.Resource,
+        now: datetime.timedelta,
+        domain: str | None = None,
     ) -> str:
         """Return the instance that coordinates a resource, maybe this one.
 
+        With a domain it is one of that domain, while there are any.
         Every instance chooses by its own records. Two that differ for a
         moment are harmless, since each holder bounds what it gives out.
         """
         ready = self.list_ready()
+        if domain is not None:
+            ready = tuple(r for r in ready if r.domain == domain) or ready
         settled = [r for r in ready if self._is_settled(r, now)]
         chosen = ranking.choose(settled or ready, resource)
         return chosen.name if chosen else self.own.name
--- a/cranberryscale/request/coordination.py
+++ b/cranberryscale/request/coordination.py
@@ -6,6 +6,7 @@
 """
 
 import datetime
+from typing import NamedTuple
 
 from cranberryscale import clock as clocks
 from cranberryscale import core as cores
@@ -13,6 +14,7 @@
 from cranberryscale import fleet as fleets
 from cranberryscale import logs
 from cranberryscale import messages
+from cranberryscale.process import cells
 from cranberryscale.process import metrics
 from cranberryscale.request import actions
 from cranberryscale.request import routes
@@ -26,6 +28,30 @@
 # asks again.
 VALID = datetime.timedelta(seconds=1)
 ALONE = 'alone'
+# A second queue is tried if the first turns the request away after all.
+QUEUES_TRIED = 2
+
+
+class _Question(NamedTuple):
+    """Hold what is asked of a cell's holder, and since when."""
+
+    action: actions.AskPermit
+    request_id: str
+    began: datetime.timedelta
+    cell: cells.Cell
+    may_wait: bool
+
+
+class _Offer(NamedTuple):
+    """Hold the answer of a cell's holder."""
+
+    cell: cells.Cell
+    holder: str
+    reply: messages.ServerReply
+
+
+def _rank_offer(offer: _Offer) -> tuple[bool, float]:
+    return (bool(offer.reply.code), offer.reply.wait_s)
 
 
 class Facts:
@@ -155,54 +181,87 @@
         action: actions.AskPermit,
         request_id: str,
         began: datetime.timedelta,
+    ) -> actions.PermitGranted | actions.Denied:
+        with self._fleet.lock:
+            asked = self._core.list_cells(action.service, request_id)
+        offers = []
+        for cell in asked:
+            # A free slot in another domain goes before a place in a queue.
+            question = _Question(action, request_id, began, cell, False)
+            offer = self._ask_cell(question)
+            if offer is not None and offer.reply.server:
+                return self._take_reply(question, offer)
+            if offer is not None:
+                offers.append(offer)
+        if asked and not offers:
+            return self._choose_alone(action, request_id)
+        answer = actions.Denied('no_backend_server', action.target / 4)
+        for offer in sorted(offers, key=_rank_offer)[:QUEUES_TRIED]:
+            cell = offer.cell
+            question = _Question(action, request_id, began, cell, True)
+            answer = self._wait_in_queue(question)
+            if isinstance(answer, actions.PermitGranted):
+                return answer
+        return answer
+
+    def _wait_in_queue(
+        self, question: _Question
     ) -> actions.PermitGranted | actions.Denied:
         while True:
-            with self._fleet.lock:
-                now = self._clock.read_elapsed()
-                holder = self._core.find_pool_holder(action.service, now)
-                unreached = self._core.fallback.list_unreached(now)
-            remaining = action.remaining - (now - began)
-            if remaining <= datetime.timedelta(0):
-                return actions.Denied('pool_busy')
-            if self._fleet.is_silent(holder):
-                return self._choose_alone(action, request_id)
-            message = messages.AskServer(
-                action.service,
-                f'{request_id}/{len(action.excluded)}',
-                self._core.options.domain,
-                action.target.total_seconds(),
-                (action.waited + (now - began)).total_seconds(),
-                remaining.total_seconds(),
-                action.priority,
-                tuple({*action.excluded, *unreached}),
-                action.is_repeat,
-                action.probe_ok,
-            )
-            try:
-                reply = self._fleet.ask(
-                    holder,
-                    message,
-                    fleets.HOLDER_TIMEOUT + fleets.QUEUE_WAIT,
-                )
-            except errors.FleetError as error:
-                self._note_alone('pool', holder, error)
-                return self._choose_alone(action, request_id)
-            if reply.server or reply.code:
-                return self._take_reply(action, request_id, holder, reply)
+            offer = self._ask_cell(question)
+            if offer is None:
+                return self._choose_alone(question.action, question.request_id)
+            if offer.reply.server or offer.reply.code:
+                return self._take_reply(question, offer)
+
+    def _ask_cell(self, question: _Question) -> _Offer | None:
+        """Return the answer of the cell's holder, None if it is silent."""
+        action = question.action
+        with self._fleet.lock:
+            now = self._clock.read_elapsed()
+            holder = self._core.find_cell_holder(question.cell, now)
+            unreached = self._core.fallback.list_unreached(now)
+        passed = now - question.began
+        remaining = action.remaining - passed
+        if remaining <= datetime.timedelta(0):
+            reply = messages.ServerReply(code='pool_busy')
+            return _Offer(question.cell, holder, reply)
+        if self._fleet.is_silent(holder):
+            return None
+        message = messages.AskServer(
+            question.cell,
+            f'{question.request_id}/{len(action.excluded)}',
+            action.target.total_seconds(),
+            (action.waited + passed).total_seconds(),
+            remaining.total_seconds(),
+            action.priority,
+            tuple({*action.excluded, *unreached}),
+            action.is_repeat,
+            action.probe_ok,
+            question.may_wait,
+        )
+        timeout = fleets.HOLDER_TIMEOUT
+        if question.may_wait:
+            timeout += fleets.QUEUE_WAIT
+        try:
+            reply = self._fleet.ask(holder, message, timeout)
+        except errors.FleetError as error:
+            self._note_alone('pool', holder, error)
+            return None
+        with self._fleet.lock:
+            self._core.fallback.note_ejected(question.cell, reply.ejected)
+        return _Offer(question.cell, holder, reply)
 
     def _take_reply(
-        self,
-        action: actions.AskPermit,
-        request_id: str,
-        holder: str,
-        reply: messages.ServerReply,
+        self, question: _Question, offer: _Offer
     ) -> actions.PermitGranted | actions.Denied:
-        with self._fleet.lock:
-            self._core.fallback.note_ejected(reply.ejected)
+        action, request_id = question.action, question.request_id
+        cell, holder, reply = offer
         logs.log_event(
             'permit',
             request_id=request_id,
             service=action.service,
+            domain=cell.domain,
             holder=holder,
             server=reply.server,
             code=reply.code,
@@ -215,9 +274,13 @@
                 reply.code, datetime.timedelta(seconds=reply.retry_after_s)
             )
         patience = datetime.timedelta(seconds=reply.patience_s)
-        return self._grant(
-            reply.server, f'{holder}/{reply.permit_id}', patience
+        permit_id = ' '.join(
+            map(
+                str,
+                (holder, reply.permit_id, cell.index, cell.count, cell.domain),
+            )
         )
+        return self._grant(reply.server, permit_id, patience)
 
     def _choose_alone(
         self, action: actions.AskPermit, request_id: str
@@ -263,11 +326,11 @@
             )
         if action.permit_id == ALONE:
             return
-        holder, _, number = action.permit_id.rpartition('/')
+        holder, number, index, count, domain = action.permit_id.split(' ', 4)
         self._fleet.send(
             holder,
             messages.FinishRequest(
-                action.service,
+                cells.Cell(action.service, domain, int(index), int(count)),
                 int(number),
                 action.outcome,
                 action.latency.total_seconds(),
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -16,9 +16,10 @@
 
 __all__ = ['decide_request']
 
-# Permits that came too late or for a server that left; each costs a round
-# trip to a holder.
-PERMIT_LIMIT = 4
+# Permits beyond those of the attempts: for ones that came too late or for a
+# server that left. Each costs a round trip to a holder.
+EXTRA_PERMITS = 2
+PERMIT_LIMIT = decisions.ATTEMPT_LIMIT + EXTRA_PERMITS
 
 
 _Steps = Generator[actions.Action, actions.Event, actions.Outcome]
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -5,6 +5,7 @@
 
 import pytest
 import test_core
+import test_published
 
 from cranberryscale import clock
 from cranberryscale import errors
@@ -131,3 +132,64 @@
     _, made = make(AskServer=denial)
     answer = made.ask_permit(ASK, 'r')
     assert answer == actions.Denied('pool_busy', 0.4 * SECOND)
+
+
+class DomainFleet(FakeFleet):
+    """Answer AskServer with a list of replies by the cell's domain."""
+
+    def ask(self, target, message, timeout):
+        self.asked.append(message)
+        return self.replies[message.cell.domain].pop(0)
+
+
+def make_domains(**replies):
+    core = test_core.make_core()
+    changes = tuple(
+        test_published.make_change(
+            f'servers/{domain}',
+            10 + number,
+            test_published.make_server(
+                info={'service': 'x', 'zone': domain, 'slots': 2}
+                | {'version': 'v1'}
+            ),
+        )
+        for number, domain in enumerate(replies)
+    )
+    core.take_reading(changes, 20, False, False, START)
+    fleet = DomainFleet(core, replies)
+    manual = clock.ManualClock(WALL, START)
+    facts = coordination.Facts(core, manual)
+    return fleet, coordination.Coordination(
+        fleet, facts, manual, metrics.Metrics()
+    )
+
+
+def test_a_free_slot_in_another_domain_goes_before_a_queue():
+    busy = messages.ServerReply(wait_s=0.1)
+    given = messages.ServerReply(3, 'b', 0.2)
+    fleet, made = make_domains(a=[busy], b=[given])
+    permit = made.ask_permit(ASK, 'r')
+    assert permit.server == 'b'
+    made.report_permit(
+        actions.ReportPermit('x', 'b', permit.permit_id, 'ok', SECOND)
+    )
+    assert fleet.sent[0].cell == fleet.asked[-1].cell
+
+
+def test_a_request_waits_where_a_slot_is_expected_first():
+    """A surge fills all domains, and one of them has the shorter queue."""
+    fleet, made = make_domains(
+        a=[messages.ServerReply(wait_s=0.4)],
+        b=[messages.ServerReply(wait_s=0.1), messages.ServerReply(5, 'b')],
+        c=[messages.ServerReply(code='pool_busy', retry_after_s=1.0)],
+    )
+    assert made.ask_permit(ASK, 'r').server == 'b'
+    assert [m.may_wait for m in fleet.asked] == [False] * 3 + [True]
+
+
+def test_a_request_is_refused_at_once_when_no_domain_has_room():
+    refusal = messages.ServerReply(code='pool_busy', retry_after_s=0.3)
+    fleet, made = make_domains(a=[refusal] * 2, b=[refusal] * 2)
+    answer = made.ask_permit(ASK, 'r')
+    assert answer == actions.Denied('pool_busy', 0.3 * SECOND)
+    assert len(fleet.asked) <= 4
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -56,7 +56,6 @@
     values = {
         'request_id': f'r{number}',
         'sender': 'e1',
-        'domain': DOMAINS[number % 3],
         'target': TARGET,
         'waited': now_waited,
         'remaining': DEADLINE,
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -253,3 +253,22 @@
         for n in range(1000)
     ]
     assert 740 <= chosen.count(large.name) <= 860
+
+
+def test_a_cells_holder_is_in_its_domain_while_there_is_one():
+    """Permits and reports that cross domains cost time and bytes."""
+    rng = random.Random(1)
+    records = [
+        roster.Record(f'i{n:02}', 1, 1, 'abc'[n % 3], f'c{n}', 1.0)
+        for n in range(12)
+    ]
+    member = roster.Roster(records[0], (), rng, START)
+    member.merge(records[1:], START)
+    later = START + 2 * roster.SETTLE
+    for number in range(20):
+        resource = ranking.Resource('pool', f'p{number}')
+        chosen = member.choose_holder(resource, later, 'b')
+        assert member.find(chosen).domain == 'b'
+    lost = [r._replace(state=3) for r in records if r.domain == 'b']
+    member.merge(lost, later)
+    assert member.find(member.choose_holder(resource, later, 'b')) is not None
