Hold requests while an instance starts, and start without polling ports

CherryPy's adapter polled each of four ports at intervals of 0.1 s meanwhile.

Change: servers are bound directly, and a request that comes within the first second waits for the configuration. Ruled out: opening the callers' port later, since the connections would be refused instead.

--- a/cranberryscale/connection/listeners.py
+++ b/cranberryscale/connection/listeners.py
@@ -5,6 +5,7 @@
 import queue
 import socket
 import struct
+import threading
 
 from cheroot import server as cheroot_server
 from cheroot.workers import threadpool
@@ -12,6 +13,7 @@
 import cherrypy
 from cherrypy import _cpserver
 from cherrypy import _cpwsgi_server
+from cherrypy.process import wspbus
 
 from cranberryscale import clock as clocks
 from cranberryscale.connection import callers
@@ -20,7 +22,7 @@
 from cranberryscale.version import settings
 
 
-__all__ = ['CallersServer', 'make_server']
+__all__ = ['CallersServer', 'Listener', 'make_server']
 
 KEEP_ALIVE_LIMIT = 1024
 # How long and how much is read from a caller that still sends its body when
@@ -195,6 +197,40 @@
             conn.close()
 
 
+class Listener:
+    """Run an HTTP server on a bus.
+
+    CherryPy's own adapter polls the port at intervals of 0.1 s, once or
+    more for each server; here the port is bound when `start` returns.
+    """
+
+    def __init__(self, bus: wspbus.Bus, server: cheroot_server.HTTPServer):
+        self._bus = bus
+        self._server = server
+
+    def subscribe(self) -> None:
+        """Start and stop with the bus."""
+        self._bus.subscribe('start', self.start)
+        self._bus.subscribe('stop', self.stop)
+
+    def start(self) -> None:
+        """Bind the port and serve; raise OSError if it is taken."""
+        self._server.prepare()
+        threading.Thread(target=self._serve, name='HTTPServer').start()
+
+    def _serve(self) -> None:
+        try:
+            self._server.serve()
+        except Exception:
+            self._bus.log('Error in HTTP server', traceback=True, level=40)
+            self._bus.exit()
+            raise
+
+    def stop(self) -> None:
+        """Stop serving and close the port."""
+        self._server.stop()
+
+
 def make_server(
     options: settings.Settings, clock: clocks.Clock, app=None
 ) -> _cpserver.Server:
--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -16,7 +16,6 @@
 from absl import logging
 from cheroot import wsgi
 import cherrypy
-from cherrypy.process import servers
 
 from cranberryscale import clock as clocks
 from cranberryscale.connection import backends
@@ -55,6 +54,9 @@
 # Idle connections to servers; they close theirs after 10 s.
 IDLE_LIMIT = datetime.timedelta(seconds=8)
 BACKEND_CONNECTIONS = 16
+# From the start to the first configuration takes half of this where all
+# instances start together.
+START_TIME = datetime.timedelta(seconds=1)
 
 
 class Machine(NamedTuple):
@@ -116,7 +118,10 @@
             self._observe,
             machine.dialect,
             lambda: self.core.describe_knowledge(self.clock.read_elapsed()),
+            self._await_configuration,
         )
+        self._began = self.clock.read_elapsed()
+        self._configured = threading.Event()
         self._stopping = threading.Event()
         self._leaving = threading.Event()
         self._reload = threading.Event()
@@ -155,10 +160,22 @@
         """Return how long callers may keep the addresses."""
         return min(ANSWER_LIFETIME, self.options.terms.longest_answer)
 
+    def _await_configuration(self) -> None:
+        """Hold a request that came while the instance starts.
+
+        The configuration is there in a moment; callers that are refused
+        seldom come back in time.
+        """
+        if self._configured.is_set():
+            return
+        left = self._began + START_TIME - self.clock.read_elapsed()
+        self._configured.wait(max(0.0, left.total_seconds()))
+
     def _become_ready(self) -> None:
         while not self._stopping.wait(0.02):
             if self.core.published.policy is not None:
                 break
+        self._configured.set()
         if self._leaving.is_set() or self._stopping.is_set():
             return
         with self.fleet.lock:
@@ -178,9 +195,8 @@
         cherrypy.log.error_log.setLevel(std_logging.WARNING)
         addresses = self.options.addresses
         cherrypy.server.unsubscribe()
-        listeners.make_server(
-            self.options, self.clock, self.gateway
-        ).subscribe()
+        callers = listeners.make_server(self.options, self.clock, self.gateway)
+        listeners.Listener(cherrypy.engine, callers.instance).subscribe()
         pages = self._machine.make_pages(self)
         for address in (addresses.health, addresses.directory):
             self._listen(address, pages)
@@ -201,9 +217,7 @@
             numthreads=PAGE_THREADS,
             shutdown_timeout=STOP_TIMEOUT_S,
         )
-        servers.ServerAdapter(
-            cherrypy.engine, server, (host, int(port))
-        ).subscribe()
+        listeners.Listener(cherrypy.engine, server).subscribe()
 
     def _show_metrics(self, environ: dict, start_response) -> list[bytes]:
         self.metrics.set_gauge('requests_running', self.gateway.running)
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -53,6 +53,8 @@
     """Serve callers; `observe` is called with each outcome.
 
     `describe` returns version and age of the configuration, for the log.
+    `await_start` returns when requests can be decided on, or it takes too
+    long.
     """
 
     def __init__(
@@ -63,8 +65,10 @@
         observe: Observer | None = None,
         dialect: dialects.Dialect = dialects.Dialect(),
         describe: Callable[[], dict[str, object]] = dict,
+        await_start: Callable[[], None] = lambda: None,
     ):
         self._describe = describe
+        self._await_start = await_start
         self.dialect = dialect
         self.fleet = fleet
         self.backends = backends
@@ -81,6 +85,7 @@
         )
         self._count(transfer, True)
         try:
+            self._await_start()
             return transfer.start()
         except Exception as error:
             # Any fault must end as a typed answer and a log line.
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -113,6 +113,24 @@
     assert fleet.store.calls - before < 60
 
 
+def test_a_request_waits_for_the_configuration_of_a_starting_instance(
+    tmp_path,
+):
+    """All instances were killed; the first callers come before the store.
+
+    Seen on the Guild's trouble-3: 123 requests were refused in the second
+    after the start.
+    """
+    with machines.Fleet(tmp_path, instances=1) as lone:
+        lone.instances[0].send_signal(signal.SIGKILL)
+        lone.instances[0].wait()
+        lone.store.refusal = 503
+        lone.instances[0].start(lone.seeds)
+        lone.wait_for(lambda: lone.instances[0].fetch('health', '/')[0] > 0)
+        threading.Timer(0.15, setattr, (lone.store, 'refusal', 0)).start()
+        assert ask(lone, deadline_ms=3000)[1] == 200
+
+
 def test_requests_are_served_while_the_store_is_away(fleet):
     fleet.store.refusal = 503
     try:
