Name larger instances to more callers; wait longer for a place

Instances of the grown sites have 0.43 to 2.15 cores, and callers choose evenly among at most 64 addresses, so the sample is weighted by cores.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 import datetime
+import heapq
 import random
 from typing import Any
 
@@ -178,11 +179,18 @@
         return self.roster.choose_holder(resource, now, cell.domain)
 
     def list_addresses(self, limit: int) -> tuple[str, ...]:
-        """Return the addresses of instances for callers to choose from."""
-        ready = [record.callers for record in self.roster.list_ready()]
-        if len(ready) <= limit:
-            return tuple(ready)
-        return tuple(self._rng.sample(ready, limit))
+        """Return addresses of instances for callers to choose from.
+
+        Where there are too many, larger instances are named more often.
+        """
+        ready = self.roster.list_ready()
+        if len(ready) > limit:
+            # A weighted sample: callers choose evenly among the addresses,
+            # so larger instances have to be named more often.
+            ready = heapq.nlargest(
+                limit, ready, key=lambda r: self._rng.random() ** (1 / r.cores)
+            )
+        return tuple(record.callers for record in ready)
 
     def admit_alone(
         self, customer: str, now: datetime.timedelta
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -31,7 +31,7 @@
 TICK = datetime.timedelta(milliseconds=100)
 # A request that waits for a server keeps a thread of the holder this long,
 # then asks again.
-QUEUE_WAIT = datetime.timedelta(milliseconds=100)
+QUEUE_WAIT = datetime.timedelta(milliseconds=250)
 # A call between failure domains takes 2 ms; retransmission of one lost
 # packet takes 200 ms, which is not worth waiting for.
 HOLDER_TIMEOUT = datetime.timedelta(milliseconds=150)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -145,3 +145,19 @@
     core.answer('e', messages.Exchange(tuple(records)), START)
     chosen = core.list_addresses(64)
     assert len(set(chosen)) == 64
+
+
+def test_larger_instances_are_named_to_more_callers():
+    """Instances of unequal size, more of them than one answer holds."""
+    core = make_core()
+    records = [
+        roster.Record(
+            f'10.1.0.{n}:1', 1, 1, 'a', f'10.1.0.{n}:2', 2.0 if n % 2 else 0.5
+        )
+        for n in range(120)
+    ]
+    core.answer('e', messages.Exchange(tuple(records)), START)
+    large = {r.callers for r in records if r.cores > 1}
+    named = [name for _ in range(50) for name in core.list_addresses(64)]
+    share = sum(name in large for name in named) / len(named)
+    assert 0.6 <= share <= 0.9
