Let requests that run once wait for a good server at low load

Change: they wait while they can still be on time and the good servers keep up. Ruled out: waiting at any load, 3% to 5% more refused at nine tenths of the capacity.

--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -53,6 +53,8 @@
 LOAD_WINDOW = datetime.timedelta(seconds=2)
 # Above this use of capacity arrivals count as a surge.
 LATE_USE = 0.95
+# Above this use of the good servers' capacity doubted ones are used as well.
+RISK_USE = 0.7
 # Part of the time left that a late request may wait for those ahead of it;
 # new ones that can be on time overtake it meanwhile.
 LATE_SHARE = 0.6
@@ -124,6 +126,11 @@
         self.until = now + ask.remaining
         self.renewed = now
 
+    def describe(self, now: datetime.timedelta) -> Ask:
+        """Return the question as it would be asked now."""
+        waited = self.ask.target - (self.due - now)
+        return self.ask._replace(waited=waited, remaining=self.until - now)
+
 
 class _Server:
     def __init__(self, entry: configuration.BackendServer):
@@ -364,12 +371,11 @@
         ):
             if not any(s.has_slot() for s in self._servers.values()):
                 return
-            ask = waiting.ask
+            ask = waiting.describe(now)
             server = self._choose(ask, now)
             if server is not None:
                 del self._waiting[ask.request_id]
-                left = waiting.until - now
-                permit = self._grant(ask._replace(remaining=left), server, now)
+                permit = self._grant(ask, server, now)
                 self._granted[ask.request_id] = (permit, now)
 
     def _drop_hopeless(
@@ -461,16 +467,31 @@
 
     def _choose(self, ask: Ask, now: datetime.timedelta) -> _Server | None:
         """Return the server to use now, None to wait for one."""
-        suspect, worst = health.Verdict.SUSPECT, health.Verdict.RETURNING
-        if ask.is_idempotent and self._budget.has_reserve(now):
-            # A failure costs no more than a second attempt.
-            worst = health.Verdict.OUT
-        candidates = (
+        trials, usable = (
             self._list_trials(ask, now),
             self._list_usable(ask, now),
-            self._list_doubted(ask, suspect, worst, now),
         )
-        return self._pick_first(candidates, ask, now)
+        chosen = self._pick_first((trials, usable), ask, now)
+        if chosen is None and self._may_risk(ask, now):
+            suspect, worst = health.Verdict.SUSPECT, health.Verdict.RETURNING
+            if ask.is_idempotent and self._budget.has_reserve(now):
+                # A failure costs no more than a second attempt.
+                worst = health.Verdict.OUT
+            doubted = self._list_doubted(ask, suspect, worst, now)
+            chosen = self._pick(doubted, ask, now)
+        return chosen
+
+    def _may_risk(self, ask: Ask, now: datetime.timedelta) -> bool:
+        """Tell whether a doubted server is better than to wait.
+
+        What runs once is lost where the server fails it, so it waits for a
+        good one while it can still be on time and these keep up.
+        """
+        usual = self._find_usual(ask.target)
+        if ask.is_idempotent or ask.waited + usual >= ask.target:
+            return True
+        capacity = self._find_capacity(ask, now)
+        return self._find_arrivals(ask.priority, now) > capacity * RISK_USE
 
     def _pick_first(
         self,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -466,6 +466,29 @@
     assert isinstance(pool.ask(ask, START + SECOND), dispatch.Permit)
 
 
+@pytest.mark.parametrize('is_idempotent', [True, False])
+def test_what_runs_once_waits_for_a_good_server_at_low_load(is_idempotent):
+    """A doubted server fails two of five; the good one has a slot soon.
+
+    In the replay of bookings, servers gray by turns, 4.8% were not served.
+    """
+    pool = make_pool(make_configuration(2, slots=1))
+    for number in range(2):
+        permit = pool.ask(make_ask(number), START)
+        pool.report(permit.permit_id, 'ok', WORK, START)
+    first = pool.ask(make_ask(2), START)
+    second = pool.ask(make_ask(3), START)
+    pool.report(first.permit_id, 'error', MS, START)
+    later = START + SECOND
+    ask = make_ask(4, is_idempotent=is_idempotent)
+    result = pool.ask(ask, later)
+    assert isinstance(result, dispatch.Permit) is is_idempotent
+    if not is_idempotent:
+        pool.report(second.permit_id, 'ok', WORK, later + WORK)
+        permit = pool.ask(ask, later + WORK)
+        assert permit.server == second.server
+
+
 def test_a_queued_request_gets_its_answer_when_asked_again():
     pool = make_pool(make_configuration(1, slots=1))
     first = pool.ask(make_ask(1), START)
