--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 EXAMPLE ?= ponte-nova
 RUN_SECONDS ?= 0
-SOURCES = cranberryscale cranberryscale_bench standins model tests
+SOURCES = cranberryscale cranberryscale_bench standins model soak tests
 export PYTHONPATH = $(CURDIR)
 
 .PHONY: run test lint format bench bench-quick clean
--- /dev/null
+++ b/soak/relay.py
@@ -0,0 +1,124 @@
+"""A loopback relay that delays, resets, cuts or silences connections."""
+
+import asyncio
+import enum
+import threading
+
+
+__all__ = ['Mode', 'Relay']
+
+CHUNK_BYTES = 16384
+DELAY_S = 0.15
+
+
+class Mode(enum.Enum):
+    """Say what happens to bytes and connections."""
+
+    OPEN = 'open'
+    DELAY = 'delay'
+    # Open connections are reset once, and new ones work.
+    RESET = 'reset'
+    # Answers are lost, calls arrive.
+    ONE_WAY = 'one_way'
+    # Nothing passes in either direction, without a reset.
+    SILENT = 'silent'
+    # Connections that were open stay silent for good, new ones work.
+    STALE = 'stale'
+
+
+class _Link:
+    """Carry one connection in both directions."""
+
+    def __init__(self, relay: 'Relay'):
+        self.relay = relay
+        self.is_stale = False
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.writers.append(writer)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                *self.relay.target
+            )
+            self.writers.append(far_writer)
+            await asyncio.gather(
+                self._copy(reader, far_writer, False),
+                self._copy(far_reader, writer, True),
+            )
+        except OSError:
+            # One end is gone, and with it the connection.
+            pass
+        finally:
+            for open_writer in self.writers:
+                open_writer.close()
+            self.relay.links.discard(self)
+
+    async def _copy(self, reader, writer, is_answer: bool) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            match self.relay.mode:
+                case Mode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                case Mode.SILENT:
+                    continue
+                case Mode.ONE_WAY if is_answer:
+                    continue
+            if not self.is_stale:
+                writer.write(data)
+                await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+    def reset(self) -> None:
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Relay:
+    """Listen on a port of its own and pass connections on to `target`."""
+
+    _loop: asyncio.AbstractEventLoop | None = None
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(':')
+        self.target = (host, int(port))
+        self.mode = Mode.OPEN
+        self.links: set[_Link] = set()
+        self._server = self._call(
+            asyncio.start_server(self._accept, '127.0.0.1', 0)
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    @classmethod
+    def _call(cls, coroutine):
+        if cls._loop is None:
+            cls._loop = asyncio.new_event_loop()
+            threading.Thread(target=cls._loop.run_forever, daemon=True).start()
+        return asyncio.run_coroutine_threadsafe(coroutine, cls._loop).result(5)
+
+    async def _accept(self, reader, writer) -> None:
+        link = _Link(self)
+        self.links.add(link)
+        await link.run(reader, writer)
+
+    def set_mode(self, mode: Mode) -> None:
+        """Change what happens from now on."""
+        self._call(self._set_mode(mode))
+
+    async def _set_mode(self, mode: Mode) -> None:
+        self.mode = mode
+        for link in tuple(self.links):
+            if mode is Mode.RESET:
+                link.reset()
+            link.is_stale = link.is_stale or mode is Mode.STALE
+
+    def close(self) -> None:
+        """Stop listening and reset what is open."""
+        self._call(self._close())
+
+    async def _close(self) -> None:
+        self._server.close()
+        for link in tuple(self.links):
+            link.reset()
