--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -14,6 +14,7 @@
 
 from cranberryscale import errors
 from cranberryscale import messages
+from cranberryscale.process import asks
 from cranberryscale.process import cells
 from cranberryscale.process import dispatch
 from cranberryscale.process import fallback
@@ -30,8 +31,8 @@
 __all__ = ['Core']
 
 
-def _convert_ask(ask: messages.AskServer, sender: str) -> dispatch.Ask:
-    return dispatch.Ask(
+def _convert_ask(ask: messages.AskServer, sender: str) -> asks.Ask:
+    return asks.Ask(
         ask.request_id,
         sender,
         datetime.timedelta(seconds=ask.target_s),
@@ -271,20 +272,20 @@
         result = pool.ask(_convert_ask(ask, sender), now)
         ejected = pool.list_ejected(now)
         match result:
-            case dispatch.Permit(permit_id, server, patience):
+            case asks.Permit(permit_id, server, patience):
                 return messages.ServerReply(
                     permit_id,
                     server,
                     patience.total_seconds(),
                     ejected=ejected,
                 )
-            case dispatch.Denial(code, retry_after):
+            case asks.Denial(code, retry_after):
                 return messages.ServerReply(
                     code=code,
                     retry_after_s=retry_after.total_seconds(),
                     ejected=ejected,
                 )
-            case dispatch.Queued(wait):
+            case asks.Queued(wait):
                 return messages.ServerReply(
                     ejected=ejected, wait_s=wait.total_seconds()
                 )
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -394,7 +394,7 @@
 
 
 class AskServer(NamedTuple):
-    """Ask the holder of a cell for a backend server; see dispatch.Ask."""
+    """Ask the holder of a cell for a backend server; see asks.Ask."""
 
     cell: cells.Cell
     request_id: str
--- /dev/null
+++ b/cranberryscale/process/asks.py
@@ -0,0 +1,59 @@
+"""What is asked of the holder of a pool, and what it answers."""
+
+import datetime
+from typing import NamedTuple
+
+
+__all__ = ['Ask', 'Denial', 'Permit', 'Queued', 'Result']
+
+ZERO = datetime.timedelta(0)
+
+
+class Ask(NamedTuple):
+    """Describe a request that needs a backend server.
+
+    `target` is the time within which an answer is on time, counted from
+    the request's arrival `waited` ago; `remaining` is the time left. Unless
+    it `may_wait`, the request wants a free slot at a good server only.
+    """
+
+    request_id: str
+    sender: str
+    target: datetime.timedelta
+    waited: datetime.timedelta
+    remaining: datetime.timedelta
+    priority: int = 0
+    excluded: tuple[str, ...] = ()
+    is_repeat: bool = False
+    is_idempotent: bool = False
+    may_wait: bool = True
+
+
+class Permit(NamedTuple):
+    """Allow a request at a server.
+
+    `patience` is how long silence of the server is usual.
+    """
+
+    permit_id: int
+    server: str
+    patience: datetime.timedelta
+
+
+class Denial(NamedTuple):
+    """Refuse a request with a code of the error table."""
+
+    code: str
+    retry_after: datetime.timedelta
+
+
+class Queued(NamedTuple):
+    """Keep a request's place for as long as it is asked for again.
+
+    To one that may not wait: offer a place with this expected `wait`.
+    """
+
+    wait: datetime.timedelta = ZERO
+
+
+Result = Permit | Denial | Queued
--- /dev/null
+++ b/cranberryscale/process/choice.py
@@ -0,0 +1,188 @@
+"""Which of a pool's backend servers is the best for a request.
+
+Load pattern: servers that fail most requests always have room, so they must
+not draw what the good ones have no slot for; where a failure costs no more
+than a second attempt, they are tried out instead of left idle.
+"""
+
+from collections.abc import Iterable
+import datetime
+
+from cranberryscale.process import asks
+from cranberryscale.process import health
+from cranberryscale.process import loads
+from cranberryscale.process import repeats
+from cranberryscale.process import servers
+from cranberryscale.version import configuration
+
+
+__all__ = ['Choice']
+
+# A server without a recent good answer is a risk for what may run only once.
+UNPROVEN_COST = 0.8
+SUSPECT_COST = 3.0
+DOUBT_COST = 10.0
+
+
+class Choice:
+    """Rank the servers of one pool; `known` holds them by name."""
+
+    def __init__(self, service: str, budget: repeats.RepeatBudget):
+        self.known: dict[str, servers.Server] = {}
+        self.terms = configuration.Service(service)
+        self._budget = budget
+        # Set while no request may be repeated, so that they have to try
+        # servers out.
+        self._runs_once_only = True
+        self._idempotent_at: datetime.timedelta | None = None
+
+    def note_arrival(self, ask: asks.Ask, now: datetime.timedelta) -> None:
+        """Learn whether requests come that may be repeated."""
+        if ask.is_idempotent:
+            self._idempotent_at = now
+        last = self._idempotent_at
+        self._runs_once_only = last is None or now - last > loads.LOAD_WINDOW
+
+    def pick_good(
+        self, ask: asks.Ask, now: datetime.timedelta
+    ) -> servers.Server | None:
+        """Return a server on trial or a good one with a slot, or None."""
+        trials, good = self._list_trials(ask, now), self._list_good(ask, now)
+        return self._pick_first((trials, good), ask, now)
+
+    def pick_usable(
+        self, ask: asks.Ask, now: datetime.timedelta
+    ) -> servers.Server | None:
+        """Return what pick_good does, or any server where all are bad."""
+        trials, usable = (
+            self._list_trials(ask, now),
+            self.list_usable(ask, now),
+        )
+        return self._pick_first((trials, usable), ask, now)
+
+    def pick_doubted(
+        self, ask: asks.Ask, now: datetime.timedelta
+    ) -> servers.Server | None:
+        """Return a server that may be good again, or None."""
+        suspect, worst = health.Verdict.SUSPECT, health.Verdict.RETURNING
+        if ask.is_idempotent and self._budget.has_reserve(now):
+            # A failure costs no more than a second attempt.
+            worst = health.Verdict.OUT
+        return self._pick(
+            self._list_doubted(ask, suspect, worst, now), ask, now
+        )
+
+    def pick_any(
+        self, ask: asks.Ask, now: datetime.timedelta
+    ) -> servers.Server | None:
+        """Return a doubted server, those out of use included, or None."""
+        suspect, out = health.Verdict.SUSPECT, health.Verdict.OUT
+        return self._pick(self._list_doubted(ask, suspect, out, now), ask, now)
+
+    def list_usable(
+        self, ask: asks.Ask, now: datetime.timedelta
+    ) -> list[servers.Server]:
+        """Return the servers that may serve the request, busy or not.
+
+        When all are bad, they serve nevertheless.
+        """
+        return self._list_good(ask, now) or self._list_reachable(ask)
+
+    def _list_reachable(self, ask: asks.Ask) -> list[servers.Server]:
+        return [
+            server
+            for name, server in self.known.items()
+            if name not in ask.excluded
+        ]
+
+    def _list_good(
+        self, ask: asks.Ask, now: datetime.timedelta
+    ) -> list[servers.Server]:
+        worst = health.Verdict.SLOW
+        if ask.is_idempotent and self._budget.has_reserve(now):
+            # One failure is seldom the server's last, and can be repeated.
+            worst = health.Verdict.SUSPECT
+        return [
+            server
+            for server in self._list_reachable(ask)
+            if server.health.judge(now) <= worst
+        ]
+
+    def _list_trials(
+        self, ask: asks.Ask, now: datetime.timedelta
+    ) -> Iterable[servers.Server]:
+        """Yield the servers that this request may try out.
+
+        A failed trial is repeated elsewhere where that is allowed, so those
+        requests go first.
+        """
+        if ask.is_repeat or not (ask.is_idempotent or self._runs_once_only):
+            return
+        returning = health.Verdict.RETURNING
+        yield from self._list_doubted(ask, returning, returning, now)
+
+    def _pick_first(
+        self,
+        candidates: Iterable[Iterable[servers.Server]],
+        ask: asks.Ask,
+        now: datetime.timedelta,
+    ) -> servers.Server | None:
+        """Return a server of the first group that has a free slot."""
+        chosen = (self._pick(group, ask, now) for group in candidates)
+        return next(filter(None, chosen), None)
+
+    def _pick(
+        self,
+        group: Iterable[servers.Server],
+        ask: asks.Ask,
+        now: datetime.timedelta,
+    ) -> servers.Server | None:
+        rate = self.terms.cold_rate_per_s
+        free = (
+            server
+            for server in group
+            if server.has_slot and server.bears_start(rate, now)
+        )
+        return min(
+            free, key=lambda s: self._find_cost(s, ask, now), default=None
+        )
+
+    def _list_doubted(
+        self,
+        ask: asks.Ask,
+        best: health.Verdict,
+        worst: health.Verdict,
+        now: datetime.timedelta,
+    ) -> Iterable[servers.Server]:
+        """Yield doubted servers that may get one request to try them."""
+        for name, server in self.known.items():
+            verdict = server.health.judge(now)
+            if (
+                best <= verdict <= worst
+                and name not in ask.excluded
+                and server.may_try(now)
+            ):
+                yield server
+
+    def _find_cost(
+        self, server: servers.Server, ask: asks.Ask, now: datetime.timedelta
+    ) -> float:
+        cost = len(server.running) / server.entry.slots
+        cost += max(0.0, server.health.slowness - 1.0)
+        is_risk = ask.is_repeat or not ask.is_idempotent
+        if is_risk and not server.health.is_proven(now):
+            cost += UNPROVEN_COST
+        if server.entry.is_cold:
+            cost += 1.0
+        match server.health.judge(now):
+            case health.Verdict.SOUND:
+                return cost
+            case health.Verdict.SUSPECT:
+                return cost + SUSPECT_COST
+            case health.Verdict.OUT:
+                # Where all are bad, the one that failed first may be back.
+                since = now - server.health.failed_at
+                left = max(0.0, 1 - since / health.PAUSE)
+                return cost + DOUBT_COST * (1 + left)
+            case _:
+                return cost + DOUBT_COST
--- /dev/null
+++ b/cranberryscale/process/servers.py
@@ -0,0 +1,51 @@
+"""One backend server as the holder of its pool sees it."""
+
+import collections
+import datetime
+
+from cranberryscale.process import health
+from cranberryscale.version import configuration
+
+
+__all__ = ['Server']
+
+# A server on trial is tried out with one request at a time.
+TRIAL_INTERVAL = datetime.timedelta(milliseconds=300)
+# Part of the rate that a cold server bears which is used; the rest covers
+# requests on their way.
+COLD_USE = 0.8
+COLD_WINDOW = datetime.timedelta(seconds=1)
+
+
+class Server:
+    """Hold a server's entry, its health and the requests that it runs."""
+
+    def __init__(self, entry: configuration.BackendServer):
+        self.entry = entry
+        self.health = health.ServerHealth()
+        self.running: set[int] = set()
+        self.starts: collections.deque[datetime.timedelta] = (
+            collections.deque()
+        )
+
+    @property
+    def has_slot(self) -> bool:
+        """Tell whether one more request may run."""
+        return len(self.running) < self.entry.slots
+
+    def may_try(self, now: datetime.timedelta) -> bool:
+        """Tell whether another trial may begin."""
+        last = self.starts[-1] if self.starts else None
+        return not self.running and (
+            last is None or now - last >= TRIAL_INTERVAL
+        )
+
+    def bears_start(
+        self, cold_rate_per_s: float, now: datetime.timedelta
+    ) -> bool:
+        """Tell whether one more request may start in this second."""
+        while self.starts and now - self.starts[0] >= COLD_WINDOW:
+            self.starts.popleft()
+        if not self.entry.is_cold or cold_rate_per_s <= 0:
+            return True
+        return len(self.starts) < max(1.0, cold_rate_per_s * COLD_USE)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from cranberryscale.process import asks
 from cranberryscale.process import dispatch
 from cranberryscale.process import health
 from cranberryscale.process import repeats
@@ -62,7 +63,7 @@
         'priority': 1,
         'is_idempotent': True,
     }
-    return dispatch.Ask(**(values | fields))
+    return asks.Ask(**(values | fields))
 
 
 class Load:
@@ -94,7 +95,7 @@
 
     def _handle(self, ask, arrived, result):
         match result:
-            case dispatch.Permit(permit_id, server):
+            case asks.Permit(permit_id, server):
                 self.starts.append((self.now, server))
                 outcome, took = self.run(server, self.now)
                 end = self.now + took
@@ -102,10 +103,10 @@
                     self._ends,
                     (end, permit_id, outcome, took, server, ask, arrived),
                 )
-            case dispatch.Denial(code):
+            case asks.Denial(code):
                 self.waits[ask.request_id] = self.now - arrived
                 self._end(ask, code)
-            case dispatch.Queued():
+            case asks.Queued():
                 self._queued[ask.request_id] = (ask, arrived)
 
     def _repeat(self, ask, arrived, server):
@@ -369,10 +370,10 @@
     for number in range(3000):
         now = START + number * SECOND / 100
         first = pool.ask(make_ask(number), now)
-        if isinstance(first, dispatch.Permit):
+        if isinstance(first, asks.Permit):
             pool.report(first.permit_id, 'error', MS, now)
         second = pool.ask(make_ask(-number - 1, is_repeat=True), now)
-        if isinstance(second, dispatch.Permit):
+        if isinstance(second, asks.Permit):
             repeated += 1
             pool.report(second.permit_id, 'error', MS, now)
         window = min(number / 100, 10)
@@ -390,7 +391,7 @@
     assert first.server not in pool.list_ejected(START)
     again = pool.ask(make_ask(3, sender='e2'), START)
     other = make_ask(4, sender='e2', excluded=('s0', 's1', 's2'))
-    assert isinstance(again, dispatch.Permit)
+    assert isinstance(again, asks.Permit)
     assert pool.ask(other, START).code == 'no_backend_server'
 
 
@@ -407,7 +408,7 @@
             number, sender=f'e{number}', is_idempotent=False, may_wait=False
         )
         permit = pool.ask(ask, now)
-        assert isinstance(permit, dispatch.Permit), 'still a good server'
+        assert isinstance(permit, asks.Permit), 'still a good server'
         outcome = 'refused' if number % 10 in (3, 6) else 'ok'
         pool.report(permit.permit_id, outcome, 5 * MS, now + 5 * MS)
 
@@ -430,18 +431,18 @@
     """The instance that waited is gone; its slot must not be lost."""
     pool = make_pool(make_configuration(1, slots=1))
     first = pool.ask(make_ask(1), START)
-    assert isinstance(pool.ask(make_ask(2), START), dispatch.Queued)
+    assert isinstance(pool.ask(make_ask(2), START), asks.Queued)
     later = START + SECOND
     pool.report(first.permit_id, 'ok', WORK, later)
     assert pool.queue_length == 0
-    assert isinstance(pool.ask(make_ask(3), later), dispatch.Permit)
+    assert isinstance(pool.ask(make_ask(3), later), asks.Permit)
 
 
 def test_a_permit_that_is_never_reported_ends_with_its_request():
     pool = make_pool(make_configuration(1, slots=1))
     pool.ask(make_ask(1), START)
     after = START + DEADLINE
-    assert isinstance(pool.ask(make_ask(2), after), dispatch.Permit)
+    assert isinstance(pool.ask(make_ask(2), after), asks.Permit)
 
 
 def test_without_a_free_slot_a_request_learns_what_waiting_brings():
@@ -449,7 +450,7 @@
     pool = make_pool(make_configuration(1, slots=1))
     pool.ask(make_ask(1), START)
     offer = pool.ask(make_ask(2, may_wait=False), START)
-    assert isinstance(offer, dispatch.Queued)
+    assert isinstance(offer, asks.Queued)
     assert offer.wait > 0 * MS
     assert pool.queue_length == 0
     hopeless = make_ask(3, may_wait=False, remaining=30 * MS, target=30 * MS)
@@ -461,9 +462,9 @@
     permit = pool.ask(make_ask(1, is_idempotent=False), START)
     pool.report(permit.permit_id, 'error', MS, START)
     ask = make_ask(2, is_idempotent=False, may_wait=False)
-    assert not isinstance(pool.ask(ask, START), dispatch.Permit)
+    assert not isinstance(pool.ask(ask, START), asks.Permit)
     ask = make_ask(2, is_idempotent=False, may_wait=True)
-    assert isinstance(pool.ask(ask, START + SECOND), dispatch.Permit)
+    assert isinstance(pool.ask(ask, START + SECOND), asks.Permit)
 
 
 @pytest.mark.parametrize('is_idempotent', [True, False])
@@ -482,7 +483,7 @@
     later = START + SECOND
     ask = make_ask(4, is_idempotent=is_idempotent)
     result = pool.ask(ask, later)
-    assert isinstance(result, dispatch.Permit) is is_idempotent
+    assert isinstance(result, asks.Permit) is is_idempotent
     if not is_idempotent:
         pool.report(second.permit_id, 'ok', WORK, later + WORK)
         permit = pool.ask(ask, later + WORK)
@@ -496,7 +497,7 @@
     later = START + 200 * MS
     pool.report(first.permit_id, 'ok', WORK, later)
     assert pool.has_results
-    assert isinstance(pool.ask(make_ask(2), later), dispatch.Permit)
+    assert isinstance(pool.ask(make_ask(2), later), asks.Permit)
 
 
 @pytest.mark.parametrize('is_idempotent', [True, False])
