Take ports for stand-ins from below those of outgoing connections

Cause: seed 40 of the soak once did not start; the log of instance i01 says that its port was in use. Ports were found by binding port 0, and an outgoing connection took one before the instance listened there. The seed stays as a regression case.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -30,6 +31,8 @@
 
 READY_LIMIT_S = 60.0
 STOP_LIMIT_S = 30.0
+# Below the range from which Linux takes ports of outgoing connections.
+LISTEN_PORTS = (10240, 32768)
 # Buckets start empty with their leases; customers with low rates would be
 # refused in the first seconds.
 FILL_S = 3.0
@@ -64,12 +67,20 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return ports on loopback that are free now, all different."""
+    """Return ports on loopback that are free now, all different.
+
+    The kernel gives ports above these to outgoing connections, which could
+    take one before the process for which it was found listens there.
+    """
+    found: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
+        while len(found) < count:
+            port = random.randrange(*LISTEN_PORTS)
+            each = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                each.bind(('127.0.0.1', port))
+                found.append(port)
+    return found
 
 
 class LocalFleet:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,12 +6,17 @@
 from soak import faults
 from soak import relay
 from soak import runs
+from standins import fleet
 from standins import machines
 
 
 KEY = 'key-of-t1-0001'
 # Seeds that found a fault once, each with its cause; played in CI again.
-REGRESSIONS = ()
+REGRESSIONS = (
+    # An instance did not start: the port that was found for it had been
+    # given to an outgoing connection meanwhile.
+    40,
+)
 SHORT_SEED = 2
 SHORT_S = 10.0
 
@@ -127,6 +132,12 @@
     assert found == {'service back'}
 
 
+def test_ports_to_listen_on_are_not_those_of_outgoing_connections():
+    found = fleet.find_ports(50)
+    assert len(set(found)) == 50
+    assert max(found) < 32768
+
+
 def test_the_same_seed_gives_the_same_faults():
     assert [*faults.draw_faults(7, 20)] == [*faults.draw_faults(7, 20)]
     kinds = {f.kind for s in range(20) for f in faults.draw_faults(s, 30)}
