Call the parts of a service's servers shards

A cell is a group of instances in the design and the view; the parts of a service's servers that holders coordinate need a name of their own.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -15,7 +15,6 @@
 from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import asks
-from cranberryscale.process import cells
 from cranberryscale.process import dispatch
 from cranberryscale.process import fallback
 from cranberryscale.process import following
@@ -23,6 +22,7 @@
 from cranberryscale.process import ranking
 from cranberryscale.process import repeats
 from cranberryscale.process import roster
+from cranberryscale.process import shards
 from cranberryscale.version import configuration
 from cranberryscale.version import deployment
 from cranberryscale.version import published
@@ -79,8 +79,8 @@
             terms.quota_excess, terms.quota_slack
         )
         self._quota_share = quotas.QuotaShare()
-        self.pools: dict[cells.Cell, dispatch.Pool] = {}
-        self._cell_counts: dict[str, dict[str, int]] = {}
+        self.pools: dict[shards.Shard, dispatch.Pool] = {}
+        self._shard_counts: dict[str, dict[str, int]] = {}
         self._loaded: configuration.Configuration | None = None
 
     def load_options(self, options: deployment.Deployment) -> None:
@@ -136,22 +136,22 @@
         if self._loaded is self.published.current:
             return
         self._loaded = self.published.current
-        self._cell_counts = cells.count_cells(self._loaded)
+        self._shard_counts = shards.count_shards(self._loaded)
         for pool in self.pools.values():
             pool.load(self._loaded)
 
-    def _find_pool(self, cell: cells.Cell) -> dispatch.Pool:
-        pool = self.pools.get(cell)
+    def _find_pool(self, shard: shards.Shard) -> dispatch.Pool:
+        pool = self.pools.get(shard)
         if pool is None:
             terms = self.options.terms
-            count = sum(self._cell_counts.get(cell.service, {}).values())
+            count = sum(self._shard_counts.get(shard.service, {}).values())
             budget = repeats.RepeatBudget(
                 terms.repeat_ratio,
                 terms.repeat_slack / max(1, count),
                 terms.repeat_window,
             )
-            pool = dispatch.Pool(cell.service, budget, cell.covers)
-            self.pools[cell] = pool
+            pool = dispatch.Pool(shard.service, budget, shard.covers)
+            self.pools[shard] = pool
             pool.load(self.current)
         return pool
 
@@ -162,22 +162,22 @@
         resource = ranking.Resource('customer', customer)
         return self.roster.choose_holder(resource, now)
 
-    def list_cells(
+    def list_shards(
         self, service: str, request_id: str
-    ) -> tuple[cells.Cell, ...]:
-        """Return the cells of a service to ask, the nearest first."""
-        counts = self._cell_counts.get(service, {})
-        return cells.order_cells(
+    ) -> tuple[shards.Shard, ...]:
+        """Return the shards of a service to ask, the nearest first."""
+        counts = self._shard_counts.get(service, {})
+        return shards.order_shards(
             service, counts, self.options.domain, request_id
         )
 
-    def find_cell_holder(
-        self, cell: cells.Cell, now: datetime.timedelta
+    def find_shard_holder(
+        self, shard: shards.Shard, now: datetime.timedelta
     ) -> str:
-        """Return the instance that coordinates a cell's servers."""
-        name = f'{cell.service}/{cell.index}/{cell.count}'
+        """Return the instance that coordinates a shard's servers."""
+        name = f'{shard.service}/{shard.index}/{shard.count}'
         resource = ranking.Resource('pool', name)
-        return self.roster.choose_holder(resource, now, cell.domain)
+        return self.roster.choose_holder(resource, now, shard.domain)
 
     def list_addresses(self, limit: int) -> tuple[str, ...]:
         """Return addresses of instances for callers to choose from.
@@ -268,7 +268,7 @@
     def _answer_server(
         self, sender: str, ask: messages.AskServer, now: datetime.timedelta
     ) -> messages.ServerReply:
-        pool = self._find_pool(ask.cell)
+        pool = self._find_pool(ask.shard)
         result = pool.ask(_convert_ask(ask, sender), now)
         ejected = pool.list_ejected(now)
         match result:
@@ -293,7 +293,7 @@
     def _answer_finish(
         self, message: messages.FinishRequest, now: datetime.timedelta
     ) -> messages.Done:
-        pool = self.pools.get(message.cell)
+        pool = self.pools.get(message.shard)
         if pool is not None:
             pool.report(
                 message.permit_id,
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -215,12 +215,12 @@
         if not (reply.server or reply.code):
             # Asked again in a moment.
             return
-        pool = self.core.pools[message.cell]
+        pool = self.core.pools[message.shard]
         logs.log_event(
             'dispatch',
             request_id=message.request_id.partition('/')[0],
-            service=message.cell.service,
-            domain=message.cell.domain,
+            service=message.shard.service,
+            domain=message.shard.domain,
             sender=sender,
             server=reply.server,
             code=reply.code,
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from cranberryscale import errors
-from cranberryscale.process import cells
 from cranberryscale.process import roster
+from cranberryscale.process import shards
 from cranberryscale.version import published
 
 
@@ -394,9 +394,9 @@
 
 
 class AskServer(NamedTuple):
-    """Ask the holder of a cell for a backend server; see asks.Ask."""
+    """Ask the holder of a shard for a backend server; see asks.Ask."""
 
-    cell: cells.Cell
+    shard: shards.Shard
     request_id: str
     target_s: float
     waited_s: float
@@ -426,9 +426,9 @@
 
 
 class FinishRequest(NamedTuple):
-    """Tell a cell's holder how a permitted request ended."""
+    """Tell a shard's holder how a permitted request ended."""
 
-    cell: cells.Cell
+    shard: shards.Shard
     permit_id: int
     outcome: str
     latency_s: float
--- a/cranberryscale/process/fallback.py
+++ b/cranberryscale/process/fallback.py
@@ -10,7 +10,7 @@
 import datetime
 import random
 
-from cranberryscale.process import cells
+from cranberryscale.process import shards
 from cranberryscale.version import configuration
 
 
@@ -29,12 +29,14 @@
         self._rng = rng
         self._unreached: dict[str, datetime.timedelta] = {}
         self._failed: dict[str, datetime.timedelta] = {}
-        self._ejected: dict[cells.Cell, frozenset[str]] = {}
+        self._ejected: dict[shards.Shard, frozenset[str]] = {}
         self._running: collections.Counter[str] = collections.Counter()
 
-    def note_ejected(self, cell: cells.Cell, servers: Iterable[str]) -> None:
-        """Take the last word of a cell's holder on servers out of use."""
-        self._ejected[cell] = frozenset(servers)
+    def note_ejected(
+        self, shard: shards.Shard, servers: Iterable[str]
+    ) -> None:
+        """Take the last word of a shard's holder on servers out of use."""
+        self._ejected[shard] = frozenset(servers)
 
     def note_start(self, server: str) -> None:
         """Count a request that begins at a server."""
--- a/cranberryscale/process/cells.py
+++ b/cranberryscale/process/shards.py
@@ -1,8 +1,8 @@
 """How the backend servers of a service are divided among holders.
 
-A cell is the part of a service's servers that one instance coordinates: those
+A shard is the part of a service's servers that one instance coordinates: those
 of one failure domain, or a part of them where there are many. Requests ask
-the cell of their own domain first, so that permits and reports stay inside
+the shard of their own domain first, so that permits and reports stay inside
 the domain, and the work of a holder does not grow with the fleet.
 """
 
@@ -13,20 +13,20 @@
 from cranberryscale.version import configuration
 
 
-__all__ = ['Cell', 'count_cells', 'order_cells']
+__all__ = ['Shard', 'count_shards', 'order_shards']
 
 # A holder spends some milliseconds of processor time on each request; this
 # many servers keep the smallest instances under a half of their processor.
-CELL_SERVERS = 32
+SHARD_SERVERS = 32
 # Bounds the calls of one request in a fleet of many domains.
-CELLS_ASKED = 4
+SHARDS_ASKED = 4
 
 
 def _draw(text: str, count: int) -> int:
     return zlib.crc32(text.encode()) % count
 
 
-class Cell(NamedTuple):
+class Shard(NamedTuple):
     """Name part `index` of `count` of a service's servers in a domain."""
 
     service: str
@@ -35,7 +35,7 @@
     count: int = 1
 
     def covers(self, server: configuration.BackendServer) -> bool:
-        """Tell whether a server belongs to this cell."""
+        """Tell whether a server belongs to this shard."""
         return (
             server.service == self.service
             and server.domain == self.domain
@@ -43,10 +43,10 @@
         )
 
 
-def count_cells(
+def count_shards(
     published: configuration.Configuration,
 ) -> dict[str, dict[str, int]]:
-    """Return by service and domain how many cells there are.
+    """Return by service and domain how many shards there are.
 
     Domains without servers to use have none.
     """
@@ -57,20 +57,20 @@
             domains[server.domain] = domains.get(server.domain, 0) + 1
     return {
         service: {
-            domain: -(-count // CELL_SERVERS)
+            domain: -(-count // SHARD_SERVERS)
             for domain, count in domains.items()
         }
         for service, domains in servers.items()
     }
 
 
-def order_cells(
+def order_shards(
     service: str,
     counts: Mapping[str, int],
     domain: str,
     request_id: str,
-) -> tuple[Cell, ...]:
-    """Return the cells to ask for a request, the own domain's first.
+) -> tuple[Shard, ...]:
+    """Return the shards to ask for a request, the own domain's first.
 
     One in each domain; the other domains' order follows from the request's
     id, so that what one domain cannot serve is spread over the others.
@@ -80,6 +80,6 @@
     ordered = [domain] if domain in counts else []
     ordered += others[turn:] + others[:turn]
     return tuple(
-        Cell(service, name, _draw(request_id, counts[name]), counts[name])
-        for name in ordered[:CELLS_ASKED]
+        Shard(service, name, _draw(request_id, counts[name]), counts[name])
+        for name in ordered[:SHARDS_ASKED]
     )
--- a/cranberryscale/request/coordination.py
+++ b/cranberryscale/request/coordination.py
@@ -14,8 +14,8 @@
 from cranberryscale import fleet as fleets
 from cranberryscale import logs
 from cranberryscale import messages
-from cranberryscale.process import cells
 from cranberryscale.process import metrics
+from cranberryscale.process import shards
 from cranberryscale.request import actions
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
@@ -33,19 +33,19 @@
 
 
 class _Question(NamedTuple):
-    """Hold what is asked of a cell's holder, and since when."""
+    """Hold what is asked of a shard's holder, and since when."""
 
     action: actions.AskPermit
     request_id: str
     began: datetime.timedelta
-    cell: cells.Cell
+    shard: shards.Shard
     may_wait: bool
 
 
 class _Offer(NamedTuple):
-    """Hold the answer of a cell's holder."""
+    """Hold the answer of a shard's holder."""
 
-    cell: cells.Cell
+    shard: shards.Shard
     holder: str
     reply: messages.ServerReply
 
@@ -183,12 +183,12 @@
         began: datetime.timedelta,
     ) -> actions.PermitGranted | actions.Denied:
         with self._fleet.lock:
-            asked = self._core.list_cells(action.service, request_id)
+            asked = self._core.list_shards(action.service, request_id)
         offers = []
-        for cell in asked:
+        for shard in asked:
             # A free slot in another domain goes before a place in a queue.
-            question = _Question(action, request_id, began, cell, False)
-            offer = self._ask_cell(question)
+            question = _Question(action, request_id, began, shard, False)
+            offer = self._ask_shard(question)
             if offer is not None and offer.reply.server:
                 return self._take_reply(question, offer)
             if offer is not None:
@@ -197,8 +197,8 @@
             return self._choose_alone(action, request_id)
         answer = actions.Denied('no_backend_server', action.target / 4)
         for offer in sorted(offers, key=_rank_offer)[:QUEUES_TRIED]:
-            cell = offer.cell
-            question = _Question(action, request_id, began, cell, True)
+            shard = offer.shard
+            question = _Question(action, request_id, began, shard, True)
             answer = self._wait_in_queue(question)
             if isinstance(answer, actions.PermitGranted):
                 return answer
@@ -208,28 +208,28 @@
         self, question: _Question
     ) -> actions.PermitGranted | actions.Denied:
         while True:
-            offer = self._ask_cell(question)
+            offer = self._ask_shard(question)
             if offer is None:
                 return self._choose_alone(question.action, question.request_id)
             if offer.reply.server or offer.reply.code:
                 return self._take_reply(question, offer)
 
-    def _ask_cell(self, question: _Question) -> _Offer | None:
-        """Return the answer of the cell's holder, None if it is silent."""
+    def _ask_shard(self, question: _Question) -> _Offer | None:
+        """Return the answer of the shard's holder, None if it is silent."""
         action = question.action
         with self._fleet.lock:
             now = self._clock.read_elapsed()
-            holder = self._core.find_cell_holder(question.cell, now)
+            holder = self._core.find_shard_holder(question.shard, now)
             unreached = self._core.fallback.list_unreached(now)
         passed = now - question.began
         remaining = action.remaining - passed
         if remaining <= datetime.timedelta(0):
             reply = messages.ServerReply(code='pool_busy')
-            return _Offer(question.cell, holder, reply)
+            return _Offer(question.shard, holder, reply)
         if self._fleet.is_silent(holder):
             return None
         message = messages.AskServer(
-            question.cell,
+            question.shard,
             f'{question.request_id}/{len(action.excluded)}',
             action.target.total_seconds(),
             (action.waited + passed).total_seconds(),
@@ -249,19 +249,19 @@
             self._note_alone('pool', holder, error)
             return None
         with self._fleet.lock:
-            self._core.fallback.note_ejected(question.cell, reply.ejected)
-        return _Offer(question.cell, holder, reply)
+            self._core.fallback.note_ejected(question.shard, reply.ejected)
+        return _Offer(question.shard, holder, reply)
 
     def _take_reply(
         self, question: _Question, offer: _Offer
     ) -> actions.PermitGranted | actions.Denied:
         action, request_id = question.action, question.request_id
-        cell, holder, reply = offer
+        shard, holder, reply = offer
         logs.log_event(
             'permit',
             request_id=request_id,
             service=action.service,
-            domain=cell.domain,
+            domain=shard.domain,
             holder=holder,
             server=reply.server,
             code=reply.code,
@@ -277,7 +277,13 @@
         permit_id = ' '.join(
             map(
                 str,
-                (holder, reply.permit_id, cell.index, cell.count, cell.domain),
+                (
+                    holder,
+                    reply.permit_id,
+                    shard.index,
+                    shard.count,
+                    shard.domain,
+                ),
             )
         )
         return self._grant(reply.server, permit_id, patience)
@@ -330,7 +336,7 @@
         self._fleet.send(
             holder,
             messages.FinishRequest(
-                cells.Cell(action.service, domain, int(index), int(count)),
+                shards.Shard(action.service, domain, int(index), int(count)),
                 int(number),
                 action.outcome,
                 action.latency.total_seconds(),
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -135,11 +135,11 @@
 
 
 class DomainFleet(FakeFleet):
-    """Answer AskServer with a list of replies by the cell's domain."""
+    """Answer AskServer with a list of replies by the shard's domain."""
 
     def ask(self, target, message, timeout):
         self.asked.append(message)
-        return self.replies[message.cell.domain].pop(0)
+        return self.replies[message.shard.domain].pop(0)
 
 
 def make_domains(**replies):
@@ -173,7 +173,7 @@
     made.report_permit(
         actions.ReportPermit('x', 'b', permit.permit_id, 'ok', SECOND)
     )
-    assert fleet.sent[0].cell == fleet.asked[-1].cell
+    assert fleet.sent[0].shard == fleet.asked[-1].shard
 
 
 def test_a_request_waits_where_a_slot_is_expected_first():
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,13 +10,13 @@
 from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.platform import documents
-from cranberryscale.process import cells
 from cranberryscale.process import roster
+from cranberryscale.process import shards
 from cranberryscale.version import deployment
 
 
 START = datetime.timedelta(seconds=100)
-CELL = cells.Cell('x', 'a')
+SHARD = shards.Shard('x', 'a')
 SECOND = datetime.timedelta(seconds=1)
 CUSTOMERS = {
     'columns': ['name', 'api-keys', 'priority', 'rate-per-s', 'burst'],
@@ -61,7 +61,7 @@
 
 def make_ask(**fields):
     values = {
-        'cell': CELL,
+        'shard': SHARD,
         'request_id': 'r/0',
         'target_s': 0.5,
         'waited_s': 0.0,
@@ -89,11 +89,11 @@
     core = make_core()
     reply = core.answer('e', make_ask(), START)
     assert reply.server == 'i1'
-    assert core.pools[CELL].running == 1
+    assert core.pools[SHARD].running == 1
     core.answer(
-        'e', messages.FinishRequest(CELL, reply.permit_id, 'ok', 0.1), START
+        'e', messages.FinishRequest(SHARD, reply.permit_id, 'ok', 0.1), START
     )
-    assert core.pools[CELL].running == 0
+    assert core.pools[SHARD].running == 0
 
 
 def test_a_server_that_leaves_gets_no_more_permits():
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -3,10 +3,10 @@
 import datetime
 import random
 
-from cranberryscale.process import cells
 from cranberryscale.process import fallback
 from cranberryscale.process import following
 from cranberryscale.process import roster
+from cranberryscale.process import shards
 from cranberryscale.version import configuration
 
 
@@ -178,7 +178,7 @@
     assert max(map(chosen.count, set(chosen))) <= 20
     chooser.note_end('s0', 'error', START)
     chooser.note_end('s1', 'refused', START)
-    chooser.note_ejected(cells.Cell('x', 'a'), ['s2'])
+    chooser.note_ejected(shards.Shard('x', 'a'), ['s2'])
     later = {
         chooser.choose(published, 'x', 'a', ('s3',), START) for _ in range(50)
     }
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -255,7 +255,7 @@
     assert 740 <= chosen.count(large.name) <= 860
 
 
-def test_a_cells_holder_is_in_its_domain_while_there_is_one():
+def test_a_shards_holder_is_in_its_domain_while_there_is_one():
     """Permits and reports that cross domains cost time and bytes."""
     rng = random.Random(1)
     records = [
--- a/tests/test_cells.py
+++ b/tests/test_shards.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranberryscale.process import cells
+from cranberryscale.process import shards
 from cranberryscale.version import configuration
 
 
@@ -23,50 +23,50 @@
 
 
 @pytest.mark.parametrize('count', [1, 32, 33, 400])
-def test_each_server_is_in_one_cell(count):
+def test_each_server_is_in_one_shard(count):
     published = make_configuration(a=count, b=3)
-    counts = cells.count_cells(published)['x']
-    assert counts['a'] == -(-count // cells.CELL_SERVERS)
+    counts = shards.count_shards(published)['x']
+    assert counts['a'] == -(-count // shards.SHARD_SERVERS)
     made = [
-        cells.Cell('x', domain, index, counts[domain])
+        shards.Shard('x', domain, index, counts[domain])
         for domain in counts
         for index in range(counts[domain])
     ]
     for server in published.servers.values():
-        assert sum(cell.covers(server) for cell in made) == 1
+        assert sum(shard.covers(server) for shard in made) == 1
 
 
 def test_a_holder_is_not_given_much_more_than_its_part():
     """Work of one holder must not grow with the fleet."""
     published = make_configuration(a=400)
-    count = cells.count_cells(published)['x']['a']
+    count = shards.count_shards(published)['x']['a']
     sizes = collections.Counter(
         index
         for server in published.servers.values()
         for index in range(count)
-        if cells.Cell('x', 'a', index, count).covers(server)
+        if shards.Shard('x', 'a', index, count).covers(server)
     )
-    assert max(sizes.values()) <= 2 * cells.CELL_SERVERS
+    assert max(sizes.values()) <= 2 * shards.SHARD_SERVERS
 
 
 def test_the_own_domain_goes_first_and_the_others_take_turns():
     counts = {'a': 1, 'b': 2, 'c': 1}
     seconds = collections.Counter()
     for number in range(300):
-        ordered = cells.order_cells('x', counts, 'b', f'r{number}')
-        assert [cell.domain for cell in ordered][0] == 'b'
-        assert {cell.domain for cell in ordered} == set(counts)
+        ordered = shards.order_shards('x', counts, 'b', f'r{number}')
+        assert [shard.domain for shard in ordered][0] == 'b'
+        assert {shard.domain for shard in ordered} == set(counts)
         seconds[ordered[1].domain] += 1
     assert min(seconds.values()) >= 100
 
 
 def test_a_domain_without_servers_is_not_asked():
-    ordered = cells.order_cells('x', {'a': 1, 'c': 1}, 'b', 'r')
-    assert {cell.domain for cell in ordered} == {'a', 'c'}
-    assert cells.order_cells('x', {}, 'b', 'r') == ()
+    ordered = shards.order_shards('x', {'a': 1, 'c': 1}, 'b', 'r')
+    assert {shard.domain for shard in ordered} == {'a', 'c'}
+    assert shards.order_shards('x', {}, 'b', 'r') == ()
 
 
-def test_a_request_asks_a_bounded_number_of_cells():
+def test_a_request_asks_a_bounded_number_of_shards():
     counts = {f'd{n}': 1 for n in range(40)}
-    ordered = cells.order_cells('x', counts, 'd7', 'r')
-    assert len(ordered) == cells.CELLS_ASKED
+    ordered = shards.order_shards('x', counts, 'd7', 'r')
+    assert len(ordered) == shards.SHARDS_ASKED
