--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -125,6 +125,7 @@
         self._stopping = threading.Event()
         self._leaving = threading.Event()
         self._reload = threading.Event()
+        self._is_stop_logged = False
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -143,7 +144,13 @@
         cherrypy.engine.block(interval=BLOCK_INTERVAL_S)
         self._stopping.set()
         self.fleet.close()
-        logs.log_event('stopped', name=self.options.name)
+        self._note_stop()
+
+    def _note_stop(self) -> None:
+        """Log the end once; a timer may end the process before the bus."""
+        if not self._is_stop_logged:
+            self._is_stop_logged = True
+            logs.log_event('stopped', name=self.options.name)
 
     @property
     def is_ready(self) -> bool:
@@ -260,6 +267,7 @@
                 logging.WARNING,
                 running=self.gateway.running,
             )
+        self._note_stop()
         timer = threading.Timer(STOP_LIMIT_S, _end_process)
         timer.daemon = True
         timer.start()
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -218,6 +218,8 @@
     assert not leaving.is_ready()
     assert leaving.wait(6) == 0
     assert time.monotonic() - began < 6
+    lines = leaving.log.read_text().splitlines()
+    assert sum('event=stopped' in line for line in lines) == 1
     leaving.start(fleet.seeds)
     fleet.wait_for(fleet.is_joined, 8)
 
