--- a/cranberryscale/request/coordination.py
+++ b/cranberryscale/request/coordination.py
@@ -279,17 +279,9 @@
                 reply.code, datetime.timedelta(seconds=reply.retry_after_s)
             )
         patience = datetime.timedelta(seconds=reply.patience_s)
-        permit_id = ' '.join(
-            map(
-                str,
-                (
-                    holder,
-                    reply.permit_id,
-                    shard.index,
-                    shard.count,
-                    shard.domain,
-                ),
-            )
+        number = reply.permit_id
+        permit_id = (
+            f'{holder} {number} {shard.index} {shard.count} {shard.domain}'
         )
         return self._grant(reply.server, permit_id, patience)
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -25,7 +25,6 @@
 DEADLINE_MS = 1500
 # A drained instance ends itself within this time.
 GRACE_S = 6.0
-START_S = 4.0
 # After the last fault servers may still be on trial and instances starting.
 BACK_S = 6.0
 SLOW_S = 0.4
