Hand out each port of the stand-ins once, also before it is listened on

Cause: a fleet finds ports three times, and the first are listened on after the second were found. Each time drew at random from 22,528 ports, so that a backend server now and then got the port meant for the platform. Ruled out: outgoing connections, whose ports begin above.

A process now hands out ports in one shuffled order. The new test drew ports twice before the change.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 
 import argparse
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -66,20 +67,26 @@
     operators: str
 
 
+# All ports in an order of this process; each is handed out once a round.
+_ports = itertools.cycle(
+    random.sample(range(*LISTEN_PORTS), k=LISTEN_PORTS[1] - LISTEN_PORTS[0])
+)
+
+
 def find_ports(count: int) -> list[int]:
     """Return ports on loopback that are free now, all different.
 
     The kernel gives ports above these to outgoing connections, which could
-    take one before the process for which it was found listens there.
+    take one before the process for which it was found listens there. A port
+    is not handed out again before all others were, since that process may
+    start much later.
     """
     found: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(found) < count:
-            port = random.randrange(*LISTEN_PORTS)
-            each = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                each.bind(('127.0.0.1', port))
-                found.append(port)
+    while len(found) < count:
+        port = next(_ports)
+        with socket.socket() as each, contextlib.suppress(OSError):
+            each.bind(('127.0.0.1', port))
+            found.append(port)
     return found
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -138,6 +138,12 @@
     assert max(found) < 32768
 
 
+def test_a_port_that_nobody_listens_on_yet_is_not_found_again():
+    """A fleet finds ports several times before the first is listened on."""
+    found = [port for _ in range(400) for port in fleet.find_ports(5)]
+    assert len(set(found)) == len(found)
+
+
 def test_the_same_seed_gives_the_same_faults():
     assert [*faults.draw_faults(7, 20)] == [*faults.draw_faults(7, 20)]
     kinds = {f.kind for s in range(20) for f in faults.draw_faults(s, 30)}
