Close what belongs to gone servers and instances; end with a full log queue

At the end of a process the writer of the log was told to stop without waiting for room: with a full queue this raised instead of ending the process, and with a reader that had stopped it waited for good. It waits 200 ms now.

--- a/cranberryscale/connection/peers.py
+++ b/cranberryscale/connection/peers.py
@@ -125,6 +125,12 @@
                     channel = self._channels[address] = _Channel(address)
         return channel
 
+    @property
+    def addresses(self) -> frozenset[str]:
+        """Return the addresses to which there is a channel."""
+        with self._lock:
+            return frozenset(self._channels)
+
     def keep(self, addresses: frozenset[str]) -> None:
         """Close the channels to all other addresses."""
         with self._lock:
--- a/cranberryscale/connection/pooling.py
+++ b/cranberryscale/connection/pooling.py
@@ -96,6 +96,10 @@
             raise errors.make_error(
                 'backend_refused', 'all connections in use'
             ) from error
+        except urllib3.exceptions.ClosedPoolError as error:
+            raise errors.make_error(
+                'backend_refused', 'no longer published'
+            ) from error
         if idle_limit is not None and not connection.is_fresh(idle_limit):
             connection.close()
         try:
--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -54,6 +54,9 @@
 # Idle connections to servers; they close theirs after 10 s.
 IDLE_LIMIT = datetime.timedelta(seconds=8)
 BACKEND_CONNECTIONS = 16
+# How often connections to servers and instances that are gone are closed. A
+# server that lapses for a moment keeps its connections most of the time.
+TRIM_INTERVAL = datetime.timedelta(seconds=10)
 # From the start to the first configuration takes half of this where all
 # instances start together.
 START_TIME = datetime.timedelta(seconds=1)
@@ -103,17 +106,18 @@
         )
         self.metrics = metrics.Metrics()
         self.facts = coordination.Facts(self.core, self.clock)
+        self.backends = backends.Backends(
+            self.clock,
+            datetime.timedelta(seconds=self.options.timeouts.connect_s),
+            IDLE_LIMIT,
+            BACKEND_CONNECTIONS,
+            allows_unframed=True,
+        )
         self.gateway = gateway.Gateway(
             coordination.Coordination(
                 self.fleet, self.facts, self.clock, self.metrics
             ),
-            backends.Backends(
-                self.clock,
-                datetime.timedelta(seconds=self.options.timeouts.connect_s),
-                IDLE_LIMIT,
-                BACKEND_CONNECTIONS,
-                allows_unframed=True,
-            ),
+            self.backends,
             self.clock,
             self._observe,
             machine.dialect,
@@ -131,7 +135,8 @@
         """Serve until SIGTERM or SIGINT."""
         self._mount()
         self.fleet.start()
-        threading.Thread(target=self._watch_settings, daemon=True).start()
+        for loop in (self._watch_settings, self._keep_trimming):
+            threading.Thread(target=loop, daemon=True).start()
         cherrypy.engine.start()
         logs.log_event(
             'started',
@@ -273,6 +278,15 @@
         timer.start()
         cherrypy.engine.exit()
 
+    def _keep_trimming(self) -> None:
+        """Close what belongs to servers and instances that are gone."""
+        while not self._stopping.wait(TRIM_INTERVAL.total_seconds()):
+            with self.fleet.lock:
+                servers = self.core.published.current.servers.values()
+                addresses = frozenset(server.address for server in servers)
+            self.backends.retain(addresses)
+            self.fleet.trim()
+
     def _watch_settings(self) -> None:
         """Load the settings again when they change or SIGHUP asks for it."""
         known = self._read_stamp()
--- a/cranberryscale/fleet.py
+++ b/cranberryscale/fleet.py
@@ -409,6 +409,14 @@
         self._note_store(True)
         self.log_events(events, 'store')
 
+    def trim(self) -> None:
+        """Close and forget what belongs to instances no longer known."""
+        with self.lock:
+            known = {record.name for record in self.core.roster.records}
+            known.update(self.core.roster.seeds)
+        self.client.keep(frozenset(known))
+        self.server.forget(frozenset(known))
+
     def _note_store(
         self, is_up: bool, code: str = '', value: object = ''
     ) -> None:
--- a/cranberryscale/logs.py
+++ b/cranberryscale/logs.py
@@ -1,11 +1,13 @@
 """Log lines: one event a line, as key=value pairs."""
 
 from collections.abc import Callable
+import datetime
 import json
 import logging as std_logging
 from logging import handlers as std_handlers
 import queue
 import re
+import threading
 from typing import TextIO
 
 from absl import logging
@@ -15,6 +17,9 @@
 
 # Two seconds of the busiest instance's lines.
 QUEUE_LINES = 2000
+# How long the end of the process waits for a reader of the log. A draining
+# instance has half a second left by then.
+FLUSH_LIMIT = datetime.timedelta(milliseconds=200)
 
 # Functions that end the writer threads.
 _stops: list[Callable[[], None]] = []
@@ -93,6 +98,14 @@
         super().emit(record)
 
 
+class _Listener(std_handlers.QueueListener):
+    """Write records in a thread of its own."""
+
+    def enqueue_sentinel(self) -> None:
+        """Wait for room, where the base class fails with a full queue."""
+        self.queue.put(self._sentinel)
+
+
 def set_up(stream: TextIO | None = None) -> None:
     """Write events of this process and its libraries.
 
@@ -108,7 +121,7 @@
     source = _BoundedQueue(queue.Queue(QUEUE_LINES))
     writer = _Writer(stream, source)
     writer.setFormatter(_EventFormatter())
-    listener = std_handlers.QueueListener(source.queue, writer)
+    listener = _Listener(source.queue, writer)
     root = std_logging.getLogger()
     root.handlers[:] = [source]
     absl_logger = logging.get_absl_logger()
@@ -119,6 +132,11 @@
 
 
 def flush() -> None:
-    """Write what waits, before the process ends."""
+    """Write what waits, before the process ends.
+
+    Lines that cannot be written within FLUSH_LIMIT are lost.
+    """
     while _stops:
-        _stops.pop()()
+        stopping = threading.Thread(target=_stops.pop(), daemon=True)
+        stopping.start()
+        stopping.join(FLUSH_LIMIT.total_seconds())
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -14,6 +14,8 @@
 from cranberryscale.connection import backends
 from cranberryscale.connection import framing
 from cranberryscale.connection import heads
+from cranberryscale.connection import pooling
+from cranberryscale import errors
 
 SECOND = datetime.timedelta(seconds=1)
 HELLO = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
@@ -340,6 +342,32 @@
     server.close()
 
 
+def test_servers_that_are_gone_keep_no_connection():
+    """A fleet outlives its servers; each takes a few hundred connections."""
+    gone = harness.FakeServer(harness.answer_ok)
+    kept = harness.FakeServer(harness.answer_ok)
+    pools = make_pools()
+    for server in (gone, kept):
+        assert fetch(pools, server.address) == b'hello'
+    pools.retain(frozenset((kept.address,)))
+    for server, connections in ((gone, 2), (kept, 1)):
+        assert fetch(pools, server.address) == b'hello'
+        assert server.connections == connections
+        server.close()
+
+
+def test_a_pool_that_closes_just_before_its_use_is_certainly_not_sent():
+    server = harness.FakeServer(harness.answer_ok)
+    pool = pooling.Pool(
+        *server.address.split(':'), clock=harness.CLOCK, idle_limit=SECOND
+    )
+    pool.close()
+    with pytest.raises(errors.FleetError) as caught:
+        pool.take(harness.CLOCK.read_elapsed() + SECOND)
+    assert caught.value.code == 'backend_refused'
+    server.close()
+
+
 def test_caller_that_leaves_cancels_the_request():
     """Work for a caller that left takes slots from others."""
     ended = threading.Event()
--- /dev/null
+++ b/tests/test_conversations.py
@@ -0,0 +1,33 @@
+"""Guard the conversations of an instance with others."""
+
+import datetime
+
+import pytest
+import test_core
+
+from cranberryscale import clock
+from cranberryscale import errors
+from cranberryscale import fleet
+from cranberryscale import messages
+
+
+WALL = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+# Nobody listens there.
+GONE = '127.0.0.1:9'
+SEED = '127.0.0.1:10'
+
+
+def test_channels_to_forgotten_instances_are_closed():
+    """Each restart gives an instance new ports; nobody returns to the old."""
+    made = fleet.Fleet(
+        test_core.make_core(seeds=(SEED,)),
+        clock.ManualClock(WALL, test_core.START),
+        store=None,
+    )
+    for address in (GONE, SEED):
+        with pytest.raises(errors.PeerError):
+            made.ask(address, messages.AskQuota('c'), test_core.SECOND)
+    assert made.client.addresses == {GONE, SEED}
+    made.trim()
+    assert made.client.addresses == {SEED}
+    made.close()
