Let requests wait for tokens while their instance starts

Within an instance's first second a request that gets no token waits for the time that the holder names and asks again; afterwards it is refused at once as before.

Clocks sleep, so that the wait needs no time in tests.

--- a/cranberryscale/clock.py
+++ b/cranberryscale/clock.py
@@ -21,6 +21,9 @@
         other instances take over during that time.
         """
 
+    def sleep(self, delta: datetime.timedelta) -> None:
+        """Return after a time."""
+
 
 class SystemClock:
     """Read the clocks of the operating system."""
@@ -35,6 +38,10 @@
             seconds=time.clock_gettime(time.CLOCK_BOOTTIME)
         )
 
+    def sleep(self, delta: datetime.timedelta) -> None:
+        """Let other threads run for a time."""
+        time.sleep(delta.total_seconds())
+
 
 class ManualClock:
     """Advance only when told to, for tests and measurements."""
@@ -55,3 +62,7 @@
         """Move both clocks forward by delta."""
         self._wall += delta
         self._elapsed += delta
+
+    def sleep(self, delta: datetime.timedelta) -> None:
+        """Move both clocks forward at once."""
+        self.advance(delta)
--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -90,6 +90,7 @@
         self._machine = machine
         self.options = deployment.load_deployment(path)
         self.clock = clock or clocks.SystemClock()
+        self._began = self.clock.read_elapsed()
         # Higher than that of an earlier life, unless the clock was set back;
         # the roster corrects that when it hears of the earlier life.
         epoch = int(self.clock.read_wall().timestamp() * 1000)
@@ -116,7 +117,11 @@
         )
         self.gateway = gateway.Gateway(
             coordination.Coordination(
-                self.fleet, self.facts, self.clock, self.metrics
+                self.fleet,
+                self.facts,
+                self.clock,
+                self.metrics,
+                self._began + START_TIME,
             ),
             self.backends,
             self.clock,
@@ -125,7 +130,6 @@
             lambda: self.core.describe_knowledge(self.clock.read_elapsed()),
             self._await_start,
         )
-        self._began = self.clock.read_elapsed()
         self._prepared = threading.Event()
         self._stopping = threading.Event()
         self._leaving = threading.Event()
--- a/cranberryscale/request/coordination.py
+++ b/cranberryscale/request/coordination.py
@@ -89,7 +89,11 @@
 
 
 class Coordination:
-    """Do what the gateway needs from other instances."""
+    """Do what the gateway needs from other instances.
+
+    Until `started_by`, requests wait for tokens rather than be refused:
+    holders that have just started themselves give out little.
+    """
 
     def __init__(
         self,
@@ -97,12 +101,14 @@
         facts: Facts,
         clock: clocks.Clock,
         recorded: metrics.Metrics,
+        started_by: datetime.timedelta = datetime.timedelta(0),
     ):
         self.facts = facts
         self._fleet = fleet
         self._core = fleet.core
         self._clock = clock
         self._metrics = recorded
+        self._started_by = started_by
 
     # Customers' rates
 
@@ -115,21 +121,29 @@
         )
         if customer is not None and customer.rate_per_s <= 0:
             return self._grant_tokens()
-        reply, holder = self._ask_quota(action.customer)
+        while True:
+            reply = self._ask_quota_logged(action.customer, request_id)
+            if reply.is_admitted:
+                return self._grant_tokens()
+            pause = datetime.timedelta(seconds=reply.retry_after_s)
+            if self._clock.read_elapsed() + pause > self._started_by:
+                return actions.Denied('rate_exceeded', pause)
+            self._clock.sleep(pause)
+
+    def _ask_quota_logged(
+        self, customer: str, request_id: str
+    ) -> messages.QuotaReply:
+        reply, holder = self._ask_quota(customer)
         logs.log_event(
             'quota',
             request_id=request_id,
-            customer=action.customer,
+            customer=customer,
             holder=holder,
             admitted=reply.is_admitted,
             retry_after_s=round(reply.retry_after_s, 3),
             **self._core.describe_knowledge(self._clock.read_elapsed()),
         )
-        if reply.is_admitted:
-            return self._grant_tokens()
-        return actions.Denied(
-            'rate_exceeded', datetime.timedelta(seconds=reply.retry_after_s)
-        )
+        return reply
 
     def _grant_tokens(self) -> actions.TokensGranted:
         # Admission is not asked for again while the request runs.
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -47,14 +47,14 @@
         self.sent.append(message)
 
 
-def make(core=None, **replies):
+def make(core=None, started_by=START, **replies):
     core = core or test_core.make_core()
     found = {getattr(messages, name): r for name, r in replies.items()}
     fleet = FakeFleet(core, found)
     manual = clock.ManualClock(WALL, START)
     facts = coordination.Facts(core, manual)
     return fleet, coordination.Coordination(
-        fleet, facts, manual, metrics.Metrics()
+        fleet, facts, manual, metrics.Metrics(), started_by
     )
 
 
@@ -102,6 +102,20 @@
     assert denied[0].retry_after > 0 * SECOND
 
 
+@pytest.mark.parametrize(('started_s', 'asked'), [(1, 4), (0.15, 3), (0, 1)])
+def test_tokens_are_waited_for_while_the_instance_starts(started_s, asked):
+    """Holders that start as well give out little, and more in a moment."""
+    denied = messages.QuotaReply(False, 0.06)
+    replies = [denied, denied, denied, messages.QuotaReply(True, 0.0)]
+    fleet, made = make(started_by=START + started_s * SECOND, AskQuota=replies)
+    answer = made.ask_tokens(actions.AskTokens('c', ''), 'r')
+    assert len(fleet.asked) == asked
+    if asked == 4:
+        assert isinstance(answer, actions.TokensGranted)
+    else:
+        assert answer == actions.Denied('rate_exceeded', 0.06 * SECOND)
+
+
 def test_a_place_in_the_queue_is_asked_for_again():
     queued = messages.ServerReply()
     given = messages.ServerReply(3, 'i1', 0.2)
