Keep good servers in use at low load

Cause: requests that run once avoid servers without a good answer in the last two seconds, and a slow answer counts against a server until the next one. At a quarter of the capacity such a server gets no request that could show otherwise.

A server without a request for a second counts as unknown, not as slow, and goes first among equals. Requests that run once try it only at services without requests that may be repeated.

--- a/cranberryscale/process/choice.py
+++ b/cranberryscale/process/choice.py
@@ -144,7 +144,9 @@
             if server.has_slot and server.bears_start(rate, now)
         )
         return min(
-            free, key=lambda s: self._find_cost(s, ask, now), default=None
+            free,
+            key=lambda s: (self._find_cost(s, ask, now), not s.is_unused(now)),
+            default=None,
         )
 
     def _list_doubted(
@@ -164,13 +166,28 @@
             ):
                 yield server
 
+    def _avoids_risk(
+        self, server: servers.Server, ask: asks.Ask, now: datetime.timedelta
+    ) -> bool:
+        """Tell whether a server is not proven and the request needs it.
+
+        Servers that are not in use are tried by requests that may be
+        repeated, and by others only where no such come.
+        """
+        if server.health.is_proven(now):
+            return False
+        if ask.is_repeat:
+            return True
+        may_explore = self._runs_once_only and server.is_unused(now)
+        return not (ask.is_idempotent or may_explore)
+
     def _find_cost(
         self, server: servers.Server, ask: asks.Ask, now: datetime.timedelta
     ) -> float:
         cost = len(server.running) / server.entry.slots
-        cost += max(0.0, server.health.slowness - 1.0)
-        is_risk = ask.is_repeat or not ask.is_idempotent
-        if is_risk and not server.health.is_proven(now):
+        if not server.is_unused(now):
+            cost += max(0.0, server.health.slowness - 1.0)
+        if self._avoids_risk(server, ask, now):
             cost += UNPROVEN_COST
         if server.entry.is_cold:
             cost += 1.0
--- a/cranberryscale/process/servers.py
+++ b/cranberryscale/process/servers.py
@@ -15,6 +15,9 @@
 # requests on their way.
 COLD_USE = 0.8
 COLD_WINDOW = datetime.timedelta(seconds=1)
+# What is known of a server is old after this time without a request. Good
+# servers have to be in use within two seconds.
+UNUSED_TIME = datetime.timedelta(seconds=1)
 
 
 class Server:
@@ -40,6 +43,11 @@
             last is None or now - last >= TRIAL_INTERVAL
         )
 
+    def is_unused(self, now: datetime.timedelta) -> bool:
+        """Tell whether no request has started for a while."""
+        last = self.starts[-1] if self.starts else None
+        return last is None or now - last >= UNUSED_TIME
+
     def bears_start(
         self, cold_rate_per_s: float, now: datetime.timedelta
     ) -> bool:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -26,6 +26,8 @@
 DEADLINE = 1500 * MS
 WORK = 150 * MS
 DOMAINS = ('a', 'b', 'c')
+# Part of the good servers that operators want in use within two seconds.
+FLOOR_SHARE = 0.7
 
 
 def make_configuration(count, slots=2, cold=(), cold_rate=5.0):
@@ -338,6 +340,29 @@
     assert load.find_share('ok') >= 0.97
 
 
+@pytest.mark.parametrize('rate_per_s', [30, 150])
+@pytest.mark.parametrize('is_idempotent', [True, False, [True, False]])
+def test_at_low_load_good_servers_stay_in_use(is_idempotent, rate_per_s):
+    """A server without requests gives no evidence that it is good.
+
+    Seen on Ponte Nova's grown trouble-1: 7 of 17 good servers of a service
+    whose requests run only once got nothing for two seconds.
+    """
+    published = make_configuration(15, slots=6)
+    rng = random.Random(3)
+
+    def run(server, now):
+        # One in twenty takes long at any server.
+        return 'ok', WORK * (5 if rng.random() < 0.05 else 1)
+
+    load = Load(make_pool(published), run)
+    load.play(20, rate_per_s, is_idempotent=is_idempotent)
+    for since in range(1, 19):
+        began = START + since * SECOND
+        used = {s for at, s in load.starts if began <= at < began + 2 * SECOND}
+        assert len(used) >= FLOOR_SHARE * len(published.servers)
+
+
 def test_servers_that_are_all_bad_still_serve():
     """Out of use are at most the part that the floor leaves."""
     pool = make_pool(make_configuration(10))
