Serve instances on the users' machines by cheroot, without CherryPy around it

The project's own platform (make run) keeps CherryPy for its operators' pages.

A port that is taken now ends the start with a typed error, and faults of the HTTP servers are events without the text of the exception.

--- a/cranberryscale/connection/listeners.py
+++ b/cranberryscale/connection/listeners.py
@@ -1,28 +1,32 @@
-"""The server for callers: CherryPy's, with connections that hold no thread."""
+"""The server for callers: cheroot's, with connections that hold no thread.
 
+CherryPy itself is not used here: its import is a quarter of the processor
+time that an instance on the users' machines takes to start.
+"""
+
+from collections.abc import Callable
 import contextlib
 import datetime
 import queue
 import socket
 import struct
+import sys
 import threading
 
+from absl import logging
 from cheroot import server as cheroot_server
 from cheroot.workers import threadpool
 from cheroot import wsgi
-import cherrypy
-from cherrypy import _cpserver
-from cherrypy import _cpwsgi_server
-from cherrypy.process import wspbus
 
 from cranberryscale import clock as clocks
 from cranberryscale.connection import callers
 from cranberryscale.connection import streams
 from cranberryscale import errors
+from cranberryscale import logs
 from cranberryscale.version import settings
 
 
-__all__ = ['CallersServer', 'Listener', 'make_server']
+__all__ = ['CallersServer', 'Listener', 'PageServer', 'make_server']
 
 KEEP_ALIVE_LIMIT = 1024
 # How long and how much is read from a caller that still sends its body when
@@ -148,36 +152,49 @@
         return environ
 
 
-class CallersServer(_cpwsgi_server.CPWSGIServer):
+class _Server(wsgi.Server):
+    """Log faults as events."""
+
+    def error_log(self, msg='', level=20, traceback=False) -> None:
+        """Log the type of an exception, without its text.
+
+        The text may hold a part of the request, and so a key.
+        """
+        kind = sys.exc_info()[0]
+        reason = kind.__name__ if traceback and kind else msg
+        logs.log_event('http_fault', logging.WARNING, reason=reason)
+
+
+class CallersServer(_Server):
     """Serve callers; waiting connections hold no thread.
 
-    At most `thread_pool` requests run, `accepted_queue_size` more wait, and
-    further ones are refused.
+    At most `limits.threads` requests run, `limits.queued_connections` more
+    wait, and further ones are refused.
     """
 
     ConnectionClass = CallerConnection
     keep_alive_conn_limit = KEEP_ALIVE_LIMIT
 
     def __init__(
-        self,
-        adapter: _cpserver.Server,
-        app,
-        clock: clocks.Clock,
-        sender_timeout: datetime.timedelta,
-        body_limit_bytes: int,
+        self, options: settings.Settings, clock: clocks.Clock, app: Callable
     ):
-        super().__init__(adapter)
-        # The base class sets its own request class on the connection class.
-        self.ConnectionClass.RequestHandlerClass = callers.CallerRequest
+        limits, timeouts = options.limits, options.timeouts
+        super().__init__(
+            _split_address(options.addresses.callers),
+            app,
+            server_name='cranberryscale',
+            request_queue_size=limits.queued_connections,
+            timeout=timeouts.sender_s,
+            shutdown_timeout=timeouts.shutdown_s,
+        )
+        self.max_request_header_size = limits.header_bytes
         self.gateway = CallerGateway
         self.requests = _ThreadPool(
-            self, adapter.thread_pool, adapter.accepted_queue_size
+            self, limits.threads, limits.queued_connections
         )
-        self.wsgi_app = app
-        self.server_name = 'cranberryscale'
         self.clock = clock
-        self.sender_timeout = sender_timeout
-        self.body_limit_bytes = body_limit_bytes
+        self.sender_timeout = datetime.timedelta(seconds=timeouts.sender_s)
+        self.body_limit_bytes = limits.body_bytes
 
     def process_conn(self, conn: CallerConnection) -> None:
         """Queue a connection that has something to read."""
@@ -197,34 +214,61 @@
             conn.close()
 
 
-class Listener:
-    """Run an HTTP server on a bus.
+class PageServer(_Server):
+    """Serve small pages by a few threads."""
 
-    CherryPy's own adapter polls the port at intervals of 0.1 s, once or
-    more for each server; here the port is bound when `start` returns.
-    """
+    def __init__(
+        self,
+        address: str,
+        app: Callable,
+        threads: int,
+        stop_limit: datetime.timedelta,
+    ):
+        super().__init__(
+            _split_address(address),
+            app,
+            numthreads=threads,
+            shutdown_timeout=stop_limit.total_seconds(),
+        )
+
+
+def _split_address(address: str) -> tuple[str, int]:
+    host, port = address.rsplit(':', 1)
+    return host.strip('[]'), int(port)
 
-    def __init__(self, bus: wspbus.Bus, server: cheroot_server.HTTPServer):
-        self._bus = bus
-        self._server = server
 
-    def subscribe(self) -> None:
-        """Start and stop with the bus."""
-        self._bus.subscribe('start', self.start)
-        self._bus.subscribe('stop', self.stop)
+class Listener:
+    """Run an HTTP server; `on_fault` is called if it ends by itself."""
+
+    def __init__(
+        self,
+        server: cheroot_server.HTTPServer,
+        on_fault: Callable[[], None],
+    ):
+        self._server = server
+        self._on_fault = on_fault
 
     def start(self) -> None:
-        """Bind the port and serve; raise OSError if it is taken."""
-        self._server.prepare()
+        """Bind the port and serve; raise SettingsInvalid if it is taken."""
+        try:
+            self._server.prepare()
+        except OSError as error:
+            raise errors.make_error(
+                'settings_invalid', self._server.bind_addr
+            ) from error
         threading.Thread(target=self._serve, name='HTTPServer').start()
 
     def _serve(self) -> None:
         try:
             self._server.serve()
-        except Exception:
-            self._bus.log('Error in HTTP server', traceback=True, level=40)
-            self._bus.exit()
-            raise
+        except Exception as error:
+            logs.log_event(
+                'listener_lost',
+                logging.ERROR,
+                address=self._server.bind_addr,
+                kind=type(error).__name__,
+            )
+            self._on_fault()
 
     def stop(self) -> None:
         """Stop serving and close the port."""
@@ -232,27 +276,7 @@
 
 
 def make_server(
-    options: settings.Settings, clock: clocks.Clock, app=None
-) -> _cpserver.Server:
-    """Return CherryPy's adapter of a server for callers, not yet subscribed.
-
-    `app` is any WSGI callable, by default CherryPy's tree.
-    """
-    adapter = _cpserver.Server()
-    host, port = options.addresses.callers.rsplit(':', 1)
-    adapter.socket_host, adapter.socket_port = host.strip('[]'), int(port)
-    adapter.thread_pool = adapter.thread_pool_max = options.limits.threads
-    adapter.accepted_queue_size = options.limits.queued_connections
-    adapter.socket_queue_size = options.limits.queued_connections
-    adapter.socket_timeout = options.timeouts.sender_s
-    adapter.shutdown_timeout = options.timeouts.shutdown_s
-    adapter.max_request_header_size = options.limits.header_bytes
-    adapter.max_request_body_size = 0
-    adapter.instance = CallersServer(
-        adapter,
-        cherrypy.tree if app is None else app,
-        clock,
-        datetime.timedelta(seconds=options.timeouts.sender_s),
-        options.limits.body_bytes,
-    )
-    return adapter
+    options: settings.Settings, clock: clocks.Clock, app: Callable
+) -> CallersServer:
+    """Return a server for callers, not yet started; `app` is WSGI's."""
+    return CallersServer(options, clock, app)
--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -1,8 +1,8 @@
 """The daemon of an instance on machines without a published list."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import datetime
-import logging as std_logging
 import os
 import pathlib
 import random
@@ -14,8 +14,6 @@
 from typing import NoReturn
 
 from absl import logging
-from cheroot import wsgi
-import cherrypy
 
 from cranberryscale import clock as clocks
 from cranberryscale.connection import backends
@@ -38,10 +36,8 @@
 
 PAGE_THREADS = 3
 # The requests that run were waited for before.
-STOP_TIMEOUT_S = 0.2
+STOP_TIMEOUT = datetime.timedelta(milliseconds=200)
 STOP_LIMIT_S = 0.3
-# How often the main thread looks for signals and the end.
-BLOCK_INTERVAL_S = 0.5
 # Callers keep an answer of the directory this long.
 ANSWER_LIFETIME = datetime.timedelta(seconds=2)
 ADDRESS_LIMIT = 64
@@ -135,14 +131,16 @@
         self._leaving = threading.Event()
         self._reload = threading.Event()
         self._is_stop_logged = False
+        self._listeners = tuple(self._make_listeners())
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT."""
-        self._mount()
+        self._take_signals()
         self.fleet.start()
         for loop in (self._watch_settings, self._keep_trimming):
             threading.Thread(target=loop, daemon=True).start()
-        cherrypy.engine.start()
+        for listener in self._listeners:
+            listener.start()
         logs.log_event(
             'started',
             name=self.options.name,
@@ -151,13 +149,14 @@
             seeds=','.join(self.options.seeds),
         )
         threading.Thread(target=self._become_ready, daemon=True).start()
-        cherrypy.engine.block(interval=BLOCK_INTERVAL_S)
-        self._stopping.set()
+        self._stopping.wait()
+        for listener in self._listeners:
+            listener.stop()
         self.fleet.close()
         self._note_stop()
 
     def _note_stop(self) -> None:
-        """Log the end once; a timer may end the process before the bus."""
+        """Log the end once; a timer may end the process before the rest."""
         if not self._is_stop_logged:
             self._is_stop_logged = True
             logs.log_event('stopped', name=self.options.name)
@@ -214,36 +213,27 @@
         with self.fleet.lock:
             return self.core.roster.has_settled(self.clock.read_elapsed())
 
-    def _mount(self) -> None:
-        cherrypy.config.update(
-            {'environment': 'production', 'log.screen': False}
-        )
-        cherrypy.log.error_log.setLevel(std_logging.WARNING)
+    def _take_signals(self) -> None:
+        signal.signal(signal.SIGTERM, lambda *_: self.leave())
+        signal.signal(signal.SIGINT, lambda *_: self.leave())
+        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+
+    def _make_listeners(self) -> Iterable[listeners.Listener]:
         addresses = self.options.addresses
-        cherrypy.server.unsubscribe()
-        callers = listeners.make_server(self.options, self.clock, self.gateway)
-        listeners.Listener(cherrypy.engine, callers.instance).subscribe()
         pages = self._machine.make_pages(self)
-        for address in (addresses.health, addresses.directory):
-            self._listen(address, pages)
-        self._listen(addresses.operators, self._show_metrics)
-        handler = cherrypy.engine.signal_handler
-        handler.handlers = {
-            'SIGTERM': self.leave,
-            'SIGINT': self.leave,
-            'SIGHUP': self._reload.set,
-        }
-        handler.subscribe()
-
-    def _listen(self, address: str, app) -> None:
-        host, port = address.rsplit(':', 1)
-        server = wsgi.Server(
-            (host, int(port)),
-            app,
-            numthreads=PAGE_THREADS,
-            shutdown_timeout=STOP_TIMEOUT_S,
+        yield listeners.Listener(
+            listeners.make_server(self.options, self.clock, self.gateway),
+            self._stopping.set,
         )
-        listeners.Listener(cherrypy.engine, server).subscribe()
+        for address, app in (
+            (addresses.health, pages),
+            (addresses.directory, pages),
+            (addresses.operators, self._show_metrics),
+        ):
+            yield listeners.Listener(
+                listeners.PageServer(address, app, PAGE_THREADS, STOP_TIMEOUT),
+                self._stopping.set,
+            )
 
     def _show_metrics(self, environ: dict, start_response) -> list[bytes]:
         self.metrics.set_gauge('requests_running', self.gateway.running)
@@ -290,7 +280,7 @@
         timer = threading.Timer(STOP_LIMIT_S, _end_process)
         timer.daemon = True
         timer.start()
-        cherrypy.engine.exit()
+        self._stopping.set()
 
     def _keep_trimming(self) -> None:
         """Close what belongs to servers and instances that are gone."""
--- a/cranberryscale/instance.py
+++ b/cranberryscale/instance.py
@@ -105,8 +105,13 @@
         cherrypy.tree.graft(
             pages.WhichPage(self), '/.well-known/cranberryscale'
         )
-        listeners.make_server(self.options, self.clock).subscribe()
         cherrypy.server.unsubscribe()
+        callers = listeners.make_server(
+            self.options, self.clock, cherrypy.tree
+        )
+        servers.ServerAdapter(
+            cherrypy.engine, callers, callers.bind_addr
+        ).subscribe()
         host, port = self.options.addresses.operators.rsplit(':', 1)
         operators = wsgi.Server(
             (host, int(port)),
