--- a/soak/commands.py
+++ b/soak/commands.py
@@ -2,8 +2,10 @@
 
 import argparse
 import pathlib
+import signal
 import sys
 import tempfile
+from typing import NoReturn
 
 from soak import runs
 
@@ -26,9 +28,15 @@
     return parser
 
 
+def _end(number: int, _frame) -> NoReturn:
+    # The processes of the run are ended on the way out.
+    sys.exit(128 + number)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Print a line a seed and each finding; return 1 if there was one."""
     options = _make_parser().parse_args(arguments)
+    signal.signal(signal.SIGTERM, _end)
     folder = options.logs or pathlib.Path(tempfile.mkdtemp())
     found = 0
     for seed in options.seeds:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,11 @@
 """Run a short seeded soak, and show that each of its checks bites."""
 
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
 import pytest
 
 from soak import checks
@@ -177,3 +183,20 @@
     assert report.findings == ()
     assert report.faults > 0
     assert report.served > report.requests / 2
+
+
+def test_a_soak_that_is_told_to_stop_ends_its_processes(tmp_path):
+    with subprocess.Popen(
+        [sys.executable, '-m', 'soak.commands', '--instances=2']
+        + [f'--logs={tmp_path}'],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    ) as soak:
+        listed = pathlib.Path(f'/proc/{soak.pid}/task/{soak.pid}/children')
+        until = time.monotonic() + 20
+        while len(started := listed.read_text().split()) < 2:
+            assert time.monotonic() < until
+            time.sleep(0.05)
+        soak.send_signal(signal.SIGTERM)
+        assert soak.wait(20) == 128 + signal.SIGTERM
+    assert not any(pathlib.Path('/proc', pid).exists() for pid in started)
