Remove a wrapper and repeated computations

Found in a read-through of the whole change; no behaviour changes.

listeners.make_server only passed its arguments on to CallersServer. A holder that has not settled counted the instances in vain at each question about a rate. The two waits of an instance that starts, and the two checks of how long a server has had no request, are one each. The soak computed a bound anew for each run.

--- a/cranberryscale/connection/listeners.py
+++ b/cranberryscale/connection/listeners.py
@@ -26,7 +26,7 @@
 from cranberryscale.version import settings
 
 
-__all__ = ['CallersServer', 'Listener', 'PageServer', 'make_server']
+__all__ = ['CallersServer', 'Listener', 'PageServer']
 
 KEEP_ALIVE_LIMIT = 1024
 # How long and how much is read from a caller that still sends its body when
@@ -273,10 +273,3 @@
     def stop(self) -> None:
         """Stop serving and close the port."""
         self._server.stop()
-
-
-def make_server(
-    options: settings.Settings, clock: clocks.Clock, app: Callable
-) -> CallersServer:
-    """Return a server for callers, not yet started; `app` is WSGI's."""
-    return CallersServer(options, clock, app)
--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -245,13 +245,13 @@
 
     def _find_rate_ratio(self, now: datetime.timedelta) -> float:
         """Return the part of customers' rates that a holder may give."""
-        up = len(self.roster.list_up())
-        recent = self.roster.count_recent(now)
         if not self.roster.has_settled(now):
             # Instances that start together do not know each other yet, and
             # each takes itself for the holder. Groups that know each other
             # already have one holder in common.
             return 1 / quotas.ASSUMED_INSTANCES
+        up = len(self.roster.list_up())
+        recent = self.roster.count_recent(now)
         return up / max(up, recent)
 
     def _answer_quota(
--- a/cranberryscale/entry.py
+++ b/cranberryscale/entry.py
@@ -188,15 +188,22 @@
         self._prepared.wait(max(0.0, left.total_seconds()))
 
     def _become_ready(self) -> None:
-        while self.core.published.policy is None:
-            if self._stopping.wait(START_POLL_S):
-                return
+        if not self._wait_until(self._is_configured):
+            return
         if not self._leaving.is_set():
             self._note_ready()
-        while not self._has_settled():
+        if self._wait_until(self._has_settled):
+            self._prepared.set()
+
+    def _wait_until(self, check: Callable[[], bool]) -> bool:
+        """Return True once the check holds, False if the instance stops."""
+        while not check():
             if self._stopping.wait(START_POLL_S):
-                return
-        self._prepared.set()
+                return False
+        return True
+
+    def _is_configured(self) -> bool:
+        return self.core.published.policy is not None
 
     def _note_ready(self) -> None:
         with self.fleet.lock:
@@ -222,7 +229,7 @@
         addresses = self.options.addresses
         pages = self._machine.make_pages(self)
         yield listeners.Listener(
-            listeners.make_server(self.options, self.clock, self.gateway),
+            listeners.CallersServer(self.options, self.clock, self.gateway),
             self._stopping.set,
         )
         for address, app in (
--- a/cranberryscale/instance.py
+++ b/cranberryscale/instance.py
@@ -106,7 +106,7 @@
             pages.WhichPage(self), '/.well-known/cranberryscale'
         )
         cherrypy.server.unsubscribe()
-        callers = listeners.make_server(
+        callers = listeners.CallersServer(
             self.options, self.clock, cherrypy.tree
         )
         servers.ServerAdapter(
--- a/cranberryscale/process/servers.py
+++ b/cranberryscale/process/servers.py
@@ -38,15 +38,16 @@
 
     def may_try(self, now: datetime.timedelta) -> bool:
         """Tell whether another trial may begin."""
-        last = self.starts[-1] if self.starts else None
-        return not self.running and (
-            last is None or now - last >= TRIAL_INTERVAL
-        )
+        return not self.running and self._has_rested(TRIAL_INTERVAL, now)
 
     def is_unused(self, now: datetime.timedelta) -> bool:
         """Tell whether no request has started for a while."""
-        last = self.starts[-1] if self.starts else None
-        return last is None or now - last >= UNUSED_TIME
+        return self._has_rested(UNUSED_TIME, now)
+
+    def _has_rested(
+        self, span: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        return not self.starts or now - self.starts[-1] >= span
 
     def bears_start(
         self, cold_rate_per_s: float, now: datetime.timedelta
--- a/cranberryscale_bench/requests.py
+++ b/cranberryscale_bench/requests.py
@@ -141,7 +141,7 @@
         clock,
     )
     options = settings.parse_settings(_SETTINGS, 'benchmark')
-    server = listeners.make_server(options, clock, application)
+    server = listeners.CallersServer(options, clock, application)
     server.prepare()
     pipe.send(server.socket.getsockname()[1])
     server.serve()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -129,8 +129,8 @@
     """Yield runs at servers that had left, where nothing was disturbed."""
     calm_after = max((span.until_s for span in disturbed), default=0.0)
     for span in left:
+        since_s = max(span.since_s + BINDING_S, calm_after + CONTACT_S)
         for run in runs:
-            since_s = max(span.since_s + BINDING_S, calm_after + CONTACT_S)
             if run.server == span.what and since_s < run.at_s < span.until_s:
                 yield Finding('leaving servers', run.request_id)
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -188,7 +188,7 @@
         options = settings.parse_settings(
             SETTINGS % (threads, body_bytes, sender_s), ''
         )
-        self.listener = listeners.make_server(options, CLOCK, self.gateway)
+        self.listener = listeners.CallersServer(options, CLOCK, self.gateway)
         self.listener.prepare()
         self.port = self.listener.socket.getsockname()[1]
         threading.Thread(target=self.listener.serve, daemon=True).start()
