Learn from requests that run, and give a holder's whole start late

A server that fails does so within some milliseconds, but nothing speaks for a good one before its first answer, 0.1 to 0.5 s later, so all servers were tried at once. A holder that was asked before it knew the others gave a quarter of a sixteenth of the burst and never the rest.

Ruled out: instances that do not know each other (silent calls end 0.2 s after the starts); callers beyond their rate (those are not counted).

Change: a server where a request has run for 50 to 500 ms without a failure since counts as proven; a holder's start grows with the largest burst that it could give. The tolerated excess is scaled like the burst, so that wrong holders of a start together give no more than their part.

--- a/cranberryscale/process/choice.py
+++ b/cranberryscale/process/choice.py
@@ -206,7 +206,7 @@
         Servers that are not in use are tried by requests that may be
         repeated, and by others only where no such come.
         """
-        if server.health.is_proven(now):
+        if server.is_proven(now):
             return False
         if ask.is_repeat:
             return True
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -200,7 +200,7 @@
             server.entry.name,
             self._latencies.find_patience(ask.target),
         )
-        server.running.add(permit.permit_id)
+        server.running[permit.permit_id] = now
         server.starts.append(now)
         self._running[permit.permit_id] = _Running(
             server.entry.name,
@@ -229,7 +229,7 @@
         server = self._choice.known.get(running.server)
         if server is not None:
             had_room = len(server.running) <= max(1, server.entry.slots // 2)
-            server.running.discard(permit_id)
+            server.running.pop(permit_id, None)
             self._learn(server, running, outcome, latency, had_room, now)
         self.advance(now)
 
@@ -315,7 +315,7 @@
     def _release(self, permit_id: int) -> None:
         running = self._running.pop(permit_id, None)
         if running is not None and running.server in self._choice.known:
-            self._choice.known[running.server].running.discard(permit_id)
+            self._choice.known[running.server].running.pop(permit_id, None)
 
     def _find_place(self, waiting: _Waiting, now: datetime.timedelta):
         # The urgent first; among equals, those that can still be on time.
--- a/cranberryscale/process/quotas.py
+++ b/cranberryscale/process/quotas.py
@@ -47,6 +47,8 @@
     def __init__(self, tokens: float, at: datetime.timedelta):
         self.tokens = tokens
         self.at = at
+        # The largest burst for which something was given at the start.
+        self.started_burst = 0.0
 
     def take(
         self, rate_per_s: float, burst: float, now: datetime.timedelta
@@ -82,11 +84,16 @@
         if customer.rate_per_s <= 0:
             return Admission(True)
         rate_per_s = customer.rate_per_s * (1 + self._excess) * up_ratio
-        burst = max(1.0, customer.burst_requests * up_ratio + self._slack)
+        whole = customer.burst_requests + self._slack
+        burst = max(1.0, whole * up_ratio)
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            start = max(1.0, burst * START_RATIO)
-            bucket = self._buckets[customer.name] = _Bucket(start, now)
+            bucket = self._buckets[customer.name] = _Bucket(1.0, now)
+        if burst > bucket.started_burst:
+            # A holder that starts knows few others, and gives the rest of
+            # what it may when it knows them.
+            bucket.tokens += START_RATIO * (burst - bucket.started_burst)
+            bucket.started_burst = burst
         return bucket.take(rate_per_s, burst, now)
 
     def drop_idle(self, now: datetime.timedelta) -> None:
--- a/cranberryscale/process/servers.py
+++ b/cranberryscale/process/servers.py
@@ -18,6 +18,11 @@
 # What is known of a server is old after this time without a request. Good
 # servers have to be in use within two seconds.
 UNUSED_TIME = datetime.timedelta(seconds=1)
+# Servers that fail at once do so within some milliseconds, and the report
+# takes some more; a request that runs for longer speaks for its server, until
+# it takes longer than most.
+SURVIVED = datetime.timedelta(milliseconds=50)
+SURVIVAL_LIMIT = datetime.timedelta(milliseconds=500)
 
 
 class Server:
@@ -26,7 +31,8 @@
     def __init__(self, entry: configuration.BackendServer):
         self.entry = entry
         self.health = health.ServerHealth()
-        self.running: set[int] = set()
+        # By permit, since when.
+        self.running: dict[int, datetime.timedelta] = {}
         self.starts: collections.deque[datetime.timedelta] = (
             collections.deque()
         )
@@ -44,6 +50,17 @@
         """Tell whether no request has started for a while."""
         return self._has_rested(UNUSED_TIME, now)
 
+    def is_proven(self, now: datetime.timedelta) -> bool:
+        """Tell whether the server seems to serve at this moment."""
+        if self.health.is_proven(now):
+            return True
+        failed_at = self.health.failed_at
+        return any(
+            SURVIVED <= now - since <= SURVIVAL_LIMIT
+            and (failed_at is None or since > failed_at)
+            for since in self.running.values()
+        )
+
     def _has_rested(
         self, span: datetime.timedelta, now: datetime.timedelta
     ) -> bool:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -154,3 +154,31 @@
             0.7,
         )
     assert find_most(times) <= BOUND
+
+
+def test_a_holder_that_knows_the_others_late_gives_the_rest_of_its_start():
+    """It is asked first when it knows of few, and of all soon after.
+
+    Seen on Ponte Nova's trouble-1: 38 requests refused in the second after
+    the start of all instances.
+    """
+    early, late = make_holder(), make_holder()
+    early.admit(CUSTOMER, 1 / quotas.ASSUMED_INSTANCES, START)
+    counts = [
+        sum(
+            holder.admit(CUSTOMER, 1.0, START + SECOND / 100).is_admitted
+            for _ in range(CUSTOMER.burst_requests)
+        )
+        for holder in (early, late)
+    ]
+    assert counts[0] >= counts[1] - 1
+
+
+def test_a_holder_whose_view_changes_gives_its_start_only_once():
+    holder = make_holder()
+
+    def admit(now):
+        ratio = 1.0 if int(now / SECOND * 4) % 2 else 0.5
+        return holder.admit(CUSTOMER, ratio, now).is_admitted
+
+    assert find_most(send(admit, 20)) <= BOUND
--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -234,6 +234,18 @@
     assert doubted <= UNSERVED_SHARE * sum(replay.once for replay in played)
 
 
+def test_unknown_servers_are_tried_by_few_requests():
+    """Nothing is known after a start of all, and a third is gray.
+
+    Seen on Ponte Nova's quiet-1: 10 of 31 bookings of the first second failed
+    at servers chosen by chance.
+    """
+    played = [Replay(CALM, seed).play(1) for seed in range(20)]
+    results = [result for replay in played for result in replay.results]
+    gray_share = GRAY_S / (GRAY_S + GOOD_S)
+    assert results.count('error') <= gray_share / 2 * len(results)
+
+
 def test_waiting_for_good_servers_refuses_nothing_at_normal_load():
     played = [Replay(CALM, seed).play(32) for seed in range(6)]
     results = [result for replay in played for result in replay.results]
