--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -599,8 +599,7 @@
     """Eight of ten servers turn away two of five requests; two are enough.
 
     Each such request needs a second attempt, of which operators allow one
-    for five requests. Seen on the grown scale-1 of both sites: a sixth of
-    the requests was refused while the others had slots.
+    for five requests.
     """
     pool = make_pool(make_configuration(10, slots=6))
     load = Load(pool, None)
