--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -68,6 +68,15 @@
     return asks.Ask(**(values | fields))
 
 
+def ask_and_report(pool, ask, outcome, now):
+    """Tell whether there was a permit; it ends at once with the outcome."""
+    permit = pool.ask(ask, now)
+    if not isinstance(permit, asks.Permit):
+        return False
+    pool.report(permit.permit_id, outcome, MS, now)
+    return True
+
+
 class Load:
     """Play arrivals against a pool.
 
@@ -394,13 +403,9 @@
     repeated = 0
     for number in range(3000):
         now = START + number * SECOND / 100
-        first = pool.ask(make_ask(number), now)
-        if isinstance(first, asks.Permit):
-            pool.report(first.permit_id, 'error', MS, now)
-        second = pool.ask(make_ask(-number - 1, is_repeat=True), now)
-        if isinstance(second, asks.Permit):
-            repeated += 1
-            pool.report(second.permit_id, 'error', MS, now)
+        ask_and_report(pool, make_ask(number), 'error', now)
+        repeat = make_ask(-number - 1, is_repeat=True)
+        repeated += ask_and_report(pool, repeat, 'error', now)
         window = min(number / 100, 10)
         assert repeated <= 0.2 * number + 60 * max(1, window / 10) * 4
     assert repeated <= 3000 * 0.2 + 60 * 3
@@ -414,13 +419,9 @@
         now = START + number * SECOND / 100
         for attempt in range(5):
             ask = make_ask(10 * number + attempt, is_new=attempt == 0)
-            permit = pool.ask(ask, now)
-            if isinstance(permit, asks.Permit):
-                pool.report(permit.permit_id, 'unused', MS, now)
-        repeat = pool.ask(make_ask(-number - 1, is_repeat=True), now)
-        if isinstance(repeat, asks.Permit):
-            repeated += 1
-            pool.report(repeat.permit_id, 'shed', MS, now)
+            ask_and_report(pool, ask, 'unused', now)
+        repeat = make_ask(-number - 1, is_repeat=True)
+        repeated += ask_and_report(pool, repeat, 'shed', now)
     assert repeated <= 0.2 * 1000 + 60
 
 
