Refuse odd store entries alone, and serve routes of unknown kinds

Cause: an entry nested too deeply ended in RecursionError, a number too large in OverflowError, and neither is a typed error, so the loop that reads the store started over at the same entry for ever and later changes were never applied.

Change: every such entry is refused as document_invalid and those behind it are applied; numbers are bounded where they would not fit into a message to another instance; each item of a response of the store is decoded by itself. A route of an unknown kind runs at most once and is logged (entry_assumed); downloads are idempotent. Changes of the replica are counted by kind in the metrics.

--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -262,6 +262,8 @@
     def _serve_metrics(self, environ: dict, start_response) -> list[bytes]:
         self.metrics.set_gauge('requests_running', self.gateway.running)
         self.metrics.set_gauge('store_calls', self.driver.store.calls)
+        for event, count in tuple(self.driver.event_counts.items()):
+            self.metrics.set_gauge('store_events', count, event=event)
         body = self.metrics.render()
         start_response(
             '200 OK',
--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -4,6 +4,7 @@
 send and how to react to replies.
 """
 
+import collections
 from concurrent import futures
 import datetime
 import threading
@@ -87,6 +88,8 @@
         self._stopping = threading.Event()
         self._unresponsive_until: dict[str, datetime.timedelta] = {}
         self._store_is_up: bool | None = None
+        # Changes of the replica by kind of event.
+        self.event_counts: collections.Counter[str] = collections.Counter()
         self._exchange_at = clock.read_elapsed()
         name, epoch = core.instance_settings.name, core.roster.own_record.epoch
         signer = peer_frames.Signer(name, epoch, '')
@@ -454,8 +457,9 @@
     def log_events(
         self, events: tuple[replica.ReplicaEvent, ...], source: str = 'clock'
     ) -> None:
-        """Log changes of the replica with their source."""
+        """Log and count changes of the replica with their source."""
         for event in events:
+            self.event_counts[event.event] += 1
             logs.log_event(
                 event.event,
                 subject=event.subject,
--- a/cranberryscale/platform/entry_decoding.py
+++ b/cranberryscale/platform/entry_decoding.py
@@ -1,8 +1,10 @@
 """Decoding of the entries of the platform's key-value store."""
 
 import datetime
+import ipaddress
 import json
 import re
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -23,8 +25,24 @@
 _EVACUATIONS = 'op/evacuate/'
 
 _VERSION = re.compile(r'[0-9a-f]{8}')
-_IDEMPOTENT = {'idempotent': True, 'non_idempotent': False}
+# The name of a server is sent to it in a header.
+_SERVER_NAME = re.compile(r'[!-~]{1,200}')
+_PORT = re.compile(r'[0-9]{1,5}')
+_IDEMPOTENT = {
+    'idempotent': True,
+    'non_idempotent': False,
+    # Large responses.
+    'download': True,
+}
 _SERVER_STATES = {'ready': False, 'draining': True}
+# Whole numbers up to this size fit into messages to other instances.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31)]
+# Far above any server's slots. An absurd number would make one server look
+# free for all requests of its service.
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=65536)]
+# Above any real rate or weight, and finite when multiplied.
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 # Routes without a timeout are limited by the caller's deadline only.
 _NO_TIMEOUT = datetime.timedelta(minutes=5)
 
@@ -33,12 +51,12 @@
     service: str
     version: str
     zone: str
-    slots: int
+    slots: _Slots
 
 
 class _ServerStatus(msgspec.Struct, rename='kebab'):
     state: str
-    sequence: int
+    sequence: _Count
     warmup_left: str = '0ms'
 
 
@@ -47,26 +65,26 @@
     info: _ServerInfo
     status: _ServerStatus
     # Unix time of the server's start in milliseconds.
-    born: int = 0
+    born: _Count = 0
 
 
 class _SplitPart(msgspec.Struct):
     service: str
-    weight: float
+    weight: _Amount
 
 
 class _RouteRow(msgspec.Struct, rename='kebab'):
     name: str
     host: str
     prefix: str
-    # "idempotent" or "non_idempotent".
+    # A kind that is not known here may run only once.
     route_type: str
     # The longest time that a caller may wait for a response.
     timeout: str | None = None
     target_latency: str | None = None
-    priority: int | None = None
+    priority: _Priority | None = None
     split: list[_SplitPart] | None = None
-    max_attempts: int | None = None
+    max_attempts: _Priority | None = None
     public: bool | None = None
     service: str | None = None
 
@@ -75,21 +93,21 @@
     name: str
     warmup: str | None = None
     # Requests per second that a server can handle during warm-up.
-    warmup_per_s: float | None = None
+    warmup_per_s: _Amount | None = None
 
 
 class _TenantRow(msgspec.Struct, rename='kebab'):
     name: str
     api_keys: list[str] | None = None
-    priority: int | None = None
+    priority: _Priority | None = None
     # 0 or omitted means unlimited.
-    rate_per_s: float | None = None
-    burst: float | None = None
+    rate_per_s: _Amount | None = None
+    burst: _Amount | None = None
 
 
 class _Limits(msgspec.Struct, rename='kebab'):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: _Count
+    max_body_bytes: _Count
     header_timeout: str
     idle_timeout: str
 
@@ -140,7 +158,7 @@
         row.service or parts[0].service,
         row.host,
         open_to_all=bool(row.public),
-        idempotent=_IDEMPOTENT[row.route_type],
+        idempotent=_IDEMPOTENT.get(row.route_type, False),
         timeout=timeout,
         body_limit_bytes=body_limit,
         weighted_services=parts,
@@ -200,16 +218,32 @@
         durations.parse_duration(document.limits.header_timeout),
         durations.parse_duration(document.limits.idle_timeout),
     )
+    unknown = (
+        f'route {row.name!r} of kind {row.route_type[:40]!r} runs only once'
+        for row in routes
+        if row.route_type not in _IDEMPOTENT
+    )
     return replica.Policy(
-        int(document.version, 16), policy_configuration, limits
+        int(document.version, 16),
+        policy_configuration,
+        limits,
+        tuple(unknown),
     )
 
 
+def _check_address(address: str) -> None:
+    """Raise ValueError unless the address is an IP address and a port."""
+    host, _, port = address.rpartition(':')
+    ipaddress.ip_address(host.strip('[]'))
+    if not _PORT.fullmatch(port) or not 1 <= int(port) <= 65535:
+        raise ValueError(f'address {address!r}')
+
+
 def _decode_server(name: str, body: bytes) -> replica.ServerEntry:
+    if not _SERVER_NAME.fullmatch(name):
+        raise ValueError(f'name {name[:200]!r}')
     entry = msgspec.json.decode(body, type=_ServerDocument)
-    host, _, port = entry.address.rpartition(':')
-    if not host or not port.isdigit() or entry.info.slots < 1:
-        raise ValueError(f'address {entry.address!r}')
+    _check_address(entry.address)
     return replica.ServerEntry(
         name,
         entry.info.service,
@@ -240,7 +274,15 @@
     """
     try:
         return _decode(key, body)
-    except (ValueError, KeyError, msgspec.MsgspecError) as error:
+    except (
+        # A number too large for its type.
+        ArithmeticError,
+        LookupError,
+        # Nested too deeply.
+        RecursionError,
+        ValueError,
+        msgspec.MsgspecError,
+    ) as error:
         raise errors.make_error(
             'document_invalid', f'{key}: {type(error).__name__}: {error}'
         ) from error
--- a/cranberryscale/platform/store.py
+++ b/cranberryscale/platform/store.py
@@ -2,14 +2,18 @@
 
 import base64
 import binascii
+from collections.abc import Iterable
 import datetime
 import socket
+from typing import Annotated
 from typing import NamedTuple
 
+from absl import logging
 import msgspec
 import urllib3
 
 from cranberryscale import errors
+from cranberryscale import logs
 from cranberryscale.platform import entry_decoding
 from cranberryscale.version import replica
 
@@ -28,23 +32,27 @@
 PAGE_LIMIT = 1000
 
 
+# Larger revisions would not fit into messages to other instances.
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _StoreItem(msgspec.Struct):
     key: str
-    revision: int
+    revision: _Revision
     # Base64; absent if the entry was removed.
     value: str | None = None
     removed: bool = False
 
 
 class _RangeResponse(msgspec.Struct, rename='kebab'):
-    items: list[_StoreItem]
+    items: list[msgspec.Raw]
     has_more: bool
-    current_rev: int
+    current_rev: _Revision
 
 
 class _WatchResponse(msgspec.Struct, rename='kebab'):
-    events: list[_StoreItem]
-    current_rev: int
+    events: list[msgspec.Raw]
+    current_rev: _Revision
 
 
 class PlatformStoreUpdate(NamedTuple):
@@ -66,6 +74,21 @@
     return replica.EntryChange(item.key, item.revision, body)
 
 
+def _decode_items(items: Iterable[msgspec.Raw]) -> Iterable[_StoreItem]:
+    """Yield the items; skip and log those that cannot be decoded."""
+    for raw in items:
+        try:
+            yield msgspec.json.decode(raw, type=_StoreItem)
+        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
+            logs.log_event(
+                'store_item_skipped',
+                logging.WARNING,
+                kind=type(error).__name__,
+                reason=error,
+                bytes=len(raw),
+            )
+
+
 class StoreClient:
     """A client of the store; `calls` is the number of HTTP calls made.
 
@@ -98,14 +121,17 @@
             page = self._fetch(
                 _RANGE, fields, RESPONSE_TIMEOUT, _RangeResponse
             )
-            changes += [_make_change(item) for item in page.items]
+            items = tuple(_decode_items(page.items))
+            changes += [_make_change(item) for item in items]
             if revision is None:
                 # Later pages may be newer. A watch from the revision of the
                 # first page returns the changes since then once more.
                 revision = page.current_rev
-            if not page.has_more or not page.items:
+            if not page.has_more or not items:
                 return PlatformStoreUpdate(tuple(changes), revision, True)
-            after = page.items[-1].key
+            # If the last items of the page were skipped, the next page
+            # returns them once more.
+            after = items[-1].key
         raise errors.make_error('platform_malformed', 'too many pages')
 
     def wait_for_changes(
@@ -126,7 +152,9 @@
             )
         except _RevisionTooOld:
             return self.read_all()
-        changes = tuple(_make_change(event) for event in response.events)
+        changes = tuple(
+            _make_change(event) for event in _decode_items(response.events)
+        )
         return PlatformStoreUpdate(changes, response.current_rev, False)
 
     def _fetch(
@@ -159,7 +187,7 @@
             raise errors.make_error('platform_unavailable', response.status)
         try:
             return msgspec.json.decode(response.data, type=response_type)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, RecursionError, ValueError) as error:
             raise errors.make_error('platform_malformed', error) from error
 
 
--- a/cranberryscale/version/durations.py
+++ b/cranberryscale/version/durations.py
@@ -8,11 +8,22 @@
 
 _DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)')
 _UNITS = {'ms': 'milliseconds', 's': 'seconds'}
+# A sum of longer durations and a time could overflow.
+_LONGEST = datetime.timedelta(days=366)
 
 
 def parse_duration(text: object) -> datetime.timedelta:
-    """Parse a number followed by "ms" or "s", or raise ValueError."""
+    """Parse a number followed by "ms" or "s", of at most a year.
+
+    Raises ValueError.
+    """
     match = _DURATION.fullmatch(text) if isinstance(text, str) else None
     if match is None:
         raise ValueError(f'{text!r} is not a duration such as "1500ms"')
-    return datetime.timedelta(**{_UNITS[match[2]]: float(match[1])})
+    try:
+        duration = datetime.timedelta(**{_UNITS[match[2]]: float(match[1])})
+    except OverflowError:
+        duration = datetime.timedelta.max
+    if duration > _LONGEST:
+        raise ValueError(f'{text[:40]!r} is longer than a year')
+    return duration
--- a/cranberryscale/version/replica.py
+++ b/cranberryscale/version/replica.py
@@ -68,11 +68,15 @@
 
 
 class Policy(NamedTuple):
-    """One version of the operators' settings, without backend servers."""
+    """One version of the operators' settings, without backend servers.
+
+    `assumptions` describes how values that are not known here are treated.
+    """
 
     version: int
     configuration: configuration.Configuration
     limits: RequestLimits
+    assumptions: tuple[str, ...] = ()
 
 
 class Evacuation(NamedTuple):
@@ -236,6 +240,13 @@
                     return
                 self._policy = decoded
                 detail = f'version {decoded.version}'
+                for assumption in decoded.assumptions:
+                    yield ReplicaEvent(
+                        'entry_assumed',
+                        change.key,
+                        change.revision,
+                        assumption,
+                    )
             case ServerEntry():
                 self._start_warmup(change.key, decoded, now)
                 detail = 'draining' if decoded.is_draining else 'ready'
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -179,6 +179,7 @@
     assert status == 200
     assert b'cranberryscale_requests_total' in body
     assert b'cranberryscale_request_seconds_count' in body
+    assert b'cranberryscale_store_events{event="entry_in_force"}' in body
 
 
 def test_logs_show_decisions_for_request_id(fleet):
