Answer every accepted request at a planned stop

Cause: cheroot closes its listener while connections wait in the accept queue, and Linux resets them although their callers have sent requests.

Change: a stop first makes the kernel ignore new handshakes (a socket filter on the listener that drops SYN segments), accepts what waits, closes the listener, and queues the requests that are on open connections; the draining gateway refuses them truthfully. The selector loop is woken up by a pipe, so a stop takes about 0.12 s instead of up to half a second, and the process has 0.5 s for it before it ends by force. _advance no longer takes a StopIteration of an action for the end of the decision.

--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -21,6 +21,7 @@
 from cranberryscale import clock as clocks
 from cranberryscale.connection import caller_requests
 from cranberryscale.connection import deadline_socket
+from cranberryscale.connection import listeners
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale.version import settings
@@ -205,8 +206,28 @@
         self.sender_timeout = datetime.timedelta(seconds=timeouts.sender_s)
         self.body_limit_bytes = limits.body_bytes
 
+    def prepare(self) -> None:
+        """Bind the port and start the threads."""
+        super().prepare()
+        self._connections._selector.close()
+        self._connections = listeners.ConnectionManager(self)
+
+    def stop(self) -> None:
+        """Stop accepting, serve what was accepted, then close.
+
+        The application must already refuse new requests.
+        """
+        if not self.ready:
+            return
+        self._connections.finish_accepting()
+        # cheroot would connect to the listener to wake up its loop.
+        self.socket = None
+        super().stop()
+
     def process_conn(self, conn: CallerConnection) -> None:
         """Queue a readable connection, or refuse it if the queue is full."""
+        if conn is self._connections.wakeup:
+            return
         is_new = conn.last_used is None
         if is_new and self.can_add_keepalive_connection:
             # cheroot would block a thread until the first byte arrives.
--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -38,7 +38,7 @@
 # Short, since running requests were waited for earlier.
 STOP_TIMEOUT = datetime.timedelta(milliseconds=200)
 # The process exits by force if stopping takes longer.
-STOP_LIMIT_S = 0.3
+STOP_LIMIT_S = 0.5
 # How long callers may cache a response of the directory.
 ANSWER_LIFETIME = datetime.timedelta(seconds=2)
 ADDRESS_LIMIT = 64
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -114,14 +114,14 @@
 
     def _advance(self, event) -> actions.RequestOutcome | None:
         """Perform actions until the outcome, or None to deliver a response."""
-        try:
-            while True:
+        while True:
+            try:
                 action = self._steps.send(event)
-                if isinstance(action, actions.DeliverResponse):
-                    return None
-                event = self._perform(action)
-        except StopIteration as stop:
-            return stop.value
+            except StopIteration as stop:
+                return stop.value
+            if isinstance(action, actions.DeliverResponse):
+                return None
+            event = self._perform(action)
 
     def _perform(self, action: actions.Action) -> actions.Event | None:
         admission = self._gateway.admission
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,146 @@
+"""Planned stops under load: an accepted request always gets an answer."""
+
+import contextlib
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from cranberryscale.connection import listeners
+import harness
+
+
+CALLERS = 12
+REQUEST = (
+    b'GET /r HTTP/1.1\r\nHost: h\r\nX-Api-Key: '
+    + harness.KEY.encode()
+    + b'\r\n\r\n'
+)
+
+
+@contextlib.contextmanager
+def keep_processors_busy(count):
+    """Run processes that compute all the time."""
+    processes = [
+        subprocess.Popen([sys.executable, '-c', 'while True: pass'])
+        for _ in range(count)
+    ]
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+
+
+class Caller(threading.Thread):
+    """Sends requests until no connection is accepted any more.
+
+    `cut` counts connections on which a request was sent and that ended
+    without a complete answer.
+    """
+
+    def __init__(self, port):
+        super().__init__(daemon=True)
+        self._port = port
+        self.answered = self.refused = self.cut = 0
+
+    def run(self):
+        while True:
+            try:
+                sock = socket.create_connection(('127.0.0.1', self._port), 5)
+            except ConnectionRefusedError:
+                return
+            with sock:
+                sock.settimeout(5)
+                self._use(sock)
+
+    def _use(self, sock):
+        """Send requests until the server asks to close the connection."""
+        answer = b'\r\n\r\n'
+        while b'connection: close' not in answer.lower():
+            answer = self._exchange(sock)
+            if answer.startswith(b'HTTP/1.1 200 '):
+                self.answered += 1
+            elif answer.startswith(b'HTTP/1.1 503 '):
+                assert b'"not run"' in answer
+                self.refused += 1
+            else:
+                self.cut += 1
+                return
+
+    def _exchange(self, sock):
+        answer = b''
+        with contextlib.suppress(ConnectionError):
+            sock.sendall(REQUEST)
+            while part := sock.recv(65536):
+                answer += part
+                if self._is_complete(answer):
+                    return answer
+        return b''
+
+    @staticmethod
+    def _is_complete(answer):
+        head, end, body = answer.partition(b'\r\n\r\n')
+        for line in head.lower().split(b'\r\n'):
+            if line.startswith(b'content-length:'):
+                return bool(end) and len(body) == int(line[15:])
+        return False
+
+
+def stop_under_load():
+    """Stop a listener as a daemon does; return its callers."""
+    with harness.GatewayStack(harness.serve_hello) as stack:
+        callers = [Caller(stack.port) for _ in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        time.sleep(0.1)
+        stack.gateway.drain(
+            harness.CLOCK.read_elapsed() + 0.1 * harness.SECOND
+        )
+        time.sleep(0.15)
+        stack.gateway.wait_idle(harness.SECOND)
+        stack.listener.stop()
+        for caller in callers:
+            caller.join(10)
+            assert not caller.is_alive()
+    return callers
+
+
+@pytest.mark.parametrize('busy', [0, 6])
+def test_planned_stop_answers_every_accepted_request(busy):
+    """Closing a listener used to reset the connections in its queue."""
+    with keep_processors_busy(busy):
+        callers = [c for _ in range(6) for c in stop_under_load()]
+    assert sum(c.cut for c in callers) == 0
+    assert sum(c.answered for c in callers) > 30
+    assert sum(c.refused for c in callers) > 30
+
+
+def test_idle_connections_are_closed_without_delay_of_the_stop():
+    with harness.GatewayStack(harness.serve_hello) as stack:
+        idle = [stack.connect() for _ in range(20)]
+        time.sleep(0.1)
+        stack.gateway.drain(harness.CLOCK.read_elapsed())
+        started = time.monotonic()
+        stack.listener.stop()
+        # The last requests are waited for 0.1 s, handshakes for 0.02 s.
+        assert time.monotonic() - started < 1
+        assert [harness.read_all(sock) for sock in idle] == [b''] * 20
+
+
+def test_listener_that_rejects_handshakes_keeps_those_that_are_complete():
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        port = listener.getsockname()[1]
+        early = socket.create_connection(('127.0.0.1', port), 1)
+        listeners.reject_handshakes(listener)
+        with pytest.raises(TimeoutError):
+            socket.create_connection(('127.0.0.1', port), 0.3)
+        accepted, _ = listener.accept()
+        early.sendall(b'request')
+        assert accepted.recv(7) == b'request'
+        accepted.close()
+        early.close()
