Keep a process whose start a signal handler interrupted

The handler of SIGTERM raises SystemExit; inside Popen, after the fork, that left a process without a record, and the cleanup ended with an AttributeError.

Change: instances of the stand-in fleet are started by a worker thread, which no signal handler interrupts; the caller waits for it.

The new test fails without the change.

--- a/standins/machines.py
+++ b/standins/machines.py
@@ -8,6 +8,7 @@
 
 import base64
 from collections.abc import Iterable
+from concurrent import futures
 import http.server
 import json
 import os
@@ -405,6 +406,12 @@
             'CRANBERRYSCALE_BOOT': str(self.settings_path),
             'PYTHONPATH': str(ROOT),
         }
+        # A signal handler that raises runs in the main thread. If it
+        # interrupted Popen, the process would run without being known here.
+        with futures.ThreadPoolExecutor(1) as executor:
+            executor.submit(self._spawn, environment).result()
+
+    def _spawn(self, environment: dict[str, str]) -> None:
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'cranberryscale.platform.program'],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -203,6 +203,29 @@
     assert report.served > report.requests / 2
 
 
+def test_signal_during_the_start_of_an_instance_loses_no_process(
+    tmp_path, monkeypatch
+):
+    """A handler that raised inside Popen left a process without a record."""
+
+    class InterruptedPopen(subprocess.Popen):
+        def __init__(self, *args, **options):
+            super().__init__(*args, **options)
+            signal.raise_signal(signal.SIGUSR1)
+            time.sleep(0.2)
+
+    instance = machines.Instance(0, tmp_path, '127.0.0.1:1')
+    monkeypatch.setattr(subprocess, 'Popen', InterruptedPopen)
+    previous = signal.signal(signal.SIGUSR1, lambda *_: sys.exit(1))
+    try:
+        with pytest.raises(SystemExit):
+            instance.start([])
+    finally:
+        signal.signal(signal.SIGUSR1, previous)
+    instance.send_signal(signal.SIGKILL)
+    assert instance.wait() == -signal.SIGKILL
+
+
 def test_sigterm_ends_processes_of_soak(tmp_path):
     with subprocess.Popen(
         [sys.executable, '-m', 'soak.commands', '--instances=2']
