Wait in a test for the record of a response

Cause: the fake server records a response after sending it, and the test looked at the record at once.

Change: the test waits for the record, then compares as before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -525,6 +525,27 @@
         assert proxy.gateway.wait_idle(SECOND)
 
 
+def test_threads_are_started_as_requests_need_them():
+    """Most instances serve a few requests a second and need one thread."""
+    everyone = threading.Barrier(4)
+
+    def serve_together(server, sock, number):
+        head = server.read_head(sock)
+        everyone.wait(5)
+        answer = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        sock.sendall(harness.copy_request_id(head, answer))
+
+    with harness.GatewayStack(serve_together, threads=4) as proxy:
+        threads = proxy.listener.requests._threads
+        assert len(threads) == 1
+        socks = [proxy.connect() for _ in range(4)]
+        for sock in socks:
+            sock.sendall(GET + AUTH + b'\r\nConnection: close\r\n\r\n')
+        for sock in socks:
+            assert harness.read_all(sock).endswith(b'ok')
+        assert len(threads) == 4
+
+
 def test_more_requests_than_threads_and_queue_are_refused():
     """An instance at its limit must refuse at once and keep running."""
     with harness.GatewayStack(serve_silence, threads=1) as proxy:
@@ -604,4 +625,6 @@
         else:
             assert took >= 0.35
             assert proxy.admission.reports == ['ok']
+            # The server's thread records a response after it was sent.
+            assert wait_for(lambda: response_numbers)
             assert response_numbers == [1]
