Start threads for connections when they are needed

Cause: every instance started 48 threads for callers and 9 for pages; an instance that serves two requests a second needs one or two.

Change: a pool starts with one thread and adds one when more connections wait than threads are idle, up to the limit. Nothing is waited for.

--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -91,13 +91,29 @@
 
 
 class _ThreadPool(threadpool.ThreadPool):
-    """Fixed number of threads that serve connections from a queue."""
+    """Threads that serve connections from a queue, started as needed.
+
+    An instance that serves two requests a second rarely needs a second
+    thread, but a burst needs many.
+    """
 
     def __init__(self, server, threads: int, limit: int):
-        super().__init__(server, min=threads, max=threads)
+        super().__init__(server, min=1, max=threads)
         self._queue = _ConnectionQueue(limit)
         self.get = self._queue.get
 
+    def put(self, obj) -> None:
+        """Queue a connection; raise queue.Full if too many wait.
+
+        Only the thread that accepts connections and those that return
+        pipelined ones call this. Two at once may start one thread too many
+        below the limit, which is harmless.
+        """
+        self._queue.put(obj)
+        # Unlike `grow`, this does not wait until the thread runs.
+        if self._queue.qsize() > self.idle and len(self._threads) < self.max:
+            self._threads.append(self._spawn_worker())
+
 
 class CallerConnection(cheroot_server.HTTPConnection):
     """Connection of a caller."""
@@ -245,7 +261,10 @@
 
 
 class PageServer(_LoggingServer):
-    """HTTP server for small pages with a few threads."""
+    """HTTP server for small pages with a few threads.
+
+    Connections wait for the request on a thread, so one is not enough.
+    """
 
     def __init__(
         self,
@@ -257,9 +276,9 @@
         super().__init__(
             _split_address(address),
             app,
-            numthreads=threads,
             shutdown_timeout=stop_limit.total_seconds(),
         )
+        self.requests = _ThreadPool(self, threads, MAX_IDLE_CONNECTIONS)
 
 
 def _split_address(address: str) -> tuple[str, int]:
