Follow the store through a rejected reader without a gap

Cause: while the store turned one domain away, its instances pulled from their own readers, whose answers count as usable up to an age of 1.25 s, then waited 0.7 s for the next pull.

Change: a reader whose call fails pulls from readers of other domains every 0.2 s, so that its domain follows through it, and an instance whose pull gave nothing usable pulls from another source after 0.2 s.

--- a/cranberryscale/process/store_follower.py
+++ b/cranberryscale/process/store_follower.py
@@ -61,6 +61,10 @@
         self._skipped_until: dict[str, datetime.timedelta] = {}
         self._retry_at = now
         self._retry_delay = MIN_RETRY_DELAY
+        # Whether the last call to the store failed.
+        self._is_rejected = False
+        # Whether the last pull got no reply or only stale entries.
+        self._has_pull_failed = False
 
     def find_staleness(self, now: datetime.timedelta) -> datetime.timedelta:
         """Return how long ago the store last confirmed the entries."""
@@ -103,12 +107,14 @@
         pending call of every reader.
         """
         self._retry_delay = MIN_RETRY_DELAY
+        self._is_rejected = False
         if has_changes:
             self._retry_at = at + CHANGE_BATCH_DELAY
         return self._record_confirmation(at)
 
     def record_store_failure(self, now: datetime.timedelta) -> None:
         """Record a failed call and increase the retry delay."""
+        self._is_rejected = True
         jitter = self._rng.uniform(0.5, 1.0)
         self._retry_at = now + self._retry_delay * jitter
         self._retry_delay = min(self._retry_delay * 2, MAX_RETRY_DELAY)
@@ -117,15 +123,28 @@
         self, now: datetime.timedelta
     ) -> datetime.timedelta:
         """Return how long to wait before the next pull."""
-        is_stale = self.find_staleness(now) > STALE_AFTER
-        if is_stale or not self.is_confirmed:
-            return STALE_PULL_INTERVAL
-        return PULL_INTERVAL
+        is_urgent = (
+            self._has_pull_failed
+            or not self.is_confirmed
+            or self.find_staleness(now) > STALE_AFTER
+            or self._is_rejected_reader()
+        )
+        return STALE_PULL_INTERVAL if is_urgent else PULL_INTERVAL
+
+    def _is_rejected_reader(self) -> bool:
+        """Return whether others rely on this instance, which has no store.
+
+        It then pulls from the readers of other domains, so that its own
+        domain follows through it. If it only waited until its entries are
+        stale, those of its domain would be still older.
+        """
+        return self._is_rejected and self.is_reader()
 
     def choose_source(self, now: datetime.timedelta) -> str | None:
         """Return the instance to pull from next, None if none is needed."""
         is_stale = self.find_staleness(now) > STALE_AFTER
-        if self.is_reader() and not is_stale:
+        is_rejected_reader = self._is_rejected_reader()
+        if self.is_reader() and not (is_stale or is_rejected_reader):
             return None
         own = self._roster.own_record
         sources = [
@@ -135,7 +154,7 @@
             )
             if name != own.name and self._is_usable(name, now)
         ]
-        if sources:
+        if sources and not is_rejected_reader:
             # A large configuration occupies a reader's link for a while, so
             # the instances of a domain are divided among its readers.
             return min(sources, key=lambda name: _hash_pair(own.name, name))
@@ -166,6 +185,7 @@
         example a reader that the store rejects, is skipped for a while; one
         that has itself just started and has none, for a shorter time.
         """
+        self._has_pull_failed = False
         if age is None:
             self._skipped_until[source] = at + STALE_PULL_INTERVAL
             return False
@@ -174,7 +194,8 @@
         return self._record_confirmation(at - age)
 
     def record_pull_failure(self, name: str, now: datetime.timedelta) -> None:
-        """Skip a source for a while."""
+        """Skip a source for a while, and pull from another soon."""
+        self._has_pull_failed = True
         self._skipped_until[name] = now + STALE_AFTER
 
     def _record_confirmation(self, at: datetime.timedelta) -> bool:
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,6 +4,8 @@
 import datetime
 import random
 
+import pytest
+
 from cranberryscale.process import fallback
 from cranberryscale.process import roster
 from cranberryscale.process import shards
@@ -257,6 +259,26 @@
     assert simulation.find_max_staleness() <= 2 * SECOND
 
 
+@pytest.mark.parametrize('phase_steps', range(11))
+def test_followers_of_rejected_readers_stay_within_the_time_for_changes(
+    phase_steps,
+):
+    """A new configuration has to be in force everywhere within two seconds.
+
+    On day trouble-1 of the deployment Guild the store turned one domain away.
+    Its instances pulled for over a second from readers that had nothing new,
+    then waited for the next pull, and used the old version for 2.1 s.
+    """
+    simulation = Simulation(44)
+    simulation.run(3 + phase_steps / 10)
+    simulation.rejected = set(list(simulation.followers)[::3])
+    oldest = datetime.timedelta(0)
+    for _ in range(60):
+        simulation.step()
+        oldest = max(oldest, simulation.find_max_staleness())
+    assert oldest < 2 * SECOND
+
+
 def test_call_after_changes_is_delayed_to_batch_further_ones():
     """Each change ends the pending call of every reader."""
     simulation = Simulation(1)
