Bound the head of a server's answer in bytes

Cause: a head could have 200 lines of 64 KiB, and 16 interim heads might come before it, so a server in trouble made one request hold 13 MB and read 200 MB.

Change: one answer's heads together have at most 64 KiB. Bodies without end were bounded already: they are streamed, and end at the deadline.

--- a/cranberryscale/connection/http_heads.py
+++ b/cranberryscale/connection/http_heads.py
@@ -22,7 +22,9 @@
 ]
 
 MAX_INTERIM_RESPONSES = 16
-MAX_LINE_BYTES = 65536
+# Of a response's head together with the interim ones before it. A faulty
+# server may send lines or heads without end.
+MAX_HEAD_BYTES = 65536
 MAX_HEADERS = 200
 SWITCHING_PROTOCOLS = 101
 # Methods whose requests have a Content-Length even if the body is empty.
@@ -82,9 +84,25 @@
     return '\r\n'.join((*lines, '\r\n')).encode('latin-1')
 
 
-def _read_header_pairs(stream: Any) -> http_framing.HeaderPairs:
+class _HeadReader:
+    """Reader of the lines of a head, of at most MAX_HEAD_BYTES in total."""
+
+    def __init__(self, stream: Any):
+        self._stream = stream
+        self._remaining_bytes = MAX_HEAD_BYTES
+
+    def readline(self) -> bytes:
+        """Return the next line, or raise BackendBroken if it is too long."""
+        line = self._stream.readline(self._remaining_bytes)
+        self._remaining_bytes -= len(line)
+        if self._remaining_bytes <= 0:
+            raise errors.make_error(_BROKEN, 'head of the answer too large')
+        return line
+
+
+def _read_header_pairs(stream: _HeadReader) -> http_framing.HeaderPairs:
     pairs = []
-    while (line := stream.readline(MAX_LINE_BYTES)) != b'\r\n':
+    while (line := stream.readline()) != b'\r\n':
         if not line or len(pairs) >= MAX_HEADERS:
             raise errors.make_error(_BROKEN, 'headers of the answer')
         pairs.append(http_framing.parse_header_line(line, _BROKEN))
@@ -96,11 +114,12 @@
 
     Raises BackendBroken.
     """
+    reader = _HeadReader(stream)
     for _ in range(MAX_INTERIM_RESPONSES):
-        match = _STATUS_LINE.fullmatch(stream.readline(MAX_LINE_BYTES))
+        match = _STATUS_LINE.fullmatch(reader.readline())
         if match is None or int(match[2]) == SWITCHING_PROTOCOLS:
             break
-        pairs = _read_header_pairs(stream)
+        pairs = _read_header_pairs(reader)
         if int(match[2]) >= 200:
             reason = (match[3] or b'').decode('latin-1')
             return ResponseHead(int(match[2]), reason, pairs, match[1] == b'1')
