Keep route lookups to one configuration; report unreadable audit files

Cause: find_route replaced the shared index and read it again, so a thread with an older configuration could put its index in between; the request was then handled by the older version.

--- a/cranberryscale/commands.py
+++ b/cranberryscale/commands.py
@@ -120,12 +120,13 @@
 
 def _show_audit(options: argparse.Namespace) -> int:
     if options.file:
-        lines = options.file.read_text('utf-8').splitlines()
-        responses = (
-            operators.InstanceResponse(
-                str(options.file), list(map(json.loads, lines))
-            ),
-        )
+        try:
+            lines = options.file.read_text('utf-8').splitlines()
+            records = list(map(json.loads, lines))
+        except (OSError, RecursionError, ValueError) as error:
+            sys.stderr.write(f'{options.file}: {error}\n')
+            return EXIT_INVALID
+        responses = (operators.InstanceResponse(str(options.file), records),)
     else:
         client = operators.OperatorClient(options.operators)
         responses = client.fetch_audits()
@@ -165,11 +166,14 @@
     return EXIT_OK
 
 
-def _add_fleet_options(parser: argparse.ArgumentParser) -> None:
+def _add_fleet_options(
+    parser: argparse.ArgumentParser, needs_operators: bool = False
+) -> None:
     parser.add_argument(
         '--operators',
         action='append',
         default=[],
+        required=needs_operators,
         metavar='HOST:PORT',
         help='operators\' address of an instance; repeat for more. One that '
         'answers is enough to find the others',
@@ -244,7 +248,7 @@
         help=f'show what a request with the key in {KEY_VARIABLE} '
         'would get now, without running it',
     )
-    _add_fleet_options(explain)
+    _add_fleet_options(explain, needs_operators=True)
     explain.add_argument('--path', required=True)
     explain.add_argument('--method', default='GET')
     explain.add_argument('--host', default='')
--- a/cranberryscale/request/routes.py
+++ b/cranberryscale/request/routes.py
@@ -66,9 +66,11 @@
         self._budgets: dict[str, float] = {}
         self._lock = threading.Lock()
 
-    def _find_routes(self, host: str, path: str) -> list[configuration.Route]:
+    def _find_routes(
+        self, index: _RouteIndex, host: str, path: str
+    ) -> list[configuration.Route]:
         for name in (host, ''):
-            prefixes = self._index.by_host.get(name)
+            prefixes = index.by_host.get(name)
             if prefixes is None:
                 continue
             for prefix in _list_prefixes(path.rstrip('/')):
@@ -88,9 +90,12 @@
         Routes for the request's host take precedence over those for any
         host. Raises RouteUnknown or MethodNotAllowed.
         """
-        if self._index.routes is not current.routes:
-            self._index = _build_index(current.routes)
-        for route in self._find_routes(host, path):
+        # Another thread may replace the index by that of its configuration,
+        # which may be older than this one.
+        index = self._index
+        if index.routes is not current.routes:
+            index = self._index = _build_index(current.routes)
+        for route in self._find_routes(index, host, path):
             if not route.methods or method in route.methods:
                 return route
         raise errors.make_error('method_not_allowed', method)
@@ -119,8 +124,10 @@
     Retries are bounded by the pools' holders for the whole fleet, not here.
     """
 
-    def _find_routes(self, host: str, path: str) -> list[configuration.Route]:
-        return super()._find_routes(host, path.rpartition('/')[0])
+    def _find_routes(
+        self, index: _RouteIndex, host: str, path: str
+    ) -> list[configuration.Route]:
+        return super()._find_routes(index, host, path.rpartition('/')[0])
 
     def spend_retry(self, route: configuration.Route) -> bool:
         """Return True; the pool's holder bounds retries."""
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -73,3 +73,19 @@
     """The documented error table must match the code."""
     page = (ROOT / 'docs' / 'errors.md').read_text('utf-8')
     assert page == errors.render_table()
+
+
+@pytest.mark.parametrize('text', [None, '{', '[' * 100_000, '\udcff'])
+def test_an_unreadable_audit_file_is_reported(text, tmp_path, capsys):
+    path = tmp_path / 'audit.jsonl'
+    if text is not None:
+        path.write_text(text, 'utf-8', 'surrogateescape')
+    assert commands.main(['audit', '--file', str(path)]) == 3
+    assert str(path) in capsys.readouterr().err
+
+
+def test_explain_requires_an_instance(capsys):
+    with pytest.raises(SystemExit) as caught:
+        commands.main(['explain', '--path', '/events'])
+    assert caught.value.code == 2
+    assert '--operators' in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,27 @@
+"""Route lookups by several threads while the configuration changes."""
+
+from cranberryscale.request import routes
+from cranberryscale.version import configuration
+
+
+def make_configuration(service):
+    route = configuration.Route('r', '/a', service)
+    return configuration.Configuration(routes=(route,))
+
+
+def test_a_lookup_uses_its_own_configuration_beside_older_lookups(
+    monkeypatch,
+):
+    """A slower thread could put its older index in place of the new one."""
+    old, new = make_configuration('old'), make_configuration('new')
+    table = routes.RouteTable()
+    match_routes = table._find_routes
+
+    def match_after_interruption(*arguments):
+        """Let a thread with the older configuration run at this point."""
+        monkeypatch.setattr(table, '_find_routes', match_routes)
+        assert table.find_route(old, '', '/a', 'GET').service == 'old'
+        return match_routes(*arguments)
+
+    monkeypatch.setattr(table, '_find_routes', match_after_interruption)
+    assert table.find_route(new, '', '/a', 'GET').service == 'new'
