Let requests wait for a token instead of refusing them together

Each instance read its configuration only 0.7 s after its start, since the seeds were starting as well.

Change: a holder gives a request a token that is due soon and the request waits for it (0.4 s or a third of its time; 1.5 s or half of it in the seconds after a start). The bucket holds the debt, so the rate is the same, and what cannot wait is refused at once. A request waits for a start for half of its time only. An instance that has not joined after 0.25 s reads the store itself.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -204,14 +204,17 @@
         return tuple(record.callers for record in ready)
 
     def admit_locally(
-        self, customer: str, now: datetime.timedelta
+        self,
+        customer: str,
+        now: datetime.timedelta,
+        longest_wait: datetime.timedelta = datetime.timedelta(0),
     ) -> quotas.QuotaDecision:
         """Admit a request from this instance's local part of the quota."""
         known = self.current_configuration.customers.get(customer)
         if known is None:
             raise errors.make_error('key_unknown')
         count = self.roster.count_recently_up(now)
-        return self._local_quota.admit(known, count, now)
+        return self._local_quota.admit(known, count, now, longest_wait)
 
     # Messages from other instances
 
@@ -232,8 +235,8 @@
                 return messages.ExchangeReply(self.roster.records)
             case messages.PullChanges(revision=revision):
                 return self._handle_pull(revision, now)
-            case messages.AskQuota(customer=customer):
-                return self._handle_ask_quota(customer, now)
+            case messages.AskQuota():
+                return self._handle_ask_quota(message, now)
             case messages.AskServer():
                 return self._handle_ask_server(sender, message, now)
             case messages.FinishRequest():
@@ -264,16 +267,17 @@
         return up / max(up, recent)
 
     def _handle_ask_quota(
-        self, customer: str, now: datetime.timedelta
+        self, message: messages.AskQuota, now: datetime.timedelta
     ) -> messages.QuotaReply:
-        known = self.current_configuration.customers.get(customer)
+        known = self.current_configuration.customers.get(message.customer)
         if known is None:
             # The sender may have a newer configuration.
-            raise errors.make_error('not_holder', customer)
+            raise errors.make_error('not_holder', message.customer)
         ratio = self._find_quota_ratio(now)
-        admission = self._quota_holder.admit(known, ratio, now)
+        longest_wait = datetime.timedelta(seconds=message.longest_wait_s)
+        admission = self._quota_holder.admit(known, ratio, now, longest_wait)
         return messages.QuotaReply(
-            admission.is_admitted, admission.retry_after.total_seconds()
+            admission.is_admitted, admission.delay.total_seconds()
         )
 
     def _handle_ask_server(
--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -187,7 +187,7 @@
             ANSWER_LIFETIME, self.instance_settings.terms.longest_answer
         )
 
-    def _wait_for_start(self) -> None:
+    def _wait_for_start(self, until: datetime.timedelta | None) -> None:
         """Delay a request that arrives while the instance starts.
 
         Shortly afterwards the configuration is known, and the quota holders
@@ -195,7 +195,10 @@
         """
         if self._start_complete.is_set():
             return
-        time_left = self._started_at + START_TIME - self.clock.read_elapsed()
+        limit = self._started_at + START_TIME
+        if until is not None:
+            limit = min(limit, until)
+        time_left = limit - self.clock.read_elapsed()
         self._start_complete.wait(max(0.0, time_left.total_seconds()))
 
     def _become_ready(self) -> None:
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -394,16 +394,24 @@
 
 
 class AskQuota(NamedTuple):
-    """A request to a customer's quota holder to admit one request."""
+    """A request to a customer's quota holder to admit one request.
+
+    The request can wait for its token for `longest_wait_s`.
+    """
 
     customer: str
+    longest_wait_s: float = 0.0
 
 
 class QuotaReply(NamedTuple):
-    """The decision whether to admit a request, and when to retry."""
+    """The decision whether to admit a request.
+
+    An admitted request may start after `delay_s`; another one may be repeated
+    then.
+    """
 
     is_admitted: bool
-    retry_after_s: float = 0.0
+    delay_s: float = 0.0
 
 
 class AskServer(NamedTuple):
--- a/cranberryscale/process/quotas.py
+++ b/cranberryscale/process/quotas.py
@@ -11,7 +11,13 @@
 - an instance whose holder does not answer admits from its own part of the
   rate.
 
-Load pattern: one customer far over its rate, at all instances at once.
+Load patterns:
+
+- one customer far over its rate, at all instances at once;
+- callers that return together, after the loss of all instances or in clumps.
+  A request that is given a token soon waits for it, in the order of arrival,
+  instead of being refused. The bucket then holds a debt, so the rate is the
+  same, and a request whose wait would be too long is refused at once.
 """
 
 import datetime
@@ -37,10 +43,14 @@
 
 
 class QuotaDecision(NamedTuple):
-    """Decision whether a request is within the rate, else when to retry."""
+    """Decision whether a request is within the rate.
+
+    An admitted request may start after `delay`; another one may be repeated
+    then.
+    """
 
     is_admitted: bool
-    retry_after: datetime.timedelta = datetime.timedelta(0)
+    delay: datetime.timedelta = datetime.timedelta(0)
 
 
 class _VariableBucket:
@@ -53,7 +63,11 @@
         self.initial_burst = 0.0
 
     def spend(
-        self, rate_per_s: float, burst: float, now: datetime.timedelta
+        self,
+        rate_per_s: float,
+        burst: float,
+        now: datetime.timedelta,
+        longest_wait: datetime.timedelta,
     ) -> QuotaDecision:
         accrued = rate_per_s * (now - self.updated_at).total_seconds()
         self.tokens = min(burst, self.tokens + accrued)
@@ -61,10 +75,11 @@
         if self.tokens >= 1:
             self.tokens -= 1
             return QuotaDecision(True)
-        retry_after = datetime.timedelta(
-            seconds=(1 - self.tokens) / rate_per_s
-        )
-        return QuotaDecision(False, max(retry_after, MIN_RETRY_AFTER))
+        delay = datetime.timedelta(seconds=(1 - self.tokens) / rate_per_s)
+        if delay <= longest_wait:
+            self.tokens -= 1
+            return QuotaDecision(True, delay)
+        return QuotaDecision(False, max(delay, MIN_RETRY_AFTER))
 
 
 class QuotaHolder:
@@ -85,8 +100,9 @@
         customer: configuration.Customer,
         up_ratio: float,
         now: datetime.timedelta,
+        longest_wait: datetime.timedelta = datetime.timedelta(0),
     ) -> QuotaDecision:
-        """Spend a token for one request.
+        """Spend a token for one request, which can wait for it.
 
         `up_ratio` is the ratio of the recently known instances that are up.
         """
@@ -105,7 +121,7 @@
                 burst - bucket.initial_burst
             )
             bucket.initial_burst = burst
-        return bucket.spend(rate_per_s, burst, now)
+        return bucket.spend(rate_per_s, burst, now, longest_wait)
 
     def remove_idle(self, now: datetime.timedelta) -> None:
         """Remove customers without requests; they start with new buckets."""
@@ -130,8 +146,12 @@
         customer: configuration.Customer,
         instances: int,
         now: datetime.timedelta,
+        longest_wait: datetime.timedelta = datetime.timedelta(0),
     ) -> QuotaDecision:
-        """Spend a token; `instances` counts the recently known instances."""
+        """Spend a token for one request, which can wait for it.
+
+        `instances` is the number of recently known instances.
+        """
         if customer.rate_per_s <= 0:
             return QuotaDecision(True)
         assumed_instances = instances if instances > 1 else ASSUMED_INSTANCES
@@ -140,5 +160,5 @@
             customer.name, _VariableBucket(1.0, now)
         )
         return bucket.spend(
-            customer.rate_per_s / assumed_instances, burst, now
+            customer.rate_per_s / assumed_instances, burst, now, longest_wait
         )
--- a/cranberryscale/process/store_follower.py
+++ b/cranberryscale/process/store_follower.py
@@ -25,6 +25,10 @@
 # Longest wait of a long poll by a reader, so that an unresponsive store is
 # detected soon.
 STORE_POLL_WAIT = datetime.timedelta(seconds=1)
+# How long an instance that starts waits for the others to tell it who reads
+# the store. If all start together, nobody can tell; each then needs the
+# configuration at once, and one call of each costs the store little.
+START_READ_DELAY = datetime.timedelta(milliseconds=250)
 # An age above one wait and one pull means that the reader was lost.
 STALE_AFTER = datetime.timedelta(milliseconds=2000)
 # Largest age of a working reader's entries: one wait and some latency.
@@ -91,7 +95,7 @@
             return True
         if (
             not self._roster.is_joined
-            and now - self._started_at < roster.JOIN_TIME
+            and now - self._started_at < START_READ_DELAY
         ):
             return False
         return self.is_reader()
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -74,10 +74,14 @@
 
 
 class AskTokens(NamedTuple):
-    """Action: obtain a token of the customer's rate budget."""
+    """Action: obtain a token of the customer's rate budget.
+
+    `remaining` is the time until the request's deadline.
+    """
 
     customer: str
     once_key: str
+    remaining: datetime.timedelta = datetime.timedelta(0)
 
 
 class AskPermit(NamedTuple):
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -32,6 +32,15 @@
 # Longest delay until a starting instance repeats a token request. Holders that
 # start at the same time know their rate within some tenths of a second.
 STARTUP_RETRY_DELAY = datetime.timedelta(milliseconds=100)
+# Longest wait of a request for a token of its customer's rate, also as a part
+# of its remaining time: waiting must leave time to serve it.
+TOKEN_WAIT_LIMIT = datetime.timedelta(milliseconds=400)
+TOKEN_WAIT_RATIO = 1 / 3
+# The same while the instance has just started. If all instances started
+# together, the callers bring the demand of the seconds without service.
+STARTUP_TOKEN_WAIT_LIMIT = datetime.timedelta(milliseconds=1500)
+STARTUP_TOKEN_WAIT_RATIO = 1 / 2
+STARTUP_DEMAND_TIME = datetime.timedelta(seconds=2)
 # A second queue is tried if the first one refuses the request after all.
 MAX_QUEUES_TRIED = 2
 
@@ -134,27 +143,51 @@
         )
         if customer is not None and customer.rate_per_s <= 0:
             return self._grant_tokens()
+        asked_at = self._clock.read_elapsed()
         while True:
-            reply = self._request_quota(action.customer, request_id)
+            now = self._clock.read_elapsed()
+            remaining = action.remaining - (now - asked_at)
+            reply = self._request_quota(
+                action.customer, request_id, self._find_token_wait(remaining)
+            )
+            delay = datetime.timedelta(seconds=reply.delay_s)
             if reply.is_admitted:
+                self._clock.sleep(delay)
                 return self._grant_tokens()
-            delay = datetime.timedelta(seconds=reply.retry_after_s)
             time_left = self._started_by - self._clock.read_elapsed()
             if time_left <= datetime.timedelta(0):
                 return actions.AdmissionDenied('rate_exceeded', delay)
             self._clock.sleep(min(delay, time_left, STARTUP_RETRY_DELAY))
 
+    def _find_token_wait(
+        self, remaining: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return how long a request can wait for a token."""
+        since_start = self._clock.read_elapsed() - self._started_by
+        if since_start < datetime.timedelta(0):
+            # Holders that start do not know their rate yet, so the waits that
+            # they would grant are too long. Tokens are asked for again.
+            return datetime.timedelta(0)
+        if since_start < STARTUP_DEMAND_TIME:
+            return min(
+                STARTUP_TOKEN_WAIT_LIMIT, remaining * STARTUP_TOKEN_WAIT_RATIO
+            )
+        return min(TOKEN_WAIT_LIMIT, remaining * TOKEN_WAIT_RATIO)
+
     def _request_quota(
-        self, customer: str, request_id: str
+        self,
+        customer: str,
+        request_id: str,
+        longest_wait: datetime.timedelta,
     ) -> messages.QuotaReply:
-        reply, holder = self._query_quota_holder(customer)
+        reply, holder = self._query_quota_holder(customer, longest_wait)
         logs.log_event(
             'quota',
             request_id=request_id,
             customer=customer,
             holder=holder,
             admitted=reply.is_admitted,
-            retry_after_s=round(reply.retry_after_s, 3),
+            delay_s=round(reply.delay_s, 3),
             **self._core.describe_configuration(self._clock.read_elapsed()),
         )
         return reply
@@ -166,7 +199,7 @@
         return actions.TokensGranted(until, covers_repeats=True)
 
     def _query_quota_holder(
-        self, customer: str
+        self, customer: str, longest_wait: datetime.timedelta
     ) -> tuple[messages.QuotaReply, str]:
         with self._driver.lock:
             now = self._clock.read_elapsed()
@@ -175,7 +208,7 @@
             try:
                 reply = self._driver.call_instance(
                     holder,
-                    messages.AskQuota(customer),
+                    messages.AskQuota(customer, longest_wait.total_seconds()),
                     core_driver.HOLDER_TIMEOUT,
                 )
                 return reply, holder
@@ -183,10 +216,10 @@
                 self._record_local_decision('quota', holder, error)
         with self._driver.lock:
             decision = self._core.admit_locally(
-                customer, self._clock.read_elapsed()
+                customer, self._clock.read_elapsed(), longest_wait
             )
-        retry_s = decision.retry_after.total_seconds()
-        return messages.QuotaReply(decision.is_admitted, retry_s), LOCAL_HOLDER
+        delay_s = decision.delay.total_seconds()
+        return messages.QuotaReply(decision.is_admitted, delay_s), LOCAL_HOLDER
 
     def _record_local_decision(
         self, matter: str, holder: str, error: errors.FleetError
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -54,8 +54,8 @@
 
     `observe` is called with the outcome and duration of each request.
     `describe_configuration` returns version and age of the configuration for
-    the log. `wait_until_started` blocks, for a bounded time, until requests
-    can be decided.
+    the log. `wait_until_started` blocks until requests can be decided, at
+    most until an elapsed time, if one is given.
     """
 
     def __init__(
@@ -68,10 +68,12 @@
             backend_headers.BackendHeaders()
         ),
         describe_configuration: Callable[[], dict[str, object]] = dict,
-        wait_until_started: Callable[[], None] = lambda: None,
+        wait_until_started: Callable[
+            [datetime.timedelta | None], None
+        ] = lambda until: None,
     ):
         self._describe_configuration = describe_configuration
-        self._wait_until_started = wait_until_started
+        self.wait_until_started = wait_until_started
         self.header_names = header_names
         self.admission = admission
         self.backends = backends
@@ -88,7 +90,6 @@
         )
         self._update_running_count(request, True)
         try:
-            self._wait_until_started()
             return request.start()
         except Exception as error:
             # Every exception must end as an error response and a log event.
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -25,6 +25,9 @@
 # Longest idle time of a connection on which a non-idempotent request is sent.
 # A connection that was idle for longer may no longer reach the server.
 RUN_ONCE_IDLE_LIMIT = datetime.timedelta(seconds=1)
+# Part of a request's time that it waits for an instance that is starting. With
+# all of it, requests with 0.8 s ended unserved at the end of the wait.
+START_WAIT_RATIO = 0.5
 
 _PORT = re.compile(r':[0-9]*$')
 
@@ -85,6 +88,15 @@
             caller_request.inheaders.framing.length,
         )
 
+    def _find_start_limit(
+        self, request: actions.ParsedRequest
+    ) -> datetime.timedelta | None:
+        """Return how long the request can wait for the instance's start."""
+        if request.deadline is None:
+            return None
+        time_left = request.deadline - request.received
+        return request.received + time_left * START_WAIT_RATIO
+
     @property
     def _host(self) -> str:
         found = http_framing.find_header_values(
@@ -97,6 +109,7 @@
         try:
             self._gateway.check_accepting()
             request = self._read_request()
+            self._gateway.wait_until_started(self._find_start_limit(request))
         except errors.FleetError as error:
             return self._refuse(
                 actions.RefuseRequest(error, errors.NOT_RUN),
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -128,6 +128,34 @@
         )
 
 
+@pytest.mark.parametrize(
+    ('since_start_s', 'remaining_s', 'longest_wait_s'),
+    [
+        # Holders do not know their rates yet: tokens are asked for again.
+        (-0.5, 3.0, 0.0),
+        # Callers return after the loss of all instances.
+        (0.5, 2.0, 1.0),
+        (0.5, 9.0, 1.5),
+        (5.0, 9.0, 0.4),
+        (5.0, 0.9, 0.3),
+    ],
+)
+def test_wait_for_a_token_leaves_time_to_serve_the_request(
+    since_start_s, remaining_s, longest_wait_s
+):
+    driver, admission = make_admission(
+        started_by=START - since_start_s * SECOND,
+        AskQuota=messages.QuotaReply(True, longest_wait_s),
+    )
+    began = admission.context.read_elapsed()
+    action = actions.AskTokens('c', '', remaining_s * SECOND)
+    result = admission.ask_tokens(action, 'r')
+    assert isinstance(result, actions.TokensGranted)
+    assert driver.calls[0].longest_wait_s == pytest.approx(longest_wait_s)
+    waited = admission.context.read_elapsed() - began
+    assert waited == longest_wait_s * SECOND
+
+
 def test_startup_retry_delay_is_bounded():
     """Holders that are starting return a delay for a divided rate.
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -118,6 +118,20 @@
     assert all(f.is_confirmed for f in simulation.followers.values())
 
 
+def test_an_instance_that_cannot_join_reads_the_store_early():
+    """If all start together, seeds do not respond yet.
+
+    On day trouble-1 of the deployment Guild, instances waited 0.7 s for an
+    unresponsive seed before they read the configuration.
+    """
+    record = roster.InstanceRecord('n1', 1, 1, 'a', 'c1', 1.0)
+    rng = random.Random(1)
+    members = roster.Roster(record, ('seed',), rng, START)
+    follower = store_follower.StoreFollower(members, rng, START)
+    assert not follower.should_read(START + STEP)
+    assert follower.should_read(START + 3 * STEP)
+
+
 def test_a_source_that_has_just_started_is_skipped_only_briefly():
     simulation = Simulation(12)
     follower = next(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -525,6 +525,20 @@
         assert proxy.gateway.wait_idle(SECOND)
 
 
+def test_wait_for_the_start_leaves_half_of_the_time_to_a_request():
+    """Requests with 0.8 s used to wait until nothing of it was left."""
+    limits = []
+    with harness.GatewayStack(harness.serve_hello) as proxy:
+        proxy.gateway.wait_until_started = limits.append
+        proxy.send_raw(GET)
+        before = harness.CLOCK.read_elapsed()
+        data = proxy.send_raw(GET + b'\r\nX-Deadline-Ms: 800')
+        after = harness.CLOCK.read_elapsed()
+    assert data.endswith(b'hello')
+    assert limits[0] is None
+    assert before < limits[1] - 0.4 * SECOND < after
+
+
 def test_threads_are_started_as_requests_need_them():
     """Most instances serve a few requests a second and need one thread."""
     everyone = threading.Barrier(4)
