End waiting for tokens under a long overload of a customer

Change: tokens are waited for only in the first 3 s after a customer ran out of them; then again when its bucket was half full.

--- a/cranberryscale/process/quotas.py
+++ b/cranberryscale/process/quotas.py
@@ -17,7 +17,10 @@
 - callers that return together, after the loss of all instances or in clumps.
   A request that is given a token soon waits for it, in the order of arrival,
   instead of being refused. The bucket then holds a debt, so the rate is the
-  same, and a request whose wait would be too long is refused at once.
+  same, and a request whose wait would be too long is refused at once;
+- one customer over its rate for long. Waiting would only delay each of its
+  requests, so it ends after some seconds, until the customer is well inside
+  its rate again.
 """
 
 import datetime
@@ -40,6 +43,11 @@
 ASSUMED_INSTANCES = 16
 IDLE_TIME = datetime.timedelta(seconds=60)
 MIN_RETRY_AFTER = datetime.timedelta(milliseconds=50)
+# How long after the first wait for a token further ones are given, which is
+# enough for the demand that returns after a loss of all instances.
+WAITING_TIME = datetime.timedelta(seconds=3)
+# Part of the burst from which on a customer is well inside its rate.
+RECOVERED_RATIO = 0.5
 
 
 class QuotaDecision(NamedTuple):
@@ -61,6 +69,8 @@
         self.updated_at = at
         # The largest burst of which an initial part was credited.
         self.initial_burst = 0.0
+        # When the first request found no token since the last recovery.
+        self._short_since: datetime.timedelta | None = None
 
     def spend(
         self,
@@ -72,11 +82,16 @@
         accrued = rate_per_s * (now - self.updated_at).total_seconds()
         self.tokens = min(burst, self.tokens + accrued)
         self.updated_at = now
+        if self.tokens >= burst * RECOVERED_RATIO:
+            self._short_since = None
         if self.tokens >= 1:
             self.tokens -= 1
             return QuotaDecision(True)
+        if self._short_since is None:
+            self._short_since = now
+        may_wait = now - self._short_since < WAITING_TIME
         delay = datetime.timedelta(seconds=(1 - self.tokens) / rate_per_s)
-        if delay <= longest_wait:
+        if may_wait and delay <= longest_wait:
             self.tokens -= 1
             return QuotaDecision(True, delay)
         return QuotaDecision(False, max(delay, MIN_RETRY_AFTER))
--- a/cranberryscale_bench/mutations.py
+++ b/cranberryscale_bench/mutations.py
@@ -22,6 +22,7 @@
 
 from cranberryscale_bench import mutants
 from cranberryscale_bench import pool_mutants
+from cranberryscale_bench import report_mutants
 from cranberryscale_bench import request_mutants
 
 
@@ -62,7 +63,10 @@
 def list_mutations() -> tuple[mutants.Mutation, ...]:
     """Return all mutations."""
     return (
-        mutants.MUTATIONS + pool_mutants.MUTATIONS + request_mutants.MUTATIONS
+        mutants.MUTATIONS
+        + pool_mutants.MUTATIONS
+        + request_mutants.MUTATIONS
+        + report_mutants.MUTATIONS
     )
 
 
--- /dev/null
+++ b/cranberryscale_bench/report_mutants.py
@@ -0,0 +1,94 @@
+"""Mutations of what guards against the reports of other operators.
+
+See docs/reports.md; the last ones concern the incidents of the same time.
+"""
+
+from cranberryscale_bench import mutants
+
+
+__all__ = ['MUTATIONS']
+
+
+MUTATIONS = (
+    mutants.Mutation(
+        'entry-nesting-untyped',
+        'cranberryscale/platform/entry_decoding.py',
+        '        # Nested too deeply.\n        RecursionError,\n',
+        '',
+        ('odd_entries',),
+        'an entry that is nested too deeply is refused alone',
+    ),
+    mutants.Mutation(
+        'entry-number-unbounded',
+        'cranberryscale/platform/entry_decoding.py',
+        '    born: _Count = 0\n',
+        '    born: int = 0\n',
+        ('odd_entries',),
+        'an entry with a number too large is refused alone',
+    ),
+    mutants.Mutation(
+        'entry-port-unchecked',
+        'cranberryscale/platform/entry_decoding.py',
+        ' or not 1 <= int(port) <= 65535',
+        '',
+        ('odd_entries',),
+        'a server has a port that exists',
+    ),
+    mutants.Mutation(
+        'kind-unknown-repeated',
+        'cranberryscale/platform/entry_decoding.py',
+        '_IDEMPOTENT.get(row.route_type, False)',
+        '_IDEMPOTENT.get(row.route_type, True)',
+        ('odd_entries',),
+        'a request of an unknown kind runs once',
+    ),
+    mutants.Mutation(
+        'head-unbounded',
+        'cranberryscale/connection/http_heads.py',
+        '        self._remaining_bytes -= len(line)\n',
+        '',
+        ('reports',),
+        'the head of an answer is bounded',
+    ),
+    mutants.Mutation(
+        'stop-queue-dropped',
+        'cranberryscale/connection/listeners.py',
+        '        self._accept_waiting(listener)\n',
+        '',
+        ('stops',),
+        'connections in the queue of a listener are accepted before it closes',
+    ),
+    mutants.Mutation(
+        'token-debt-forgotten',
+        'cranberryscale/process/quotas.py',
+        '        if may_wait and delay <= longest_wait:\n'
+        '            self.tokens -= 1\n',
+        '        if may_wait and delay <= longest_wait:\n',
+        ('quotas',),
+        'a token that is waited for is taken from the bucket',
+    ),
+    mutants.Mutation(
+        'token-not-waited-for',
+        'cranberryscale/request/core_admission.py',
+        '                self._clock.sleep(delay)\n',
+        '',
+        ('coordination',),
+        'a request starts only when its token is due',
+    ),
+    mutants.Mutation(
+        'follower-rejected-reader-waits',
+        'cranberryscale/process/store_follower.py',
+        '            or self._is_rejected_reader()\n',
+        '',
+        ('following',),
+        'a reader without the store pulls from readers elsewhere',
+    ),
+    mutants.Mutation(
+        'route-shared-index',
+        'cranberryscale/request/routes.py',
+        'prefixes = index.by_host.get(name)',
+        'prefixes = self._index.by_host.get(name)',
+        ('routes',),
+        'a lookup uses its own configuration',
+    ),
+)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import contextlib
 import datetime
 import json
 import signal
@@ -215,6 +216,15 @@
 ]
 
 
+def replace_part(document, path, value):
+    """Replace a part of a document unless it has no such part any more."""
+    place = document
+    with contextlib.suppress(IndexError, KeyError, TypeError):
+        for step in path[:-1]:
+            place = place[step]
+        place[path[-1]] = value
+
+
 @hypothesis.settings(max_examples=400, deadline=None)
 @hypothesis.given(
     strategies.sampled_from(['servers/i9', 'op/config', 'op/evacuate/a']),
@@ -233,19 +243,7 @@
         base = test_published.make_server()
     document = json.loads(base)
     for path, value in edits:
-        place = document
-        for step in path[:-1]:
-            place = (
-                place.get(step)
-                if isinstance(place, dict)
-                else place[step : step + 1][0]
-                if isinstance(place, list) and len(place) > step
-                else None
-            )
-        if isinstance(place, dict) or (
-            isinstance(place, list) and len(place) > path[-1]
-        ):
-            place[path[-1]] = value
+        replace_part(document, path, value)
     body = json.dumps(document).encode() + (rest if not edits else b'')
     store_replica = test_published.make_replica()
     store_replica.apply(
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -258,3 +258,32 @@
     refused = holder.admit(CUSTOMER, 1.0, START, 0.4 * SECOND)
     assert refused.delay > 0.4 * SECOND
     assert holder.admit(CUSTOMER, 1.0, START + refused.delay).is_admitted
+
+
+def test_long_overload_of_a_customer_builds_no_standing_queue():
+    """Load pattern: a customer at twice its rate, then inside it again.
+
+    If its requests always waited for their tokens, all would be late and no
+    more of them served: on day quiet-1 of the deployment Sofia, whose
+    operators lower a customer's rate, the served worth fell from 0.952 to
+    0.936.
+    """
+    holder = make_holder()
+
+    def find_delays(start_s, seconds, rate_per_s):
+        step = SECOND / rate_per_s
+        first = START + start_s * SECOND
+        times = (first + n * step for n in range(int(seconds * rate_per_s)))
+        decisions = (
+            holder.admit(CUSTOMER, 1.0, now, 0.4 * SECOND) for now in times
+        )
+        return [d.delay for d in decisions if d.is_admitted]
+
+    delays = find_delays(0, 20, 2 * CUSTOMER.rate_per_s)
+    assert max(delays) > 0.3 * SECOND
+    late = find_delays(20, 10, 2 * CUSTOMER.rate_per_s)
+    assert set(late) == {0 * SECOND}
+    assert len(late) >= CUSTOMER.rate_per_s * 10
+    find_delays(30, 5, CUSTOMER.rate_per_s / 4)
+    clump = find_delays(35, 0.2, 20 * CUSTOMER.rate_per_s)
+    assert max(clump) > 0 * SECOND
