Keep holders, readers and digests until a record changes

Cause: every request chose two to five holders, and each check compared a digest of all records; both sorted and ranked the whole fleet each time. At 292 instances a holder took 472 us, a digest 452 us, a list of readers 234 us; at 48 instances 90, 83 and 49 us.

Change: the roster keeps what it derives from the records until one changes, and a holder until the next instance has been up for long enough.

Measured: 1.0, 0.4 and 0.7 us, the same at 48, 94 and 292 instances (one process, best of three). A trial of frozen and rarer garbage collection made no difference (1.53 and 1.64 s of processor time before, 1.52 and 1.67 s after, for 400 requests at one of four instances) and was left out.

--- a/cranberryscale/process/roster.py
+++ b/cranberryscale/process/roster.py
@@ -9,10 +9,12 @@
 once to a few instances.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import datetime
 import enum
 import random
+from typing import Any
 from typing import NamedTuple
 import zlib
 
@@ -51,6 +53,11 @@
 MIN_HOLDER_UPTIME = datetime.timedelta(seconds=2)
 
 
+# Derived results that are kept, above the number of resources of a fleet.
+DERIVED_LIMIT = 10_000
+_NEVER = datetime.timedelta.max
+
+
 class InstanceState(enum.IntEnum):
     """State of an instance; within one epoch a later state wins."""
 
@@ -79,6 +86,14 @@
         return (self.epoch, self.state)
 
 
+class _HolderChoice(NamedTuple):
+    """Holder of a resource, valid in a span of elapsed times."""
+
+    name: str
+    since: datetime.timedelta
+    until: datetime.timedelta
+
+
 class Roster:
     """Table of the records of all instances; `rng` draws check targets."""
 
@@ -109,6 +124,18 @@
         self._joined_at: datetime.timedelta | None = None
         # When a previously unknown instance last appeared.
         self._last_discovery_at = now
+        # Results derived from the records, by key, until a record changes.
+        # Several are needed for each request, and each takes time in
+        # proportion to the number of instances.
+        self._derived: dict[tuple, Any] = {}
+
+    def _derive(self, key: tuple, derive: Callable[[], Any]) -> Any:
+        """Return a derived result, computed at most once for each change."""
+        if key not in self._derived:
+            if len(self._derived) >= DERIVED_LIMIT:
+                self._derived.clear()
+            self._derived[key] = derive()
+        return self._derived[key]
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Replace the addresses of the instances to contact first."""
@@ -117,11 +144,16 @@
     @property
     def records(self) -> tuple[InstanceRecord, ...]:
         """Return all records, sorted by name."""
-        return tuple(sorted(self._records.values()))
+        return self._derive(
+            ('records',), lambda: tuple(sorted(self._records.values()))
+        )
 
     @property
     def digest(self) -> int:
         """Return a checksum of all records for comparison with others."""
+        return self._derive(('digest',), self._compute_digest)
+
+    def _compute_digest(self) -> int:
         text = repr([(r.name, r.precedence) for r in self.records])
         return zlib.crc32(text.encode())
 
@@ -144,7 +176,9 @@
 
     def list_up(self) -> tuple[InstanceRecord, ...]:
         """Return the instances that are not down, this one included."""
-        return tuple(r for r in self.records if self._is_up(r))
+        return self._derive(
+            ('up',), lambda: tuple(r for r in self.records if self._is_up(r))
+        )
 
     def _is_up(self, record: InstanceRecord) -> bool:
         return (
@@ -154,8 +188,11 @@
 
     def list_ready(self) -> tuple[InstanceRecord, ...]:
         """Return the instances that callers may use."""
-        return tuple(
-            r for r in self.list_up() if r.state == InstanceState.READY
+        return self._derive(
+            ('ready',),
+            lambda: tuple(
+                r for r in self.list_up() if r.state == InstanceState.READY
+            ),
         )
 
     def count_recently_up(self, now: datetime.timedelta) -> int:
@@ -178,21 +215,42 @@
         one. Every instance chooses from its own records. A short disagreement
         between two is harmless, since each holder bounds what it gives out.
         """
+        key = ('holder', resource, domain)
+        choice = self._derived.get(key)
+        if choice is None or not choice.since <= now < choice.until:
+            self._derived.pop(key, None)
+            choice = self._derive(
+                key, lambda: self._choose_holder(resource, now, domain)
+            )
+        return choice.name
+
+    def _choose_holder(
+        self,
+        resource: rendezvous.CoordinatedResource,
+        now: datetime.timedelta,
+        domain: str | None,
+    ) -> _HolderChoice:
         ready = self.list_ready()
         if domain is not None:
             ready = tuple(r for r in ready if r.domain == domain) or ready
-        eligible = [r for r in ready if self._is_up_long_enough(r, now)]
+        eligible_from = {
+            r: self._up_since.get(r.name, now) + MIN_HOLDER_UPTIME
+            for r in ready
+        }
+        eligible = [r for r in ready if now >= eligible_from[r]]
         chosen = rendezvous.choose_candidate(eligible or ready, resource)
-        return chosen.name if chosen else self.own_record.name
-
-    def _is_up_long_enough(
-        self, record: InstanceRecord, now: datetime.timedelta
-    ) -> bool:
-        since = self._up_since.get(record.name, now)
-        return now - since >= MIN_HOLDER_UPTIME
+        name = chosen.name if chosen else self.own_record.name
+        later = (at for at in eligible_from.values() if at > now)
+        return _HolderChoice(name, now, min(later, default=_NEVER))
 
     def list_readers(self, domain: str, count: int) -> tuple[str, ...]:
         """Return the instances of a domain that read the store for it."""
+        return self._derive(
+            ('readers', domain, count),
+            lambda: self._rank_readers(domain, count),
+        )
+
+    def _rank_readers(self, domain: str, count: int) -> tuple[str, ...]:
         resource = rendezvous.CoordinatedResource('reader', domain)
         candidates = [
             r
@@ -238,6 +296,7 @@
         self, record: InstanceRecord, now: datetime.timedelta
     ) -> None:
         known = self._records.get(record.name)
+        self._derived.clear()
         self._records[record.name] = record
         if record.name == self.own_record.name:
             self.own_record = record
@@ -337,6 +396,7 @@
             for other, first in self._locally_down.items():
                 self._failed_checks[other] = (FAILED_CHECK_LIMIT - 1, first)
             self._locally_down.clear()
+            self._derived.clear()
             self._fast_checks_until = now + FAST_CHECK_DURATION
 
     def record_failed_check(
@@ -361,6 +421,7 @@
             )
         else:
             self._locally_down[name] = first
+            self._derived.clear()
         return True
 
     def remove_long_down(self, now: datetime.timedelta) -> None:
@@ -371,6 +432,8 @@
             if record.state == InstanceState.DOWN
             and now - self._changed_at[record.name] > DOWN_RETENTION
         ]
+        if old:
+            self._derived.clear()
         for name in old:
             del self._records[name], self._changed_at[name]
             self._up_since.pop(name, None)
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -320,3 +320,92 @@
         member.find_record(member.choose_holder(resource, later, 'b'))
         is not None
     )
+
+
+def test_derived_results_follow_every_change_of_the_records():
+    """Holders, readers and digests are kept until a record changes."""
+    rng = random.Random(5)
+    names = [f'n{n:02}' for n in range(12)]
+    members = make_random_roster(names, rng)
+    now = START
+    for step in range(2000):
+        now += rng.choice((0, 1, 50)) * datetime.timedelta(milliseconds=20)
+        change_randomly(members, names, rng, now)
+        kept = describe_roster(members, now)
+        members._derived.clear()
+        assert describe_roster(members, now) == kept, step
+
+
+def make_random_roster(names, rng):
+    own = roster.InstanceRecord(names[0], 1, 1, 'a', 'c', 1.0)
+    return roster.Roster(own, names[1:3], rng, START)
+
+
+def change_randomly(members, names, rng, now):
+    name = rng.choice(names)
+    match rng.randrange(5):
+        case 0:
+            record = roster.InstanceRecord(
+                name,
+                rng.randrange(4),
+                rng.randrange(4),
+                rng.choice('ab'),
+                f'c-{name}',
+                rng.choice((0.43, 1.0, 2.15)),
+            )
+            members.merge([record], now)
+        case 1:
+            members.record_contact(name, now)
+        case 2:
+            members.record_failed_check(name, now, now)
+        case 3:
+            members.set_state(rng.choice(list(roster.InstanceState)), now)
+        case 4:
+            members.remove_long_down(now)
+
+
+def describe_roster(members, now):
+    resources = [
+        rendezvous.CoordinatedResource('customer', f'c{n}') for n in range(3)
+    ]
+    return (
+        members.records,
+        members.digest,
+        members.list_up(),
+        members.list_ready(),
+        [members.list_readers(domain, 2) for domain in 'ab'],
+        [
+            members.choose_holder(resource, now, domain)
+            for resource in resources
+            for domain in (None, 'a', 'b')
+        ],
+    )
+
+
+@pytest.mark.parametrize('count', [40, 300])
+def test_choosing_a_holder_does_not_rank_the_fleet_for_each_request(
+    count, monkeypatch
+):
+    """At 292 instances it took 0.47 ms, several times for each request."""
+    ranked = []
+    choose = rendezvous.choose_candidate
+
+    def count_candidates(candidates, resource):
+        ranked.extend(candidates)
+        return choose(candidates, resource)
+
+    monkeypatch.setattr(rendezvous, 'choose_candidate', count_candidates)
+    own = roster.InstanceRecord('n000', 1, 1, 'a', 'c', 1.0)
+    members = roster.Roster(own, (), random.Random(1), START)
+    members.merge(
+        [
+            roster.InstanceRecord(f'n{n:03}', 1, 1, 'a', f'c{n}', 1.0)
+            for n in range(1, count)
+        ],
+        START,
+    )
+    resource = rendezvous.CoordinatedResource('customer', 'c1')
+    for n in range(1000):
+        members.choose_holder(resource, START + n * SECOND / 100)
+    # Once, and once more when the instances have been up for long enough.
+    assert len(ranked) <= 2 * count
