Count connections that are served to decide on a further thread

A thread that has just taken a connection looked idle for an instant; a connection that came at that instant waited for the end of the first request, since no further thread was started for it.

Change: the pool counts the connections that were queued and those that were served, and compares the difference with its threads.

Measured: the new test stops a thread at that point.

--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import contextlib
 import datetime
+import itertools
 import queue
 import socket
 import struct
@@ -100,20 +101,32 @@
     def __init__(self, server, threads: int, limit: int):
         super().__init__(server, min=1, max=threads)
         self._queue = _ConnectionQueue(limit)
-        self.get = self._queue.get
+        self.get = self._take_next
+        # Connections that were queued, and those that were served since then.
+        # Their difference is compared with the number of threads. The
+        # attribute `conn` of a thread would not do, since it is not set yet
+        # when the thread has just taken a connection.
+        self._queued_numbers = itertools.count(1)
+        self._served_numbers = itertools.count(1)
+        self._queued_count = self._served_count = 0
+        self._local = threading.local()
 
     def put(self, obj) -> None:
-        """Queue a connection; raise queue.Full if too many wait.
-
-        Only the thread that accepts connections and those that return
-        pipelined ones call this. Two at once may start one thread too many
-        below the limit, which is harmless.
-        """
+        """Queue a connection; raise queue.Full if too many wait."""
         self._queue.put(obj)
+        self._queued_count = next(self._queued_numbers)
+        demand = self._queued_count - self._served_count
         # Unlike `grow`, this does not wait until the thread runs.
-        if self._queue.qsize() > self.idle and len(self._threads) < self.max:
+        if demand > len(self._threads) and len(self._threads) < self.max:
             self._threads.append(self._spawn_worker())
 
+    def _take_next(self):
+        """Return the next connection for the calling thread."""
+        if getattr(self._local, 'is_serving', False):
+            self._served_count = next(self._served_numbers)
+        self._local.is_serving = True
+        return self._queue.get()
+
 
 class CallerConnection(cheroot_server.HTTPConnection):
     """Connection of a caller."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -560,6 +560,33 @@
         assert len(threads) == 4
 
 
+def test_a_thread_that_has_just_taken_a_connection_is_not_idle():
+    """The next connection would wait for the end of the first request."""
+    with harness.GatewayStack(harness.serve_hello, threads=4) as proxy:
+        pool = proxy.listener.requests
+        taken, may_go_on = threading.Event(), threading.Event()
+        take = pool._queue.get
+
+        def take_and_pause():
+            connection = take()
+            taken.set()
+            may_go_on.wait(5)
+            return connection
+
+        # The thread of the pool already waits in the original function.
+        proxy.send_raw(GET)
+        pool._queue.get = take_and_pause
+        proxy.send_raw(GET)
+        with proxy.connect() as first:
+            first.sendall(GET + AUTH + b'\r\n\r\n')
+            assert taken.wait(5)
+            pool._queue.get = take
+            assert proxy.send_raw(GET).endswith(b'hello')
+            may_go_on.set()
+            answer = first.recv(4096)
+        assert answer.endswith(b'hello')
+
+
 def test_more_requests_than_threads_and_queue_are_refused():
     """An instance at its limit must refuse at once and keep running."""
     with harness.GatewayStack(serve_silence, threads=1) as proxy:
