Keep less urgent requests behind urgent ones while tokens are short

Cause: tokens are waited for in the order of arrival.

Change: requests that are not of the most urgent priority of their customer wait for half as long at most.

--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -76,12 +76,14 @@
 class AskTokens(NamedTuple):
     """Action: obtain a token of the customer's rate budget.
 
-    `remaining` is the time until the request's deadline.
+    `remaining` is the time until the request's deadline. `is_urgent` is set
+    if none of the customer's requests is more urgent.
     """
 
     customer: str
     once_key: str
     remaining: datetime.timedelta = datetime.timedelta(0)
+    is_urgent: bool = True
 
 
 class AskPermit(NamedTuple):
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -41,6 +41,10 @@
 STARTUP_TOKEN_WAIT_LIMIT = datetime.timedelta(milliseconds=1500)
 STARTUP_TOKEN_WAIT_RATIO = 1 / 2
 STARTUP_DEMAND_TIME = datetime.timedelta(seconds=2)
+# Part of this time for requests that are not the most urgent. Tokens are
+# waited for in the order of arrival, so otherwise requests with much time
+# would take the tokens that urgent ones with little time cannot wait for.
+LESS_URGENT_WAIT_RATIO = 1 / 2
 # A second queue is tried if the first one refuses the request after all.
 MAX_QUEUES_TRIED = 2
 
@@ -147,8 +151,11 @@
         while True:
             now = self._clock.read_elapsed()
             remaining = action.remaining - (now - asked_at)
+            longest_wait = self._find_token_wait(remaining)
+            if not action.is_urgent:
+                longest_wait *= LESS_URGENT_WAIT_RATIO
             reply = self._request_quota(
-                action.customer, request_id, self._find_token_wait(remaining)
+                action.customer, request_id, longest_wait
             )
             delay = datetime.timedelta(seconds=reply.delay_s)
             if reply.is_admitted:
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -31,7 +31,9 @@
 ) -> Generator[actions.Action, actions.Event, None]:
     # The idempotency key was recorded with the first request for tokens.
     once_key = '' if state.has_idempotency_record else state.request.once_key
-    action = actions.AskTokens(state.customer, once_key, state.remaining)
+    action = actions.AskTokens(
+        state.customer, once_key, state.remaining, state.is_most_urgent
+    )
     match (yield action):
         case actions.TokensGranted(valid_until=until, covers_repeats=covers):
             state.tokens_valid_until = until
--- a/cranberryscale/request/request_state.py
+++ b/cranberryscale/request/request_state.py
@@ -99,6 +99,15 @@
             return self.route.priority
         return customer.priority
 
+    @property
+    def is_most_urgent(self) -> bool:
+        """Return whether none of the customer's requests is more urgent."""
+        current = self.context.get_configuration()
+        customer = current.customers.get(self.customer)
+        if customer is not None and customer.priority is not None:
+            return True
+        return self.context.routes.is_most_urgent(current, self.route)
+
     @property
     def has_attempts_left(self) -> bool:
         """Return whether another attempt is allowed."""
--- a/cranberryscale/request/routes.py
+++ b/cranberryscale/request/routes.py
@@ -16,10 +16,14 @@
 
 
 class _RouteIndex(NamedTuple):
-    """Routes of one configuration, by host and then by path prefix."""
+    """Routes of one configuration, by host and then by path prefix.
+
+    `top_priority` is that of the most urgent routes, the lowest number.
+    """
 
     routes: tuple[configuration.Route, ...]
     by_host: dict[str, dict[str, list[configuration.Route]]]
+    top_priority: int = 0
 
 
 def _clean_prefix(prefix: str) -> str:
@@ -31,7 +35,8 @@
     for route in routes:
         prefixes = by_host.setdefault(route.host.lower(), {})
         prefixes.setdefault(_clean_prefix(route.prefix), []).append(route)
-    return _RouteIndex(routes, by_host)
+    top_priority = min((route.priority for route in routes), default=0)
+    return _RouteIndex(routes, by_host, top_priority)
 
 
 def _list_prefixes(path: str):
@@ -90,15 +95,27 @@
         Routes for the request's host take precedence over those for any
         host. Raises RouteUnknown or MethodNotAllowed.
         """
+        index = self._get_index(current)
+        for route in self._find_routes(index, host, path):
+            if not route.methods or method in route.methods:
+                return route
+        raise errors.make_error('method_not_allowed', method)
+
+    def _get_index(self, current: configuration.Configuration) -> _RouteIndex:
         # Another thread may replace the index by that of its configuration,
         # which may be older than this one.
         index = self._index
         if index.routes is not current.routes:
             index = self._index = _build_index(current.routes)
-        for route in self._find_routes(index, host, path):
-            if not route.methods or method in route.methods:
-                return route
-        raise errors.make_error('method_not_allowed', method)
+        return index
+
+    def is_most_urgent(
+        self,
+        current: configuration.Configuration,
+        route: configuration.Route,
+    ) -> bool:
+        """Return whether no route of the configuration is more urgent."""
+        return route.priority <= self._get_index(current).top_priority
 
     def credit_retry_budget(self, route: configuration.Route) -> None:
         """Add retry_ratio of a request to the route's retry budget."""
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -156,6 +156,18 @@
     assert waited == longest_wait_s * SECOND
 
 
+def test_less_urgent_requests_wait_for_half_as_long():
+    """Otherwise they would take the tokens of urgent ones with little time."""
+    driver, admission = make_admission(
+        started_by=START - 5 * SECOND, AskQuota=messages.QuotaReply(True, 0.0)
+    )
+    for is_urgent in (True, False):
+        action = actions.AskTokens('c', '', 9 * SECOND, is_urgent)
+        admission.ask_tokens(action, 'r')
+    waits = [call.longest_wait_s for call in driver.calls]
+    assert waits == pytest.approx([0.4, 0.2])
+
+
 def test_startup_retry_delay_is_bounded():
     """Holders that are starting return a delay for a divided rate.
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -287,3 +287,24 @@
     find_delays(30, 5, CUSTOMER.rate_per_s / 4)
     clump = find_delays(35, 0.2, 20 * CUSTOMER.rate_per_s)
     assert max(clump) > 0 * SECOND
+
+
+@pytest.mark.parametrize('has_order', [True, False])
+def test_urgent_requests_with_little_time_get_tokens_under_overload(has_order):
+    """Load pattern: a clump of two kinds of requests over the rate.
+
+    Half of the requests are urgent and can wait for 0.27 s, the others for
+    0.4 s, or for half of that if they are kept behind the urgent ones.
+    """
+    holder = make_holder()
+    waits = {'urgent': 0.27, 'other': 0.2 if has_order else 0.4}
+    served = {'urgent': 0, 'other': 0}
+    for n in range(240):
+        now = START + n * SECOND / 120
+        kind = ('urgent', 'other')[n % 2]
+        decision = holder.admit(CUSTOMER, 1.0, now, waits[kind] * SECOND)
+        served[kind] += decision.is_admitted
+    if has_order:
+        assert served['urgent'] >= served['other']
+    else:
+        assert served['urgent'] < served['other']
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -25,3 +25,16 @@
 
     monkeypatch.setattr(table, '_find_routes', match_after_interruption)
     assert table.find_route(new, '', '/a', 'GET').service == 'new'
+
+
+def test_the_most_urgent_routes_are_those_of_the_lowest_priority():
+    urgent, other = (
+        configuration.Route(name, f'/{name}', 's', priority=priority)
+        for name, priority in (('a', 1), ('b', 2))
+    )
+    table = routes.RouteTable()
+    both = configuration.Configuration(routes=(other, urgent))
+    assert table.is_most_urgent(both, urgent)
+    assert not table.is_most_urgent(both, other)
+    alone = configuration.Configuration(routes=(other,))
+    assert table.is_most_urgent(alone, other)
