--- a/cranberryscale/platform/store.py
+++ b/cranberryscale/platform/store.py
@@ -127,12 +127,16 @@
                 # Later pages may be newer. A watch from the revision of the
                 # first page returns the changes since then once more.
                 revision = page.current_rev
-            if not page.has_more or not items:
+            if not page.has_more:
                 return PlatformStoreUpdate(tuple(changes), revision, True)
+            if not items:
+                # The next page begins after a key, and a snapshot without
+                # the remaining pages would remove their entries.
+                break
             # If the last items of the page were skipped, the next page
             # returns them once more.
             after = items[-1].key
-        raise errors.make_error('platform_malformed', 'too many pages')
+        raise errors.make_error('platform_malformed', 'no last page')
 
     def wait_for_changes(
         self, revision: int, wait: datetime.timedelta
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -307,6 +307,16 @@
     assert update.revision == 9
 
 
+def test_snapshot_without_its_last_pages_is_not_used():
+    """The entries of the missing pages would be taken for removed ones."""
+    client = store.StoreClient('127.0.0.1:1')
+    client._pool = _FixedPool(
+        b'{"items": [7], "has-more": true, "current-rev": 9}'
+    )
+    with pytest.raises(errors.FleetError, match='platform_malformed'):
+        client.read_all()
+
+
 @pytest.mark.parametrize('body', [DEEP, b'{"items": ' + DEEP + b'}', b'1e400'])
 def test_odd_response_is_a_typed_error(body):
     client = store.StoreClient('127.0.0.1:1')
