Add review case 3: quota exceeded after its holder was killed

Each instance admits a whole token alone while the holder is silent, so 45 instances admit some 40 requests beyond the quota at once. Seen: 122 and 115 requests in 5 s with the kill, where 95 are allowed; 85 without it.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -d target/deps ] || { echo 'target/deps is missing: build first'; exit 2; }
+exec python3 review/3/case.py
