--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,10 +18,10 @@
 KEY = 'ctnfzs989anu6wsjnban'
 TENANT = 'sese880'
 ZONES = ('lisboa-a', 'lisboa-b', 'lisboa-c')
-# 45 machines; sites/pontenova-gw.toml has 44.
-MACHINES_PER_ZONE = 15
-RATE_PER_S = 10
-BURST = 10
+# 24 machines; sites/pontenova-gw.toml has 44.
+MACHINES_PER_ZONE = 8
+RATE_PER_S = 5
+BURST = 5
 # The site gives a tenant 1.6 times its usual rate as its quota, and its
 # `hot_tenant` multiplies the usual by 7.5.
 HOT_RATE_PER_S = RATE_PER_S / 1.6 * 7.5
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -502,7 +502,7 @@
             ]
             if time.monotonic() > until:
                 raise CannotRun(f'{len(waiting)} instances are not ready')
-            time.sleep(0.1)
+            time.sleep(0.5)
         # Machines are in touch after `contact`; holders after two seconds.
         time.sleep(3.5)
 
