--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -581,9 +581,15 @@
 def run_case(main, folder):
     """Run a case and exit with 0 (held), 1 (broken) or 2 (cannot run)."""
     record = Record(folder)
+
+    def stop(number, _frame):
+        raise CannotRun(f'ended by signal {number}')
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         broken = main(record)
-    except (CannotRun, OSError) as error:
+    except Exception as error:
+        # An error of the script must not look like a broken rule.
         record.write('cannot_run', reason=repr(error))
         print(f'cannot run: {error!r}')
         sys.stdout.flush()
