Read TROUBLE in the folder of each review case

Cause: only the shared module looked at it, so the folder of a case did not show that TROUBLE=0 runs it without its disruption. The script passes it on, and the case decides by it; what is done and checked is unchanged.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
 """A planned stop: requests that are taken late in it lose their answers."""
 
+import os
 import pathlib
 import signal
 import sys
@@ -12,6 +13,8 @@
 
 import stage  # noqa: E402
 
+# With TROUBLE=0 the case runs without its disruption.
+IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
 KEY = 'ctnfzs989anu6wsjnban'
 ZONES = ('lisboa-a', 'lisboa-b', 'lisboa-c')
 # Below the largest work of event-browse (5.7 s) and seat-book (2.8 s) in
@@ -130,12 +133,12 @@
 
     send_until(time.monotonic() + 1.0)
     stop_at = time.monotonic()
-    if stage.is_troubled():
+    if IS_TROUBLED:
         stopped.send_signal(signal.SIGTERM)
     send_until(stop_at + GRACE_S - 0.3)
     for sender in senders:
         sender.join()
-    if stage.is_troubled():
+    if IS_TROUBLED:
         try:
             stopped.process.wait(max(0.1, stop_at + GRACE_S - time.monotonic()))
         except stage.subprocess.TimeoutExpired:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """The holder of a tenant's quota is killed while the tenant is hot."""
 
 import collections
+import os
 import pathlib
 import random
 import re
@@ -15,6 +16,8 @@
 
 import stage  # noqa: E402
 
+# With TROUBLE=0 the case runs without its disruption.
+IS_TROUBLED = os.environ.get('TROUBLE', '1') != '0'
 KEY = 'ctnfzs989anu6wsjnban'
 TENANT = 'sese880'
 ZONES = ('lisboa-a', 'lisboa-b', 'lisboa-c')
@@ -131,7 +134,7 @@
     send_for(HOT_RATE_PER_S, KILL_AFTER_S)
     holder = find_holder(fleet.instances, folder)
     record.write('holder', machine=holder.name)
-    if stage.is_troubled():
+    if IS_TROUBLED:
         holder.send_signal(signal.SIGKILL)
         holder.process.wait()
         threading.Timer(
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -50,11 +50,6 @@
     """The case could not be run; it says nothing about the rule."""
 
 
-def is_troubled():
-    """Return whether the script injects its disruption."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 class Record:
     """The file record.txt: what was sent, answered and run."""
 
