Pass requests on in a planned stop only if they end in time

Cause: until 0.55 of the grace time every request was accepted, and its deadline was never compared with the end of the process.

Change: process/shutdown.py states the rule as a pure decision. A request is passed on only if its deadline lies before the end of the process; one that may be repeated also if it was received in the first 2.5 s, since operators tolerate the few of these that take too long. Others get 503 at once, before a token or a permit is asked for. It works because the answer is certain for what is passed on, whatever a server does: at its deadline a request ends.

Related paths: second attempts and reserved permits, the wait in a holder's queue (checked again after it), the stop of node_daemon.py (same cause, same rule), requests while the listener closes (refused). Drain is now told a plan, so three calls in tests pass one; what they check is unchanged.

--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -9,7 +9,6 @@
 import signal
 import sys
 import threading
-import time
 from typing import NamedTuple
 from typing import NoReturn
 
@@ -25,6 +24,7 @@
 from cranberryscale import logs
 from cranberryscale.process import metrics
 from cranberryscale.process import roster
+from cranberryscale.process import shutdown
 from cranberryscale.request import actions
 from cranberryscale.request import core_admission
 from cranberryscale.request import gateway
@@ -42,11 +42,6 @@
 # How long callers may cache a response of the directory.
 ANSWER_LIFETIME = datetime.timedelta(seconds=2)
 ADDRESS_LIMIT = 64
-# Fraction of the time from SIGTERM to SIGKILL in which new requests are still
-# served, since callers have cached responses that list this instance.
-SERVE_RATIO = 0.55
-# Reserved at the end of that time for the exit of the process.
-EXIT_MARGIN = datetime.timedelta(milliseconds=700)
 SETTINGS_INTERVAL = datetime.timedelta(seconds=1)
 # How long connections to backend servers may be idle. Servers close them after
 # 10 s.
@@ -286,7 +281,7 @@
 
     def _drain(self) -> None:
         grace = self.instance_settings.terms.grace
-        drain_started_at = self.clock.read_elapsed()
+        plan = shutdown.plan_shutdown(self.clock.read_elapsed(), grace)
         logs.log_event(
             'leaving',
             name=self.instance_settings.name,
@@ -294,12 +289,9 @@
             grace_s=grace.total_seconds(),
         )
         self.driver.announce_leaving()
-        serve_for = grace * SERVE_RATIO
-        self.gateway.drain(drain_started_at + serve_for)
-        time.sleep(serve_for.total_seconds())
-        time_left = (
-            drain_started_at + grace - EXIT_MARGIN - self.clock.read_elapsed()
-        )
+        self.gateway.drain(plan)
+        self._sleep_until(plan.accepts_until)
+        time_left = plan.ends_at - self.clock.read_elapsed()
         is_idle = self.gateway.wait_idle(max(time_left, datetime.timedelta(0)))
         if not is_idle:
             logs.log_event(
@@ -313,6 +305,10 @@
         timer.start()
         self._stopping.set()
 
+    def _sleep_until(self, at: datetime.timedelta) -> None:
+        delay = at - self.clock.read_elapsed()
+        self.clock.sleep(max(delay, datetime.timedelta(0)))
+
     def _run_trim_loop(self) -> None:
         """Close connections to servers and instances that were removed."""
         while not self._stopping.wait(TRIM_INTERVAL.total_seconds()):
--- a/cranberryscale/node_admission.py
+++ b/cranberryscale/node_admission.py
@@ -9,6 +9,7 @@
 from cranberryscale import node_driver
 from cranberryscale.process import calls
 from cranberryscale.process import metrics
+from cranberryscale.process import shutdown
 from cranberryscale.request import actions
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
@@ -28,6 +29,7 @@
         clock: clocks.Clock,
     ):
         self.routes = routes.RouteTable()
+        self.shutdown_plan: shutdown.ShutdownPlan | None = None
         self._node = target_node
         self._lock = lock
         self._clock = clock
--- a/cranberryscale/node_daemon.py
+++ b/cranberryscale/node_daemon.py
@@ -20,6 +20,7 @@
 from cranberryscale import node_driver
 from cranberryscale.process import audit
 from cranberryscale.process import metrics
+from cranberryscale.process import shutdown
 from cranberryscale.request import actions
 from cranberryscale.request import gateway
 from cranberryscale.request import pages
@@ -162,7 +163,12 @@
             'leaving', name=self.instance_settings.name, grace_s=grace_s
         )
         self.node.is_leaving = True
-        self.gateway.drain(self.clock.read_elapsed() + grace)
+        accepts_until = self.clock.read_elapsed() + grace
+        self.gateway.drain(
+            shutdown.ShutdownPlan(
+                accepts_until, accepts_until, accepts_until + limit
+            )
+        )
         time.sleep(grace_s)
         if not self.gateway.wait_idle(limit):
             logs.log_event(
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from cranberryscale import errors
+from cranberryscale.process import shutdown
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
 
@@ -37,9 +38,13 @@
 
 
 class DecisionContext(Protocol):
-    """Current state that decisions on requests are based on."""
+    """Current state that decisions on requests are based on.
+
+    `shutdown_plan` is None until the instance shuts down.
+    """
 
     routes: routes.RouteTable
+    shutdown_plan: shutdown.ShutdownPlan | None
 
     def get_configuration(self) -> configuration.Configuration:
         """Return the configuration in force."""
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -16,6 +16,7 @@
 from cranberryscale import messages
 from cranberryscale.process import metrics
 from cranberryscale.process import shards
+from cranberryscale.process import shutdown
 from cranberryscale.request import actions
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
@@ -87,6 +88,7 @@
 
     def __init__(self, core: cores.Core, clock: clocks.Clock):
         self.routes = routes.SlashPrefixRouteTable()
+        self.shutdown_plan: shutdown.ShutdownPlan | None = None
         self._core = core
         self._clock = clock
 
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -93,8 +93,8 @@
 ]:
     """Return a permit and its server.
 
-    The wait for a permit may be long, so route, API key, token, deadline and
-    server are checked after it.
+    The wait for a permit may be long, so route, API key, token, deadline,
+    shutdown and server are checked after it.
     """
     while state.permits_asked < PERMIT_LIMIT:
         state.permits_asked += 1
@@ -112,6 +112,7 @@
             if not state.has_valid_tokens:
                 yield from _ask_tokens(state)
             state.authorize()
+            state.check_shutdown()
             remaining = state.remaining
         except errors.FleetError:
             yield unused
@@ -270,6 +271,7 @@
 
 def _run(state: request_state.RequestState) -> _Steps:
     state.authorize()
+    state.check_shutdown()
     state.context.routes.credit_retry_budget(state.route)
     if state.request.body_bytes > state.route.body_limit_bytes:
         raise errors.make_error('body_too_large', state.route.body_limit_bytes)
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -13,6 +13,7 @@
 from cranberryscale.connection import backends as backend_connections
 from cranberryscale import errors
 from cranberryscale import logs
+from cranberryscale.process import shutdown
 from cranberryscale.request import actions
 from cranberryscale.request import proxied_requests
 
@@ -79,7 +80,6 @@
         self.backends = backends
         self.clock = clock
         self._observe = observe
-        self._refuse_from: datetime.timedelta | None = None
         self._running = 0
         self._changed = threading.Condition()
 
@@ -103,23 +103,23 @@
     @property
     def is_draining(self) -> bool:
         """Return whether `drain` was called."""
-        return self._refuse_from is not None
+        return self.admission.context.shutdown_plan is not None
 
     def check_accepting(self) -> None:
         """Raise ShuttingDown if new requests are refused."""
-        refuse_from = self._refuse_from
+        plan = self.admission.context.shutdown_plan
         if (
-            refuse_from is not None
-            and self.clock.read_elapsed() >= refuse_from
+            plan is not None
+            and self.clock.read_elapsed() >= plan.accepts_until
         ):
             raise errors.make_error('shutting_down')
 
-    def drain(self, until: datetime.timedelta) -> None:
-        """Refuse new requests from the elapsed time `until` on.
+    def drain(self, plan: shutdown.ShutdownPlan) -> None:
+        """Refuse the requests that the plan does not admit any more.
 
-        Before that, responses ask callers to close their connections.
+        From now on, responses ask callers to close their connections.
         """
-        self._refuse_from = until
+        self.admission.context.shutdown_plan = plan
 
     def wait_idle(self, timeout: datetime.timedelta) -> bool:
         """Wait until no request is in progress; return False on timeout."""
--- a/cranberryscale/request/request_state.py
+++ b/cranberryscale/request/request_state.py
@@ -79,6 +79,14 @@
             raise errors.make_error('customer_forbidden', self.route.name)
         self.customer = customer
 
+    def check_shutdown(self) -> None:
+        """Raise ShuttingDown if the instance may end before the request."""
+        plan = self.context.shutdown_plan
+        if plan is not None and not plan.can_pass_on(
+            self.request.received, self.deadline, self.is_repeatable
+        ):
+            raise errors.make_error('shutting_down')
+
     @property
     def service(self) -> str:
         """Return the service that runs the request.
--- a/cranberryscale_bench/gateway_overhead.py
+++ b/cranberryscale_bench/gateway_overhead.py
@@ -70,6 +70,7 @@
 
     def __init__(self, address: str):
         self.routes = routes.RouteTable()
+        self.shutdown_plan = None
         self.read_elapsed = clocks.SystemClock().read_elapsed
         self._current = configuration.Configuration(
             routes=(configuration.Route('r', '/r', 's'),),
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -9,6 +9,7 @@
 from cranberryscale import clock
 from cranberryscale.connection import backends
 from cranberryscale.connection import http_servers
+from cranberryscale.process import shutdown
 from cranberryscale.request import actions
 from cranberryscale.request import gateway
 from cranberryscale.request import routes
@@ -46,6 +47,7 @@
         self.keys = {KEY: 'c1'}
         self.confirmed = True
         self.routes = routes.RouteTable()
+        self.shutdown_plan = None
 
     def get_configuration(self):
         return self.current
@@ -88,6 +90,14 @@
         self.finished.append(ran)
 
 
+def plan_shutdown(accepts_for, answers_for=SECOND):
+    """Return a plan that admits every request for a while from now on."""
+    accepts_until = CLOCK.read_elapsed() + accepts_for
+    return shutdown.ShutdownPlan(
+        accepts_until, accepts_until, accepts_until + answers_for
+    )
+
+
 class FakeServer:
     """A backend server on raw sockets that records the heads it received.
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -507,7 +507,7 @@
     with harness.GatewayStack(serve) as proxy, proxy.connect() as running:
         running.sendall(GET + AUTH + b'\r\n\r\n')
         assert wait_for(lambda: proxy.gateway.running == 1)
-        proxy.gateway.drain(harness.CLOCK.read_elapsed() + SECOND / 5)
+        proxy.gateway.drain(harness.plan_shutdown(SECOND / 5))
         with proxy.connect() as early:
             early.sendall(GET + AUTH + b'\r\n\r\n')
             assert wait_for(lambda: proxy.gateway.running == 2)
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -98,9 +98,7 @@
         for caller in callers:
             caller.start()
         time.sleep(0.1)
-        stack.gateway.drain(
-            harness.CLOCK.read_elapsed() + 0.1 * harness.SECOND
-        )
+        stack.gateway.drain(harness.plan_shutdown(0.1 * harness.SECOND))
         time.sleep(0.15)
         stack.gateway.wait_idle(harness.SECOND)
         stack.listener.stop()
@@ -124,7 +122,7 @@
     with harness.GatewayStack(harness.serve_hello) as stack:
         idle = [stack.connect() for _ in range(20)]
         time.sleep(0.1)
-        stack.gateway.drain(harness.CLOCK.read_elapsed())
+        stack.gateway.drain(harness.plan_shutdown(0 * harness.SECOND))
         started = time.monotonic()
         stack.listener.stop()
         # The last requests are waited for 0.1 s, handshakes for 0.02 s.
