Divide a customer's tolerated excess among all that may admit

Cause: what others admit beside a holder did not add up. An instance without a holder admitted one whole request, whatever its part of the rate, since parts below one request were rounded up; each new holder started with a quarter of the burst; an instance that had just started took itself for the holder, since it took all others for new as well; a holder that had been replaced for a while came back with the tokens of that time.

Change: the excess is divided: holder 0.3, two starts in a window 0.3 each, all that decide alone 0.1. A part below one request is a time at which an instance may spend one, with times spread evenly over the instances, so the sum holds for any number of them. Before it decides alone, an instance asks the holder's successor, which admits its start and accrues nothing until it is the holder by its own records, and half a second more if another instance may have been the holder. The age of another instance follows from the start time in its record. It works because a window holds at most one accruing bucket and parts that add up to the tolerance.

Two tests change with the interface of quotas.py only. The third, test_instance_decides_locally_when_a_holder_fails, asked for the fault itself (the first request of every instance admitted alone); it now bounds the number of admissions of 16 instances from below and above.

Related paths: repeats and cold servers (nothing is given out without a holder), holders of pools (no rule counts slots), the start of all instances (same cause, same change).

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -78,10 +78,11 @@
         self.replica = replica.StoreReplica(decode)
         self.fallback = fallback.FallbackSelector(rng)
         terms = instance_settings.terms
-        self._quota_holder = quotas.QuotaHolder(
-            terms.quota_excess, terms.quota_slack
+        bounds = quotas.QuotaBounds(
+            terms.quota_window, terms.quota_excess, terms.quota_slack
         )
-        self._local_quota = quotas.LocalQuota()
+        self._quota_holder = quotas.QuotaHolder(bounds)
+        self._local_quota = quotas.LocalQuota(bounds)
         self.pools: dict[shards.Shard, dispatch.ServerPool] = {}
         self._shard_counts: dict[str, dict[str, int]] = {}
         self._loaded_configuration: configuration.Configuration | None = None
@@ -136,6 +137,9 @@
         events = self.replica.advance(now)
         self.roster.remove_long_down(now)
         self._quota_holder.remove_idle(now)
+        for customer in self._quota_holder.list_held():
+            if not self._holds_quota(customer, now):
+                self._quota_holder.release(customer)
         self._update_pools()
         for pool in self.pools.values():
             pool.advance(now)
@@ -166,10 +170,18 @@
 
     # Holders
 
-    def find_quota_holder(self, customer: str, now: datetime.timedelta) -> str:
-        """Return the instance that enforces the customer's quota."""
+    def list_quota_holders(
+        self, customer: str, now: datetime.timedelta
+    ) -> tuple[str, ...]:
+        """Return the customer's quota holder and then its successor."""
         resource = rendezvous.CoordinatedResource('customer', customer)
-        return self.roster.choose_holder(resource, now)
+        holder = self.roster.choose_holder(resource, now)
+        successor = self.roster.choose_holder(resource, now, excluded=holder)
+        return (holder, successor) if successor != holder else (holder,)
+
+    def _holds_quota(self, customer: str, now: datetime.timedelta) -> bool:
+        holder = self.list_quota_holders(customer, now)[0]
+        return holder == self.instance_settings.name
 
     def list_shards(
         self, service: str, request_id: str
@@ -213,8 +225,8 @@
         known = self.current_configuration.customers.get(customer)
         if known is None:
             raise errors.make_error('key_unknown')
-        count = self.roster.count_recently_up(now)
-        return self._local_quota.admit(known, count, now, longest_wait)
+        position = self._find_position(now)
+        return self._local_quota.admit(known, position, now, longest_wait)
 
     # Messages from other instances
 
@@ -266,6 +278,15 @@
         recent = self.roster.count_recently_up(now)
         return up / max(up, recent)
 
+    def _find_position(self, now: datetime.timedelta) -> quotas.FleetPosition:
+        return quotas.FleetPosition(
+            self.instance_settings.name,
+            self.roster.own_rank,
+            self.roster.count_recently_up(now),
+            self._find_quota_ratio(now),
+            self.roster.has_settled_other(now),
+        )
+
     def _handle_ask_quota(
         self, message: messages.AskQuota, now: datetime.timedelta
     ) -> messages.QuotaReply:
@@ -273,9 +294,13 @@
         if known is None:
             # The sender may have a newer configuration.
             raise errors.make_error('not_holder', message.customer)
-        ratio = self._find_quota_ratio(now)
-        longest_wait = datetime.timedelta(seconds=message.longest_wait_s)
-        admission = self._quota_holder.admit(known, ratio, now, longest_wait)
+        admission = self._quota_holder.admit(
+            known,
+            self._find_position(now),
+            now,
+            datetime.timedelta(seconds=message.longest_wait_s),
+            self._holds_quota(message.customer, now),
+        )
         return messages.QuotaReply(
             admission.is_admitted, admission.delay.total_seconds()
         )
--- a/cranberryscale/process/quotas.py
+++ b/cranberryscale/process/quotas.py
@@ -1,19 +1,27 @@
 """Customers' rate limits over the whole fleet, without agreement on a holder.
 
-The holder of a customer admits its requests from one token bucket. The rate
-holds by construction also with two holders at a time, with new holders and on
-instances without a holder:
+The holder of a customer admits its requests from one token bucket. While it
+does not answer, the next instance in the order of holders, its successor,
+admits a few; without both, each instance decides alone. In any window
+operators tolerate an excess of requests beyond the rate and burst. It is
+divided among all that may admit in one window, so that the bound holds by
+construction:
 
-- a holder's rate is scaled by the ratio of the recently known instances that
-  it still counts as up, so both sides of a partition together admit one rate;
-- a new holder starts with a part of the burst, since a previous holder may
-  have just spent it;
-- an instance whose holder does not answer admits from its own part of the
-  rate.
+- HOLDER_PART raises the rate and burst of the holder;
+- START_PART is what an instance may admit before it has been the holder for
+  HANDOVER_TIME. A previous holder may just have spent the rate of this time,
+  so tokens accrue only afterwards. STARTS_PER_WINDOW instances may start in a
+  window;
+- ALONE_PART is what all instances that decide alone admit together.
+
+A holder's rate is further scaled by the ratio of the recently known instances
+that it still counts as up, so both sides of a partition together admit one
+rate.
 
 Load patterns:
 
-- one customer far over its rate, at all instances at once;
+- one customer far over its rate, at all instances at once, while its holders
+  are lost one after the other;
 - callers that return together, after the loss of all instances or in clumps.
   A request that is given a token soon waits for it, in the order of arrival,
   instead of being refused. The bucket then holds a debt, so the rate is the
@@ -25,24 +33,33 @@
 
 import datetime
 from typing import NamedTuple
+import zlib
 
 from cranberryscale.version import configuration
 
 
-__all__ = ['ASSUMED_INSTANCES', 'LocalQuota', 'QuotaDecision', 'QuotaHolder']
+__all__ = [
+    'ASSUMED_INSTANCES',
+    'FleetPosition',
+    'LocalQuota',
+    'QuotaBounds',
+    'QuotaDecision',
+    'QuotaHolder',
+]
 
-# Part of the burst that a holder which has just started may admit at once.
-# Together with that of a previous holder it stays under the excess that
-# operators tolerate.
-INITIAL_FILL_RATIO = 0.25
-# Part of the tolerated excess that holders admit, so that callers within their
-# rate are not refused for uneven arrivals. The rest covers instances that
-# admit from their own part of the rate.
-USED_EXCESS_RATIO = 0.8
+# Parts of the tolerated excess; with all starts of a window they add up to 1.
+HOLDER_PART = 0.3
+START_PART = 0.3
+STARTS_PER_WINDOW = 2
+ALONE_PART = 0.1
+# Instances agree on a new holder within this time.
+HANDOVER_TIME = datetime.timedelta(seconds=0.5)
 # Number of instances assumed by an instance that knows of no other.
 ASSUMED_INSTANCES = 16
 IDLE_TIME = datetime.timedelta(seconds=60)
 MIN_RETRY_AFTER = datetime.timedelta(milliseconds=50)
+# An instance decides alone only until it knows the next holder.
+ALONE_RETRY_AFTER = datetime.timedelta(seconds=1)
 # How long after the first wait for a token further ones are given, which is
 # enough for the demand that returns after a loss of all instances.
 WAITING_TIME = datetime.timedelta(seconds=3)
@@ -61,82 +78,226 @@
     delay: datetime.timedelta = datetime.timedelta(0)
 
 
-class _VariableBucket:
-    """A token bucket whose rate and burst may differ at each request."""
+class QuotaBounds(NamedTuple):
+    """Tolerance of the operators: the largest number of requests in a window.
+
+    It is (rate x window + burst) x (1 + excess) + slack.
+    """
+
+    window: datetime.timedelta
+    excess: float
+    slack: float
+
+    def find_excess(self, customer: configuration.Customer) -> float:
+        """Return the tolerated requests beyond the rate and burst."""
+        nominal = (
+            customer.rate_per_s * self.window.total_seconds()
+            + customer.burst_requests
+        )
+        return nominal * self.excess + self.slack
+
+    def find_extra_burst(self, customer: configuration.Customer) -> float:
+        """Return the part of the excess that does not grow with the window."""
+        return customer.burst_requests * self.excess + self.slack
+
+
+class FleetPosition(NamedTuple):
+    """Position of an instance among the `instances` that are known.
+
+    `ratio` is the part of the recently known instances that are up. Without
+    `has_predecessor` no other instance has been up for long enough to have
+    been a holder.
+    """
+
+    name: str
+    rank: int
+    instances: int
+    ratio: float = 1.0
+    has_predecessor: bool = True
+
+    def find_phase(self, customer: str) -> float:
+        """Return a fraction that is spread evenly over the instances.
+
+        An instance that knows of no other draws it from its name.
+        """
+        if self.instances <= 1:
+            return zlib.crc32(f'{self.name} {customer}'.encode()) / 2**32
+        offset = zlib.crc32(customer.encode()) / 2**32
+        return (self.rank / self.instances + offset) % 1
+
+
+class _Limits(NamedTuple):
+    """Rate and burst of a bucket, and the tokens with which it starts."""
+
+    rate_per_s: float
+    burst: float
+    start: float
+
+
+class _Bucket:
+    """A token bucket whose limits may differ at each request.
+
+    A burst of less than one token is that part of the time for which a token
+    may be spent. Buckets of many instances whose phases are spread evenly hold
+    such tokens at different times, so that together they hold no more than the
+    sum of their bursts.
+    """
 
-    def __init__(self, tokens: float, at: datetime.timedelta):
-        self.tokens = tokens
-        self.updated_at = at
-        # The largest burst of which an initial part was credited.
-        self.initial_burst = 0.0
+    def __init__(self, limits: _Limits, phase: float, now: datetime.timedelta):
+        # The largest start that was credited.
+        self.start = limits.start
+        self.tokens = limits.start + (phase if limits.burst < 1 else 0.0)
+        self.updated_at = now
+        self.admitted_at: datetime.timedelta | None = None
         # When the first request found no token since the last recovery.
         self._short_since: datetime.timedelta | None = None
 
+    def accrue(self, limits: _Limits, now: datetime.timedelta) -> None:
+        """Add the tokens since the last update, unless it lies ahead."""
+        if now > self.updated_at:
+            since = now - self.updated_at
+            self.tokens += limits.rate_per_s * since.total_seconds()
+            self.updated_at = now
+        if limits.burst >= 1:
+            self.tokens = min(limits.burst, self.tokens)
+        elif self.tokens >= 1:
+            part = self.tokens % 1
+            self.tokens = part + (part < limits.burst)
+
     def spend(
         self,
-        rate_per_s: float,
-        burst: float,
+        limits: _Limits,
         now: datetime.timedelta,
         longest_wait: datetime.timedelta,
     ) -> QuotaDecision:
-        accrued = rate_per_s * (now - self.updated_at).total_seconds()
-        self.tokens = min(burst, self.tokens + accrued)
-        self.updated_at = now
-        if self.tokens >= burst * RECOVERED_RATIO:
+        """Spend a token for a request that can wait for it."""
+        if self.tokens >= limits.burst * RECOVERED_RATIO:
             self._short_since = None
         if self.tokens >= 1:
-            self.tokens -= 1
-            return QuotaDecision(True)
+            return self._admit(now)
+        if limits.rate_per_s <= 0:
+            return QuotaDecision(False, HANDOVER_TIME)
         if self._short_since is None:
             self._short_since = now
         may_wait = now - self._short_since < WAITING_TIME
-        delay = datetime.timedelta(seconds=(1 - self.tokens) / rate_per_s)
+        accrual = datetime.timedelta(
+            seconds=(1 - self.tokens) / limits.rate_per_s
+        )
+        delay = max(self.updated_at - now, datetime.timedelta(0)) + accrual
         if may_wait and delay <= longest_wait:
-            self.tokens -= 1
-            return QuotaDecision(True, delay)
+            return self._admit(now, delay)
         return QuotaDecision(False, max(delay, MIN_RETRY_AFTER))
 
+    def _admit(
+        self,
+        now: datetime.timedelta,
+        delay: datetime.timedelta = datetime.timedelta(0),
+    ) -> QuotaDecision:
+        self.tokens -= 1
+        self.admitted_at = now + delay
+        return QuotaDecision(True, delay)
+
 
-class QuotaHolder:
-    """The token buckets of the customers that this instance coordinates.
+class _HeldBucket(_Bucket):
+    """The bucket of a holder or of its successor.
 
-    Buckets start with a part of their burst and accrue at the customer's rate
-    plus a part of the excess that operators tolerate: `excess` in proportion
-    to the rate, and `slack` requests in addition to the burst.
+    `is_held` tells whether the instance was the holder at the last request.
     """
 
-    def __init__(self, excess: float, slack: float):
-        self._excess = excess * USED_EXCESS_RATIO
-        self._slack = slack * USED_EXCESS_RATIO
-        self._buckets: dict[str, _VariableBucket] = {}
+    def __init__(self, limits: _Limits, phase: float, now: datetime.timedelta):
+        super().__init__(limits, phase, now)
+        self.is_held = False
+
+    def release(self) -> None:
+        """Keep only a start, since another instance is the holder now."""
+        self.is_held = False
+        self.tokens = min(self.tokens, self.start)
+
+    def hold(self, since: datetime.timedelta) -> None:
+        """Let tokens accrue from an elapsed time on, if not held before."""
+        if not self.is_held:
+            self.is_held = True
+            self.updated_at = since
+
+    def restart(
+        self,
+        limits: _Limits,
+        now: datetime.timedelta,
+        window: datetime.timedelta,
+    ) -> None:
+        """Credit the start, at most once in a window.
+
+        A holder that has just started knows few other instances; the rest of
+        its start is credited once it knows them.
+        """
+        if limits.start > self.start:
+            self.tokens += limits.start - self.start
+            self.start = limits.start
+        if self.is_held or self.admitted_at is None:
+            return
+        if now - self.admitted_at > window:
+            self.tokens = max(self.tokens, limits.start)
+
+
+class QuotaHolder:
+    """The token buckets of the customers that this instance coordinates."""
+
+    def __init__(self, bounds: QuotaBounds):
+        self._bounds = bounds
+        self._buckets: dict[str, _HeldBucket] = {}
+
+    def _find_limits(
+        self, customer: configuration.Customer, ratio: float, is_holder: bool
+    ) -> _Limits:
+        bounds = self._bounds
+        start = START_PART * bounds.find_excess(customer) * ratio
+        if not is_holder:
+            return _Limits(0.0, max(1.0, start), start)
+        extra_burst = HOLDER_PART * bounds.find_extra_burst(customer)
+        return _Limits(
+            customer.rate_per_s * (1 + HOLDER_PART * bounds.excess) * ratio,
+            max(1.0, customer.burst_requests + extra_burst) * ratio,
+            start,
+        )
 
     def admit(
         self,
         customer: configuration.Customer,
-        up_ratio: float,
+        position: FleetPosition,
         now: datetime.timedelta,
         longest_wait: datetime.timedelta = datetime.timedelta(0),
+        is_holder: bool = True,
     ) -> QuotaDecision:
         """Spend a token for one request, which can wait for it.
 
-        `up_ratio` is the ratio of the recently known instances that are up.
+        An instance that is not the holder by its own records admits a start.
         """
         if customer.rate_per_s <= 0:
             return QuotaDecision(True)
-        rate_per_s = customer.rate_per_s * (1 + self._excess) * up_ratio
-        full_burst = customer.burst_requests + self._slack
-        burst = max(1.0, full_burst * up_ratio)
+        limits = self._find_limits(customer, position.ratio, is_holder)
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = self._buckets[customer.name] = _VariableBucket(1.0, now)
-        if burst > bucket.initial_burst:
-            # A holder that has just started knows few other instances; the
-            # rest of the initial part is credited once it knows them.
-            bucket.tokens += INITIAL_FILL_RATIO * (
-                burst - bucket.initial_burst
-            )
-            bucket.initial_burst = burst
-        return bucket.spend(rate_per_s, burst, now, longest_wait)
+            phase = position.find_phase(customer.name)
+            bucket = _HeldBucket(limits, phase, now)
+            self._buckets[customer.name] = bucket
+        if not is_holder:
+            bucket.release()
+        bucket.restart(limits, now, self._bounds.window)
+        if is_holder:
+            delay = HANDOVER_TIME * position.has_predecessor
+            bucket.hold(now + delay)
+        bucket.accrue(limits, now)
+        return bucket.spend(limits, now, longest_wait)
+
+    def list_held(self) -> tuple[str, ...]:
+        """Return the customers of which this instance was the holder."""
+        return tuple(
+            name for name, bucket in self._buckets.items() if bucket.is_held
+        )
+
+    def release(self, customer: str) -> None:
+        """Stop accruing tokens for a customer with another holder."""
+        self._buckets[customer].release()
 
     def remove_idle(self, now: datetime.timedelta) -> None:
         """Remove customers without requests; they start with new buckets."""
@@ -148,32 +309,42 @@
 
 
 class LocalQuota:
-    """This instance's own part of each customer's rate.
+    """This instance's own part of what instances that decide alone admit.
 
-    Used while the customer's holder does not answer.
+    Used while neither the customer's holder nor its successor answers.
     """
 
-    def __init__(self) -> None:
-        self._buckets: dict[str, _VariableBucket] = {}
+    def __init__(self, bounds: QuotaBounds) -> None:
+        self._bounds = bounds
+        self._buckets: dict[str, _Bucket] = {}
+
+    def _find_limits(
+        self, customer: configuration.Customer, instances: int
+    ) -> _Limits:
+        known = instances if instances > 1 else ASSUMED_INSTANCES
+        part = ALONE_PART / known
+        burst = part * self._bounds.find_extra_burst(customer)
+        rate_per_s = part * self._bounds.excess * customer.rate_per_s
+        return _Limits(rate_per_s, burst, burst)
 
     def admit(
         self,
         customer: configuration.Customer,
-        instances: int,
+        position: FleetPosition,
         now: datetime.timedelta,
         longest_wait: datetime.timedelta = datetime.timedelta(0),
     ) -> QuotaDecision:
-        """Spend a token for one request, which can wait for it.
-
-        `instances` is the number of recently known instances.
-        """
+        """Spend a token for one request, which can wait for it."""
         if customer.rate_per_s <= 0:
             return QuotaDecision(True)
-        assumed_instances = instances if instances > 1 else ASSUMED_INSTANCES
-        burst = max(1.0, customer.burst_requests / assumed_instances)
-        bucket = self._buckets.setdefault(
-            customer.name, _VariableBucket(1.0, now)
-        )
-        return bucket.spend(
-            customer.rate_per_s / assumed_instances, burst, now, longest_wait
-        )
+        limits = self._find_limits(customer, position.instances)
+        bucket = self._buckets.get(customer.name)
+        if bucket is None:
+            phase = position.find_phase(customer.name)
+            bucket = _Bucket(limits, phase, now)
+            self._buckets[customer.name] = bucket
+        bucket.accrue(limits, now)
+        decision = bucket.spend(limits, now, longest_wait)
+        if decision.is_admitted:
+            return decision
+        return decision._replace(delay=min(decision.delay, ALONE_RETRY_AFTER))
--- a/cranberryscale/process/roster.py
+++ b/cranberryscale/process/roster.py
@@ -51,6 +51,8 @@
 JOIN_QUIET_TIME = datetime.timedelta(milliseconds=200)
 # An instance coordinates others only after it has learned their state.
 MIN_HOLDER_UPTIME = datetime.timedelta(seconds=2)
+# Differences of start times beyond it do not matter.
+MAX_AGE_AHEAD_MS = 3_600_000
 
 
 # Derived results that are kept, above the number of resources of a fleet.
@@ -70,6 +72,7 @@
 class InstanceRecord(NamedTuple):
     """Record of an instance; `name` is its peer address.
 
+    `epoch` is the time of day at its start in milliseconds, or a little more.
     `callers` is its address for callers.
     """
 
@@ -208,19 +211,22 @@
         resource: rendezvous.CoordinatedResource,
         now: datetime.timedelta,
         domain: str | None = None,
+        excluded: str = '',
     ) -> str:
         """Return the instance that coordinates a resource, maybe this one.
 
         With a domain it is an instance of that domain, as long as there is
-        one. Every instance chooses from its own records. A short disagreement
-        between two is harmless, since each holder bounds what it gives out.
+        one. Without the `excluded` holder it is its successor. Every instance
+        chooses from its own records. A short disagreement between two is
+        harmless, since each holder bounds what it gives out.
         """
-        key = ('holder', resource, domain)
+        key = ('holder', resource, domain, excluded)
         choice = self._derived.get(key)
         if choice is None or not choice.since <= now < choice.until:
             self._derived.pop(key, None)
             choice = self._derive(
-                key, lambda: self._choose_holder(resource, now, domain)
+                key,
+                lambda: self._choose_holder(resource, now, domain, excluded),
             )
         return choice.name
 
@@ -229,8 +235,9 @@
         resource: rendezvous.CoordinatedResource,
         now: datetime.timedelta,
         domain: str | None,
+        excluded: str,
     ) -> _HolderChoice:
-        ready = self.list_ready()
+        ready = tuple(r for r in self.list_ready() if r.name != excluded)
         if domain is not None:
             ready = tuple(r for r in ready if r.domain == domain) or ready
         eligible_from = {
@@ -243,6 +250,21 @@
         later = (at for at in eligible_from.values() if at > now)
         return _HolderChoice(name, now, min(later, default=_NEVER))
 
+    @property
+    def own_rank(self) -> int:
+        """Return this instance's position among all records."""
+        return self._derive(
+            ('rank',), lambda: self.records.index(self.own_record)
+        )
+
+    def has_settled_other(self, now: datetime.timedelta) -> bool:
+        """Return whether another instance may have been a holder so far."""
+        return any(
+            now - self._up_since.get(record.name, now) >= MIN_HOLDER_UPTIME
+            for record in self.list_up()
+            if record.name != self.own_record.name
+        )
+
     def list_readers(self, domain: str, count: int) -> tuple[str, ...]:
         """Return the instances of a domain that read the store for it."""
         return self._derive(
@@ -306,11 +328,24 @@
         if self._joined_at is None and len(self._records) > 1:
             self._joined_at = now
         was_up = known is not None and known.state != InstanceState.DOWN
-        if not was_up or known.epoch != record.epoch:
+        if known is None:
+            self._up_since[record.name] = now - self._find_age_ahead(record)
+        elif not was_up or known.epoch != record.epoch:
             self._up_since[record.name] = now
         self._update_copies_left[record.name] = UPDATE_COPIES
         self._locally_down.pop(record.name, None)
 
+    def _find_age_ahead(self, record: InstanceRecord) -> datetime.timedelta:
+        """Return how much longer than this one an instance has been up.
+
+        Otherwise an instance that starts would consider all others as new and
+        itself as a holder, while the others know the real one.
+        """
+        ahead_ms = self.own_record.epoch - record.epoch
+        return datetime.timedelta(
+            milliseconds=min(max(0, ahead_ms), MAX_AGE_AHEAD_MS)
+        )
+
     def collect_updates(self) -> tuple[InstanceRecord, ...]:
         """Return the records to send with the next message."""
         updates = tuple(
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -210,19 +210,21 @@
     def _query_quota_holder(
         self, customer: str, longest_wait: datetime.timedelta
     ) -> tuple[messages.QuotaReply, str]:
+        message = messages.AskQuota(customer, longest_wait.total_seconds())
         with self._driver.lock:
             now = self._clock.read_elapsed()
-            holder = self._core.find_quota_holder(customer, now)
-        if not self._driver.is_unresponsive(holder):
+            holders = self._core.list_quota_holders(customer, now)
+        for holder in holders:
+            if self._driver.is_unresponsive(holder):
+                continue
             try:
                 reply = self._driver.call_instance(
-                    holder,
-                    messages.AskQuota(customer, longest_wait.total_seconds()),
-                    core_driver.HOLDER_TIMEOUT,
+                    holder, message, core_driver.HOLDER_TIMEOUT
                 )
                 return reply, holder
             except errors.FleetError as error:
-                self._record_local_decision('quota', holder, error)
+                self._record_missing_holder(customer, holder, error)
+        self._record_local_decision('quota')
         with self._driver.lock:
             decision = self._core.admit_locally(
                 customer, self._clock.read_elapsed(), longest_wait
@@ -230,14 +232,17 @@
         delay_s = decision.delay.total_seconds()
         return messages.QuotaReply(decision.is_admitted, delay_s), LOCAL_HOLDER
 
-    def _record_local_decision(
-        self, matter: str, holder: str, error: errors.FleetError
+    def _record_missing_holder(
+        self, resource: str, holder: str, error: errors.FleetError
     ) -> None:
-        self._metrics.count('decisions_alone', matter=matter)
         logs.log_event(
-            'decided_alone', matter=matter, holder=holder, code=error.code
+            'holder_missing', resource=resource, holder=holder, code=error.code
         )
 
+    def _record_local_decision(self, matter: str) -> None:
+        self._metrics.count('decisions_alone', matter=matter)
+        logs.log_event('decided_alone', matter=matter)
+
     # Backend servers
 
     def ask_permit(
@@ -268,6 +273,7 @@
             if shard_reply is not None:
                 shard_replies.append(shard_reply)
         if shards_to_ask and not shard_replies:
+            self._record_local_decision('pool')
             return self._choose_locally(action, request_id)
         result = actions.AdmissionDenied(
             'no_backend_server', action.target / 4
@@ -293,6 +299,7 @@
         while True:
             shard_reply = self._query_shard_holder(query)
             if shard_reply is None:
+                self._record_local_decision('pool')
                 return self._choose_locally(query.action, query.request_id)
             if shard_reply.reply.server or shard_reply.reply.code:
                 return self._make_event(query, shard_reply)
@@ -330,7 +337,7 @@
         try:
             reply = self._driver.call_instance(holder, message, timeout)
         except errors.FleetError as error:
-            self._record_local_decision('pool', holder, error)
+            self._record_missing_holder(action.service, holder, error)
             return None
         with self._driver.lock:
             self._core.fallback.record_ejected(query.shard, reply.ejected)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -11,6 +11,7 @@
 from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import metrics
+from cranberryscale.process import quotas
 from cranberryscale.request import actions
 from cranberryscale.request import core_admission
 
@@ -28,6 +29,7 @@
         self.lock = threading.RLock()
         self.replies = replies
         self.calls = []
+        self.targets = []
         self.sent = []
         self.unresponsive = False
 
@@ -36,6 +38,7 @@
 
     def call_instance(self, target, message, timeout):
         self.calls.append(message)
+        self.targets.append(target)
         reply = self.replies[type(message)]
         if isinstance(reply, list):
             reply = reply.pop(0)
@@ -70,14 +73,42 @@
 
 @pytest.mark.parametrize('error', HOLDER_ERRORS, ids=lambda e: e.code)
 def test_instance_decides_locally_when_a_holder_fails(error):
-    driver, admission = make_admission(AskQuota=error, AskServer=error)
+    """Without holders, instances admit their parts and choose servers.
+
+    Each part is less than one request, so a few of the instances admit one.
+    """
+    results = []
+    for number in range(1, 1 + quotas.ASSUMED_INSTANCES):
+        driver, admission = make_admission(
+            test_core.make_core(number), AskQuota=error, AskServer=error
+        )
+        results.append(admission.ask_tokens(actions.AskTokens('c', ''), 'r'))
+        permit = admission.ask_permit(ASK_PERMIT, 'r')
+        assert permit.server == 'i1'
+        report = actions.ReportPermit(
+            'x', 'i1', permit.permit_id, 'ok', SECOND
+        )
+        admission.report_permit(report)
+        assert driver.sent == []
+    granted = [r for r in results if isinstance(r, actions.TokensGranted)]
+    denied = [r for r in results if isinstance(r, actions.AdmissionDenied)]
+    assert 1 <= len(granted) <= 6
+    assert len(granted) + len(denied) == len(results)
+    for denial in denied:
+        assert 0 * SECOND < denial.retry_after <= quotas.ALONE_RETRY_AFTER
+
+
+def test_successor_is_asked_for_a_token_before_deciding_locally():
+    core = test_core.make_core()
+    records = [test_core.make_core(n).roster.own_record for n in (2, 3)]
+    core.roster.merge(records, START)
+    error = errors.make_error('peer_unreachable')
+    replies = [error, messages.QuotaReply(True)]
+    driver, admission = make_admission(core, AskQuota=replies)
     granted = admission.ask_tokens(actions.AskTokens('c', ''), 'r')
     assert isinstance(granted, actions.TokensGranted)
-    permit = admission.ask_permit(ASK_PERMIT, 'r')
-    assert permit.server == 'i1'
-    report = actions.ReportPermit('x', 'i1', permit.permit_id, 'ok', SECOND)
-    admission.report_permit(report)
-    assert driver.sent == []
+    assert driver.targets == list(core.list_quota_holders('c', START))
+    assert len(set(driver.targets)) == 2
 
 
 def test_unresponsive_holder_is_not_called():
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -39,13 +39,13 @@
     )
 
 
-def make_core(number=1, seeds=()):
+def make_core(number=1, seeds=(), epoch=1, since=START):
     core = cores.Core(
         make_settings(number, seeds),
-        1,
+        epoch,
         entry_decoding.decode_entry,
         random.Random(number),
-        START,
+        since,
     )
     body = test_published.make_policy(tenants=CUSTOMERS)
     changes = [
@@ -54,8 +54,8 @@
             'servers/i1', 2, test_published.make_server()
         ),
     ]
-    core.apply_store_update(tuple(changes), 2, True, False, START)
-    core.roster.set_state(roster.InstanceState.READY, START)
+    core.apply_store_update(tuple(changes), 2, True, False, since)
+    core.roster.set_state(roster.InstanceState.READY, since)
     return core
 
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -26,6 +26,20 @@
 ) + SLACK_REQUESTS
 
 
+BOUNDS = quotas.QuotaBounds(
+    datetime.timedelta(seconds=WINDOW_S), EXCESS_RATIO, SLACK_REQUESTS
+)
+
+
+def make_position(rank=0, instances=44, ratio=1.0, has_predecessor=False):
+    return quotas.FleetPosition(
+        f'i{rank}', rank, instances, ratio, has_predecessor
+    )
+
+
+WHOLE = make_position()
+
+
 def find_max_admissions(times):
     """Return the most admissions in any window."""
     times = sorted(times)
@@ -45,13 +59,13 @@
 
 
 def make_holder():
-    return quotas.QuotaHolder(EXCESS_RATIO, SLACK_REQUESTS)
+    return quotas.QuotaHolder(BOUNDS)
 
 
 def test_a_holder_admits_the_rate_and_no_more():
     holder = make_holder()
     times = send_requests(
-        lambda t: holder.admit(CUSTOMER, 1.0, t).is_admitted, 20
+        lambda t: holder.admit(CUSTOMER, WHOLE, t).is_admitted, 20
     )
     assert find_max_admissions(times) <= BOUND
     assert len(times) >= CUSTOMER.rate_per_s * 20
@@ -63,7 +77,7 @@
     refused = 0
     for _ in range(3000):
         now += SECOND * rng.expovariate(CUSTOMER.rate_per_s * 0.8)
-        refused += not holder.admit(CUSTOMER, 1.0, now).is_admitted
+        refused += not holder.admit(CUSTOMER, WHOLE, now).is_admitted
     assert refused == 0
 
 
@@ -78,7 +92,7 @@
 
     def admit(now):
         holder = first if now < change else second
-        return holder.admit(CUSTOMER, 1.0, now).is_admitted
+        return holder.admit(CUSTOMER, WHOLE, now).is_admitted
 
     assert find_max_admissions(send_requests(admit, 10)) <= BOUND
 
@@ -93,7 +107,9 @@
     for ratio in (14 / 44, 30 / 44):
         holder = make_holder()
         times += send_requests(
-            lambda t, h=holder, r=ratio: h.admit(CUSTOMER, r, t).is_admitted,
+            lambda t, h=holder, r=ratio: (
+                h.admit(CUSTOMER, make_position(ratio=r), t).is_admitted
+            ),
             10,
         )
     assert find_max_admissions(times) <= BOUND
@@ -101,10 +117,11 @@
 
 def test_all_instances_without_a_holder_stay_inside_the_bound():
     times = []
-    for _ in range(44):
-        quota = quotas.LocalQuota()
+    for rank in range(44):
+        quota, position = quotas.LocalQuota(BOUNDS), make_position(rank)
         times += send_requests(
-            lambda t, s=quota: s.admit(CUSTOMER, 44, t).is_admitted, 10
+            lambda t, s=quota, p=position: s.admit(CUSTOMER, p, t).is_admitted,
+            10,
         )
     assert find_max_admissions(times) <= BOUND
 
@@ -116,37 +133,38 @@
     """
     holder = make_holder()
     times = send_requests(
-        lambda t: holder.admit(CUSTOMER, 1.0, t).is_admitted, 10
+        lambda t: holder.admit(CUSTOMER, WHOLE, t).is_admitted, 10
     )
-    for _ in range(7):
-        quota = quotas.LocalQuota()
+    for rank in range(7):
+        quota, position = quotas.LocalQuota(BOUNDS), make_position(rank)
         times += send_requests(
-            lambda t, s=quota: s.admit(CUSTOMER, 44, t).is_admitted, 10
+            lambda t, s=quota, p=position: s.admit(CUSTOMER, p, t).is_admitted,
+            10,
         )
     assert find_max_admissions(times) <= BOUND
 
 
 def test_a_refused_request_is_admitted_after_retry_after():
     holder, now = make_holder(), START
-    while (answer := holder.admit(CUSTOMER, 1.0, now)).is_admitted:
+    while (answer := holder.admit(CUSTOMER, WHOLE, now)).is_admitted:
         pass
-    assert holder.admit(CUSTOMER, 1.0, now + answer.delay).is_admitted
+    assert holder.admit(CUSTOMER, WHOLE, now + answer.delay).is_admitted
 
 
 def test_a_customer_without_a_limit_is_always_admitted():
     free = configuration.Customer('f', 0.0, 0)
-    holder, quota = make_holder(), quotas.LocalQuota()
+    holder, quota = make_holder(), quotas.LocalQuota(BOUNDS)
     for _ in range(1000):
-        assert holder.admit(free, 0.1, START).is_admitted
-        assert quota.admit(free, 44, START).is_admitted
+        assert holder.admit(free, WHOLE, START).is_admitted
+        assert quota.admit(free, WHOLE, START).is_admitted
 
 
 def test_a_lowered_rate_applies_at_once():
     holder = make_holder()
-    send_requests(lambda t: holder.admit(CUSTOMER, 1.0, t).is_admitted, 5)
+    send_requests(lambda t: holder.admit(CUSTOMER, WHOLE, t).is_admitted, 5)
     low = CUSTOMER._replace(rate_per_s=2.0, burst_requests=2)
     times = send_requests(
-        lambda t: holder.admit(low, 1.0, t).is_admitted,
+        lambda t: holder.admit(low, WHOLE, t).is_admitted,
         10,
         start=START + 5 * SECOND,
     )
@@ -184,10 +202,12 @@
     refused in the second after the start of all instances.
     """
     early, late = make_holder(), make_holder()
-    early.admit(CUSTOMER, 1 / quotas.ASSUMED_INSTANCES, START)
+    early.admit(
+        CUSTOMER, make_position(ratio=1 / quotas.ASSUMED_INSTANCES), START
+    )
     counts = [
         sum(
-            holder.admit(CUSTOMER, 1.0, START + SECOND / 100).is_admitted
+            holder.admit(CUSTOMER, WHOLE, START + SECOND / 100).is_admitted
             for _ in range(CUSTOMER.burst_requests)
         )
         for holder in (early, late)
@@ -200,7 +220,8 @@
 
     def admit(now):
         ratio = 1.0 if int(now / SECOND * 4) % 2 else 0.5
-        return holder.admit(CUSTOMER, ratio, now).is_admitted
+        position = make_position(ratio=ratio)
+        return holder.admit(CUSTOMER, position, now).is_admitted
 
     assert find_max_admissions(send_requests(admit, 20)) <= BOUND
 
@@ -210,7 +231,7 @@
     holder, starts = make_holder(), []
 
     def admit(now):
-        decision = holder.admit(CUSTOMER, 1.0, now, longest_wait)
+        decision = holder.admit(CUSTOMER, WHOLE, now, longest_wait)
         if decision.is_admitted:
             assert decision.delay <= longest_wait
             starts.append(now + decision.delay)
@@ -253,11 +274,11 @@
     while admit(START):
         pass
     holder = make_holder()
-    while holder.admit(CUSTOMER, 1.0, START, 0.4 * SECOND).is_admitted:
+    while holder.admit(CUSTOMER, WHOLE, START, 0.4 * SECOND).is_admitted:
         pass
-    refused = holder.admit(CUSTOMER, 1.0, START, 0.4 * SECOND)
+    refused = holder.admit(CUSTOMER, WHOLE, START, 0.4 * SECOND)
     assert refused.delay > 0.4 * SECOND
-    assert holder.admit(CUSTOMER, 1.0, START + refused.delay).is_admitted
+    assert holder.admit(CUSTOMER, WHOLE, START + refused.delay).is_admitted
 
 
 def test_long_overload_of_a_customer_builds_no_standing_queue():
@@ -275,7 +296,7 @@
         first = START + start_s * SECOND
         times = (first + n * step for n in range(int(seconds * rate_per_s)))
         decisions = (
-            holder.admit(CUSTOMER, 1.0, now, 0.4 * SECOND) for now in times
+            holder.admit(CUSTOMER, WHOLE, now, 0.4 * SECOND) for now in times
         )
         return [d.delay for d in decisions if d.is_admitted]
 
@@ -302,7 +323,7 @@
     for n in range(240):
         now = START + n * SECOND / 120
         kind = ('urgent', 'other')[n % 2]
-        decision = holder.admit(CUSTOMER, 1.0, now, waits[kind] * SECOND)
+        decision = holder.admit(CUSTOMER, WHOLE, now, waits[kind] * SECOND)
         served[kind] += decision.is_admitted
     if has_order:
         assert served['urgent'] >= served['other']
