Check an instance that does not answer at once

Cause: a lost holder's place is taken only once it is known to be down, and the check of it began with the next interval, up to 0.7 s later.

Change: the first call without an answer submits the two checks that the next interval would make. The rule stays the same: two failed checks.

Related paths: holders of shards and readers of the store use the same records, so they are replaced as early; calls of other threads while the check runs submit no further one.

--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from concurrent import futures
 import datetime
 import threading
@@ -165,10 +166,13 @@
     def _record_unresponsive(self, target: str) -> None:
         with self.lock:
             now = self._clock.read_elapsed()
-            if target not in self._unresponsive_until:
-                logs.log_event('instance_silent', target=target)
+            is_new = target not in self._unresponsive_until
             self._unresponsive_until[target] = now + UNRESPONSIVE_TIME
             self.core.roster.schedule_check(target)
+        if is_new:
+            logs.log_event('instance_silent', target=target)
+            # Until it is known to be down, nobody takes its place.
+            self._submit(self._check_repeatedly, target)
 
     def is_unresponsive(self, target: str) -> bool:
         """Return whether a recent call to the instance got no reply."""
@@ -183,8 +187,11 @@
 
     def send(self, target: str, message: Any) -> None:
         """Send a message from a worker thread; a failure is only logged."""
+        self._submit(self._send_or_log, target, message)
+
+    def _submit(self, function: Callable[..., None], *values: Any) -> None:
         try:
-            self._workers.submit(self._send_or_log, target, message)
+            self._workers.submit(function, *values)
         except RuntimeError:
             # The thread pool was shut down.
             return
