--- a/cranberryscale/platform/store.py
+++ b/cranberryscale/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 import urllib3
 
+from cranberryscale import clock as clocks
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale.platform import entry_decoding
@@ -30,6 +31,9 @@
 # A page has up to 500 entries or 1 MB. The limit ends reads of a store that
 # always reports another page.
 PAGE_LIMIT = 1000
+BLOCK_BYTES = 65536
+# Several times the largest page. Memory must not grow with a faulty response.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 # Larger revisions would not fit into messages to other instances.
@@ -95,8 +99,9 @@
     Raises PlatformUnavailable and PlatformMalformed.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, clock: clocks.Clock | None = None):
         self.calls = 0
+        self._clock = clock or clocks.SystemClock()
         self._address = address
         self._pool = self._make_pool()
 
@@ -176,8 +181,10 @@
                 path,
                 fields=fields,
                 redirect=False,
+                preload_content=False,
                 timeout=urllib3.Timeout(total=seconds),
             )
+            body = self._read_body(response, timeout)
         except urllib3.exceptions.HTTPError as error:
             # Other connections of the pool may be dead as well.
             self._pool.close()
@@ -190,10 +197,25 @@
         if response.status != 200:
             raise errors.make_error('platform_unavailable', response.status)
         try:
-            return msgspec.json.decode(response.data, type=response_type)
+            return msgspec.json.decode(body, type=response_type)
         except (msgspec.MsgspecError, RecursionError, ValueError) as error:
             raise errors.make_error('platform_malformed', error) from error
 
+    def _read_body(
+        self, response: urllib3.BaseHTTPResponse, timeout: datetime.timedelta
+    ) -> bytes:
+        """Return the body; a response may be faulty and never end."""
+        until = self._clock.read_elapsed() + timeout
+        body = bytearray()
+        while block := response.read1(BLOCK_BYTES):
+            body += block
+            is_late = self._clock.read_elapsed() >= until
+            if is_late or len(body) > MAX_RESPONSE_BYTES:
+                response.close()
+                raise errors.make_error('platform_malformed', 'no end')
+        response.release_conn()
+        return bytes(body)
+
 
 class _RevisionTooOld(Exception):  # noqa: N818
     """Raised when the store no longer has the changes after a revision."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,6 +7,7 @@
 import base64
 import contextlib
 import datetime
+import io
 import json
 import signal
 import time
@@ -272,11 +273,15 @@
 
     def __init__(self, body: bytes):
         self.status = 200
-        self.data = body
+        self._stream = io.BytesIO(body)
+        self.read1 = self._stream.read1
 
     def request(self, *_, **__):
         return self
 
+    def release_conn(self):
+        pass
+
 
 @pytest.mark.parametrize(
     'odd_item',
