Use a request id only once on a connection to a server

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran, or these ran at a second server.

Cause: a copy is recognized by the id that it echoes. If the next request on the connection has the same id, as a caller's own repeat may, the copy was taken for its answer.

Change: a connection remembers the ids that it carried, 1,024 at most, and is closed instead of carrying one again. It works for any late copy, whole or partial, since no later answer on the connection can have its id.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -185,7 +185,9 @@
         self.is_ended = False
         self.is_echoed = False
         self._is_body_sent = False
-        self._connection = pool.acquire(limits.start_until, limits.idle_limit)
+        self._connection = pool.acquire(
+            limits.start_until, limits.idle_limit, head.request_id
+        )
         self.socket: deadline_socket.DeadlineSocket = self._connection.sock
         self.socket.start_exchange(limits.deadline)
         self.socket.watch(limits.caller)
--- a/cranberryscale/connection/connection_pool.py
+++ b/cranberryscale/connection/connection_pool.py
@@ -22,6 +22,8 @@
 KEEPALIVE_PROBES = 3
 USER_TIMEOUT_MS = 10_000
 ACQUIRE_TIMEOUT_S = 0.05
+# Bounds the ids that are kept for a connection.
+MAX_REQUESTS = 1024
 # Zero would make the socket non-blocking.
 MIN_CONNECT_TIMEOUT_S = 0.001
 
@@ -41,12 +43,25 @@
     clock: clocks.Clock
     idle_limit: datetime.timedelta
     idle_since: datetime.timedelta | None = None
+    request_ids: set[str]
 
     def connect(self) -> None:
         super().connect()
         self.idle_since = None
+        # Ids of the requests sent on this connection. A late copy of a
+        # response is recognized by its id, so an id is used only once.
+        self.request_ids = set()
         self.sock = deadline_socket.DeadlineSocket(self.sock, self.clock)
 
+    def can_carry(self, request_id: str) -> bool:
+        """Return whether a response could not be mistaken for another one."""
+        if self.sock is None:
+            return True
+        return (
+            request_id not in self.request_ids
+            and len(self.request_ids) < MAX_REQUESTS
+        )
+
     @property
     def is_connected(self) -> bool:
         """Return whether the connection may be reused.
@@ -84,12 +99,13 @@
         self,
         until: datetime.timedelta,
         idle_limit: datetime.timedelta | None = None,
+        request_id: str = '',
     ) -> BackendConnection:
         """Return an open connection, or raise BackendRefused.
 
         Connecting is bounded by the pool's timeout and by the elapsed time
         `until`. A pooled connection is reused if it was idle for less than
-        `idle_limit`.
+        `idle_limit` and has not carried a request with this id.
         """
         try:
             connection = self._get_conn(timeout=ACQUIRE_TIMEOUT_S)
@@ -103,6 +119,8 @@
             ) from error
         if idle_limit is not None and not connection.is_fresh(idle_limit):
             connection.close()
+        if not connection.can_carry(request_id):
+            connection.close()
         try:
             if connection.sock is None:
                 remaining = until - self.clock.read_elapsed()
@@ -118,6 +136,7 @@
             raise errors.make_error(
                 'backend_refused', type(error).__name__
             ) from error
+        connection.request_ids.add(request_id)
         return connection
 
     def release(self, connection: BackendConnection) -> None:
