--- a/cranberryscale_bench/request_mutants.py
+++ b/cranberryscale_bench/request_mutants.py
@@ -94,8 +94,8 @@
     mutants.Mutation(
         'request-no-second-check',
         'cranberryscale/request/flow.py',
-        '            state.authorize()\n            remaining',
-        '            remaining',
+        '            state.authorize()\n            state.check',
+        '            state.check',
         ('flow',),
         'key and route are checked again before forwarding',
     ),
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -329,3 +329,29 @@
         assert served['urgent'] >= served['other']
     else:
         assert served['urgent'] < served['other']
+
+
+@pytest.mark.parametrize('instances', [24, 44, 300])
+def test_parts_below_one_request_never_add_up_to_more_than_the_sum(instances):
+    """Guards against parts that are rounded up or come due together.
+
+    Each instance is asked for all the tokens it has, at many moments, after
+    all of them were idle.
+    """
+    customer = configuration.Customer('c', 5, 5)
+    part = quotas.ALONE_PART * BOUNDS.find_extra_burst(customer)
+    quota_of = {
+        make_position(rank, instances): quotas.LocalQuota(BOUNDS)
+        for rank in range(instances)
+    }
+    total = 0
+    for moment in range(100):
+        now = START + moment * 97 * SECOND
+        admitted = sum(
+            quota.admit(customer, position, now).is_admitted
+            for position, quota in quota_of.items()
+            for _ in range(2)
+        )
+        assert admitted <= part + 1
+        total += admitted
+    assert total > 50
