Make a test of the thread pool independent of when a thread waits

Cause: the test replaces the queue's function between two requests and assumes that the pool's thread waits in the old one by then. Under load it does not yet, so the second request is the one that is paused, for the five seconds after which its caller gives up (traceback: the second send_raw).

Change: the replacement is in place before the first request and pauses only once it is told to. What is checked is unchanged, and no code of the product is concerned.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -564,23 +564,27 @@
     """The next connection would wait for the end of the first request."""
     with harness.GatewayStack(harness.serve_hello, threads=4) as proxy:
         pool = proxy.listener.requests
-        taken, may_go_on = threading.Event(), threading.Event()
+        pausing, taken = threading.Event(), threading.Event()
+        may_go_on = threading.Event()
         take = pool._queue.get
 
         def take_and_pause():
             connection = take()
-            taken.set()
-            may_go_on.wait(5)
+            if pausing.is_set():
+                pausing.clear()
+                taken.set()
+                may_go_on.wait(5)
             return connection
 
-        # The thread of the pool already waits in the original function.
-        proxy.send_raw(GET)
+        # The thread of the pool may wait in the original function for the
+        # first two connections.
         pool._queue.get = take_and_pause
         proxy.send_raw(GET)
+        proxy.send_raw(GET)
+        pausing.set()
         with proxy.connect() as first:
             first.sendall(GET + AUTH + b'\r\n\r\n')
             assert taken.wait(5)
-            pool._queue.get = take
             assert proxy.send_raw(GET).endswith(b'hello')
             may_go_on.set()
             answer = first.recv(4096)
