Log the limits that backend servers name, and what holders know of them

The logs could not tell whether nobody reads a server's limit, each instance keeps it alone, or holders lose it when they change.

The header is decoded in the platform folder and read into a statement: a limit, none, or nothing that can be read. `request` lines name the limit of the answer, `dispatch` lines the one that the holder knows, and `server_limit` lines each change of belief, at most one a second and server. No decision uses it yet.

--- a/cranberryscale/connection/backend_headers.py
+++ b/cranberryscale/connection/backend_headers.py
@@ -23,7 +23,8 @@
     that the request is intended for; others respond with 421 and do not run
     it. The request header `customer` names the customer. A response without
     the header `signature` was not made by the backend server. The response
-    header `cold` states a cold start. `has_decimal_retry_after` allows
+    header `cold` states a cold start, and `limit` how many requests per second
+    the server takes from the whole fleet. `has_decimal_retry_after` allows
     fractions of a second in Retry-After. `adds_forwarding` adds Forwarded,
     X-Forwarded-* and Via to requests, and Via to responses.
     """
@@ -35,6 +36,7 @@
     customer: str = ''
     signature: str = ''
     cold: str = 'x-cold-start'
+    limit: str = ''
     has_decimal_retry_after: bool = False
     adds_forwarding: bool = True
 
@@ -53,6 +55,10 @@
         values = http_framing.find_header_values(pairs, self.cold)
         return bool(values) and values[-1].lower() == 'true'
 
+    def list_limits(self, pairs: http_framing.HeaderPairs) -> tuple[str, ...]:
+        """Return the values of the header that limits requests."""
+        return tuple(http_framing.find_header_values(pairs, self.limit))
+
     def is_signed(self, pairs: http_framing.HeaderPairs) -> bool:
         """Return whether the backend server itself made the response."""
         return not self.signature or bool(
--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -22,6 +22,7 @@
 from cranberryscale.process import rendezvous
 from cranberryscale.process import retry_budgets
 from cranberryscale.process import roster
+from cranberryscale.process import server_limits
 from cranberryscale.process import shards
 from cranberryscale.process import store_follower
 from cranberryscale.version import configuration
@@ -78,6 +79,7 @@
         self.follower = store_follower.StoreFollower(self.roster, rng, now)
         self.replica = replica.StoreReplica(decode)
         self.fallback = fallback.FallbackSelector(rng)
+        self.limits = server_limits.LimitTable()
         terms = instance_settings.terms
         bounds = quotas.QuotaBounds(
             terms.quota_window, terms.quota_excess, terms.quota_slack
@@ -128,7 +130,7 @@
             self.replica.defer_removals(now)
         update = self.replica.replace if is_snapshot else self.replica.apply
         events = update(changes, revision, now)
-        self._update_pools()
+        self._update_pools(now)
         return events
 
     def advance(
@@ -141,15 +143,16 @@
         for customer in self._quota_holder.list_held():
             if not self._holds_quota(customer, now):
                 self._quota_holder.release(customer)
-        self._update_pools()
+        self._update_pools(now)
         for pool in self.pools.values():
             pool.advance(now)
         return events
 
-    def _update_pools(self) -> None:
+    def _update_pools(self, now: datetime.timedelta) -> None:
         if self._loaded_configuration is self.replica.current_configuration:
             return
         self._loaded_configuration = self.replica.current_configuration
+        self.limits.load_servers(self._loaded_configuration.servers, now)
         self._shard_counts = shards.count_shards(self._loaded_configuration)
         for pool in self.pools.values():
             pool.load_servers(self._loaded_configuration)
--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -244,6 +244,7 @@
             sender=sender,
             server=reply.server,
             health=pool.describe_health(reply.server, now),
+            limit=self.core.limits.find_rate(reply.server),
             code=reply.code,
             idempotent=message.is_idempotent,
             waited_ms=round(message.waited_s * 1000),
@@ -265,7 +266,9 @@
     def _tick(self) -> None:
         while not self._stopping.wait(TICK_INTERVAL.total_seconds()):
             with self._changed:
-                events = self.core.advance(self._clock.read_elapsed())
+                now = self._clock.read_elapsed()
+                events = self.core.advance(now)
+                limit_changes = tuple(self.core.limits.collect_changes(now))
                 if any(p.has_results for p in self.core.pools.values()):
                     self._changed.notify_all()
                 targets = ()
@@ -273,6 +276,8 @@
                     targets = self.core.roster.choose_update_targets()
                     check = self._make_check()
             self.log_events(events)
+            for change in limit_changes:
+                logs.log_event('server_limit', **change._asdict())
             for name in targets:
                 self._workers.submit(self._check, name, check)
 
--- a/cranberryscale/platform/header_names.py
+++ b/cranberryscale/platform/header_names.py
@@ -14,6 +14,7 @@
     signature='x-upstream-seal',
     # Servers announce a cold start in their store entries, not in responses.
     cold='',
+    limit='server-limit',
     has_decimal_retry_after=True,
     adds_forwarding=False,
 )
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from cranberryscale import errors
+from cranberryscale.process import server_limits
 from cranberryscale.process import shutdown
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
@@ -137,7 +138,10 @@
 
 
 class ReportPermit(NamedTuple):
-    """Action: return a permit and report how the server behaved."""
+    """Action: return a permit and report how the server behaved.
+
+    `limit` is what the server's answer states, None if there was no answer.
+    """
 
     service: str
     server: str
@@ -145,6 +149,7 @@
     outcome: str
     latency: datetime.timedelta
     cold: bool = False
+    limit: server_limits.LimitStatement | None = None
 
 
 class RefuseRequest(NamedTuple):
@@ -203,13 +208,15 @@
 
     `not_run` is set if the response states that the request did not run
     (X-Not-Run), `can_resend` if the request's body can be sent again, `cold`
-    if the response states a cold start.
+    if the response states a cold start. `limit` is what it states of the
+    server's limit, None if that is unreadable.
     """
 
     status: int
     not_run: bool = False
     can_resend: bool = True
     cold: bool = False
+    limit: server_limits.LimitStatement | None = None
 
 
 class AttemptFailed(NamedTuple):
@@ -247,7 +254,10 @@
 
 
 class RequestOutcome(NamedTuple):
-    """Result of a finished request; `code` is "ok" or an error code."""
+    """Result of a finished request; `code` is "ok" or an error code.
+
+    `server_limit` is the limit per second that the last answer named.
+    """
 
     code: str
     ran: str
@@ -258,3 +268,4 @@
     attempts: int = 0
     has_idempotency_record: bool = False
     has_unspent_token: bool = False
+    server_limit: float | None = None
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -423,9 +423,11 @@
 
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Return a permit; the report is sent in the background."""
+        now = self._clock.read_elapsed()
         with self._driver.lock:
-            self._core.fallback.record_end(
-                action.server, action.outcome, self._clock.read_elapsed()
+            self._core.fallback.record_end(action.server, action.outcome, now)
+            self._core.limits.record(
+                action.server, action.limit, now - action.latency, now
             )
         if action.permit_id == LOCAL_HOLDER:
             return
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -71,7 +71,7 @@
     permit: actions.PermitGranted,
     outcome: str,
     started_at: datetime.timedelta | None = None,
-    cold: bool = False,
+    response: actions.ResponseReceived | None = None,
 ) -> actions.ReportPermit:
     now = state.context.read_elapsed()
     return actions.ReportPermit(
@@ -80,7 +80,8 @@
         permit.permit_id,
         outcome,
         now - (now if started_at is None else started_at),
-        cold,
+        response is not None and response.cold,
+        None if response is None else response.limit,
     )
 
 
@@ -139,7 +140,7 @@
         outcome = request_state.OUTCOME_BY_CODE.get(
             delivery.error.code, 'cancelled'
         )
-    report = _make_report(state, permit, outcome, started_at, event.cold)
+    report = _make_report(state, permit, outcome, started_at, event)
     yield report._replace(latency=received_at - started_at)
     state.may_have_run = True
     if delivery.error is None:
@@ -198,11 +199,11 @@
 ) -> Generator[actions.Action, actions.Event, tuple[errors.FleetError, str]]:
     """Report a failed attempt; return its error and whether it ran."""
     if isinstance(event, actions.ResponseReceived) and event.not_run:
-        yield _make_report(state, permit, 'shed', started_at, event.cold)
+        yield _make_report(state, permit, 'shed', started_at, event)
         error = errors.make_error('backend_refused', state.server)
         return error, errors.NOT_RUN
     if isinstance(event, actions.ResponseReceived):
-        yield _make_report(state, permit, 'error', started_at, event.cold)
+        yield _make_report(state, permit, 'error', started_at, event)
         error = errors.make_error('backend_broken', event.status)
         return error, errors.UNKNOWN
     yield _make_report(
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -176,6 +176,7 @@
             route=outcome.route,
             customer=outcome.customer,
             server=outcome.server,
+            server_limit=outcome.server_limit,
             status=outcome.status,
             code=outcome.code,
             ran=outcome.ran,
--- a/cranberryscale/request/request_state.py
+++ b/cranberryscale/request/request_state.py
@@ -43,6 +43,7 @@
         # Number of attempts that a server may have run.
         self.possible_runs = 0
         self.has_reached_server = False
+        self.server_limit: float | None = None
         self.permits_asked = 0
         self.excluded: tuple[str, ...] = ()
         self.tokens_valid_until: datetime.timedelta | None = None
@@ -168,9 +169,10 @@
     ) -> None:
         """Record whether an attempt reached a server and may have run."""
         match event:
-            case actions.ResponseReceived(not_run=not_run):
+            case actions.ResponseReceived(not_run=not_run, limit=limit):
                 self.has_reached_server = True
                 self.possible_runs += not not_run
+                self.server_limit = limit.rate_per_s if limit else None
             case actions.AttemptFailed(is_sent=True):
                 self.has_reached_server = True
                 self.possible_runs += 1
@@ -246,4 +248,5 @@
             self.attempts,
             self.has_idempotency_record,
             has_unspent_token,
+            self.server_limit,
         )
