--- a/standins/machines.py
+++ b/standins/machines.py
@@ -208,10 +208,11 @@
         request_id = self.headers.get('X-Request-Id', '')
         body = self.rfile.read(int(self.headers.get('Content-Length', '0')))
         target = self.headers.get('X-Target-Instance')
-        echo = {'X-Request-Id': request_id}
+        echo = {'X-Request-Id': request_id} | server.make_statements()
         if target not in (None, server.name):
             self.send_whole_response(421, b'', echo)
             return
+        server.arrivals_s.append(time.monotonic())
         if not server.start_request(
             request_id, self.headers, self.command, self.path
         ):
@@ -243,7 +244,9 @@
 class StandInServer:
     """A backend server that appends the requests it runs to `executed`.
 
-    It runs at most `slots` requests at a time, each for `service_s`.
+    It runs at most `slots` requests at a time, each for `service_s`. While
+    `limit` is set, all answers name it. `arrivals_s` are the times at which
+    requests arrived, whether they ran or not.
     """
 
     def __init__(
@@ -261,6 +264,8 @@
         self.slots = slots
         self.service_s = service_s
         self.status = 200
+        self.limit = ''
+        self.arrivals_s: list[float] = []
         self._executed = executed
         self._running = 0
         self._lock = threading.Lock()
@@ -290,6 +295,10 @@
         )
         return True
 
+    def make_statements(self) -> dict[str, str]:
+        """Return the headers by which all answers describe the server."""
+        return {'Server-Limit': self.limit} if self.limit else {}
+
     def finish_request(self) -> None:
         """Free the request's slot."""
         with self._lock:
