Move the bucket of which each instance holds a part out of quotas

A limit that a backend server names is also kept by holders over the whole fleet, with parts below one request. The bucket and the position of an instance move to fleet_buckets unchanged, so that both use them. The two mutations of these lines name the new module.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -18,6 +18,7 @@
 from cranberryscale.process import dispatch
 from cranberryscale.process import dispatch_requests
 from cranberryscale.process import fallback
+from cranberryscale.process import fleet_buckets
 from cranberryscale.process import quotas
 from cranberryscale.process import rendezvous
 from cranberryscale.process import retry_budgets
@@ -284,8 +285,10 @@
         recent = self.roster.count_recently_up(now)
         return up / max(up, recent)
 
-    def _find_position(self, now: datetime.timedelta) -> quotas.FleetPosition:
-        return quotas.FleetPosition(
+    def _find_position(
+        self, now: datetime.timedelta
+    ) -> fleet_buckets.FleetPosition:
+        return fleet_buckets.FleetPosition(
             self.instance_settings.name,
             self.roster.own_rank,
             self.roster.count_recently_up(now),
--- a/cranberryscale/process/quotas.py
+++ b/cranberryscale/process/quotas.py
@@ -33,14 +33,13 @@
 
 import datetime
 from typing import NamedTuple
-import zlib
 
+from cranberryscale.process import fleet_buckets
 from cranberryscale.version import configuration
 
 
 __all__ = [
     'ASSUMED_INSTANCES',
-    'FleetPosition',
     'LocalQuota',
     'QuotaBounds',
     'QuotaDecision',
@@ -101,72 +100,25 @@
         return customer.burst_requests * self.excess + self.slack
 
 
-class FleetPosition(NamedTuple):
-    """Position of an instance among the `instances` that are known.
+class _Bucket(fleet_buckets.Bucket):
+    """A bucket that also gives out tokens that are due soon."""
 
-    `ratio` is the part of the recently known instances that are up. Without
-    `has_predecessor` no other instance has been up for long enough to have
-    been a holder.
-    """
-
-    name: str
-    rank: int
-    instances: int
-    ratio: float = 1.0
-    has_predecessor: bool = True
-
-    def find_phase(self, customer: str) -> float:
-        """Return a fraction that is spread evenly over the instances.
-
-        An instance that knows of no other draws it from its name.
-        """
-        if self.instances <= 1:
-            return zlib.crc32(f'{self.name} {customer}'.encode()) / 2**32
-        offset = zlib.crc32(customer.encode()) / 2**32
-        return (self.rank / self.instances + offset) % 1
-
-
-class _Limits(NamedTuple):
-    """Rate and burst of a bucket, and the tokens with which it starts."""
-
-    rate_per_s: float
-    burst: float
-    start: float
-
-
-class _Bucket:
-    """A token bucket whose limits may differ at each request.
-
-    A burst of less than one token is that part of the time for which a token
-    may be spent. Buckets of many instances whose phases are spread evenly hold
-    such tokens at different times, so that together they hold no more than the
-    sum of their bursts.
-    """
-
-    def __init__(self, limits: _Limits, phase: float, now: datetime.timedelta):
+    def __init__(
+        self,
+        limits: fleet_buckets.BucketLimits,
+        phase: float,
+        now: datetime.timedelta,
+    ):
+        super().__init__(limits, phase, now)
         # The largest start that was credited.
         self.start = limits.start
-        self.tokens = limits.start + (phase if limits.burst < 1 else 0.0)
-        self.updated_at = now
         self.admitted_at: datetime.timedelta | None = None
         # When the first request found no token since the last recovery.
         self._short_since: datetime.timedelta | None = None
 
-    def accrue(self, limits: _Limits, now: datetime.timedelta) -> None:
-        """Add the tokens since the last update, unless it lies ahead."""
-        if now > self.updated_at:
-            since = now - self.updated_at
-            self.tokens += limits.rate_per_s * since.total_seconds()
-            self.updated_at = now
-        if limits.burst >= 1:
-            self.tokens = min(limits.burst, self.tokens)
-        elif self.tokens >= 1:
-            part = self.tokens % 1
-            self.tokens = part + (part < limits.burst)
-
     def spend(
         self,
-        limits: _Limits,
+        limits: fleet_buckets.BucketLimits,
         now: datetime.timedelta,
         longest_wait: datetime.timedelta,
     ) -> QuotaDecision:
@@ -204,7 +156,12 @@
     `is_held` tells whether the instance was the holder at the last request.
     """
 
-    def __init__(self, limits: _Limits, phase: float, now: datetime.timedelta):
+    def __init__(
+        self,
+        limits: fleet_buckets.BucketLimits,
+        phase: float,
+        now: datetime.timedelta,
+    ):
         super().__init__(limits, phase, now)
         self.is_held = False
 
@@ -221,7 +178,7 @@
 
     def restart(
         self,
-        limits: _Limits,
+        limits: fleet_buckets.BucketLimits,
         now: datetime.timedelta,
         window: datetime.timedelta,
     ) -> None:
@@ -248,13 +205,13 @@
 
     def _find_limits(
         self, customer: configuration.Customer, ratio: float, is_holder: bool
-    ) -> _Limits:
+    ) -> fleet_buckets.BucketLimits:
         bounds = self._bounds
         start = START_PART * bounds.find_excess(customer) * ratio
         if not is_holder:
-            return _Limits(0.0, max(1.0, start), start)
+            return fleet_buckets.BucketLimits(0.0, max(1.0, start), start)
         extra_burst = HOLDER_PART * bounds.find_extra_burst(customer)
-        return _Limits(
+        return fleet_buckets.BucketLimits(
             customer.rate_per_s * (1 + HOLDER_PART * bounds.excess) * ratio,
             max(1.0, customer.burst_requests + extra_burst) * ratio,
             start,
@@ -263,7 +220,7 @@
     def admit(
         self,
         customer: configuration.Customer,
-        position: FleetPosition,
+        position: fleet_buckets.FleetPosition,
         now: datetime.timedelta,
         longest_wait: datetime.timedelta = datetime.timedelta(0),
         is_holder: bool = True,
@@ -320,17 +277,17 @@
 
     def _find_limits(
         self, customer: configuration.Customer, instances: int
-    ) -> _Limits:
+    ) -> fleet_buckets.BucketLimits:
         known = instances if instances > 1 else ASSUMED_INSTANCES
         part = ALONE_PART / known
         burst = part * self._bounds.find_extra_burst(customer)
         rate_per_s = part * self._bounds.excess * customer.rate_per_s
-        return _Limits(rate_per_s, burst, burst)
+        return fleet_buckets.BucketLimits(rate_per_s, burst, burst)
 
     def admit(
         self,
         customer: configuration.Customer,
-        position: FleetPosition,
+        position: fleet_buckets.FleetPosition,
         now: datetime.timedelta,
         longest_wait: datetime.timedelta = datetime.timedelta(0),
     ) -> QuotaDecision:
--- a/cranberryscale_bench/report_mutants.py
+++ b/cranberryscale_bench/report_mutants.py
@@ -108,7 +108,7 @@
     ),
     mutants.Mutation(
         'quota-part-rounded-up',
-        'cranberryscale/process/quotas.py',
+        'cranberryscale/process/fleet_buckets.py',
         '            self.tokens = part + (part < limits.burst)\n',
         '            self.tokens = 1 + part\n',
         ('quotas',),
@@ -116,7 +116,7 @@
     ),
     mutants.Mutation(
         'quota-start-in-step',
-        'cranberryscale/process/quotas.py',
+        'cranberryscale/process/fleet_buckets.py',
         'return (self.rank / self.instances + offset) % 1',
         'return offset',
         ('quotas',),
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -11,6 +11,7 @@
 import test_core
 
 from cranberryscale import messages
+from cranberryscale.process import fleet_buckets
 from cranberryscale.process import quotas
 from cranberryscale.version import configuration
 
@@ -32,7 +33,7 @@
 
 
 def make_position(rank=0, instances=44, ratio=1.0, has_predecessor=False):
-    return quotas.FleetPosition(
+    return fleet_buckets.FleetPosition(
         f'i{rank}', rank, instances, ratio, has_predecessor
     )
 
