Keep the limits that backend servers name, over all instances together

Callers noticed nothing.

Cause: no module read the header. Behind it: what a server says of itself in its answers reached nobody who decides.

Change: an instance remembers the limits of the answers that it passes on, tells them to the holder of the server's shard with each question and report, and learns the holder's with each reply. The holder starts requests at a limited server from a token bucket: first attempts, repeats, trials and queued requests alike. Nobody else starts any, so the parts add up: rate and burst of all holders (scaled by the instances that each counts), permits that are used late, and a short disagreement of two holders. A successor starts with an empty bucket, and an instance that was paused waits until it has heard from others. What limited servers cannot take goes to others; without any the caller is refused at once as pool_limited, with the time at which the limits have room for it. Fields at their default are left out at the end of messages, so that builds without the new ones still read them.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import datetime
+import functools
 import heapq
 import random
 from typing import Any
@@ -34,6 +35,12 @@
 __all__ = ['Core']
 
 
+# A core advances every 100 ms. After a longer break others may have taken it
+# for down, which it learns with its next checks of other instances.
+PAUSE_LIMIT = datetime.timedelta(milliseconds=600)
+RESUME_TIME = datetime.timedelta(milliseconds=1500)
+
+
 def _make_dispatch_request(
     message: messages.AskServer, sender: str
 ) -> dispatch_requests.DispatchRequest:
@@ -81,6 +88,9 @@
         self.replica = replica.StoreReplica(decode)
         self.fallback = fallback.FallbackSelector(rng)
         self.limits = server_limits.LimitTable()
+        self._advanced_at = now
+        # Until then a successor may have taken over what this instance holds.
+        self._resumes_at = now
         terms = instance_settings.terms
         bounds = quotas.QuotaBounds(
             terms.quota_window, terms.quota_excess, terms.quota_slack
@@ -138,6 +148,9 @@
         self, now: datetime.timedelta
     ) -> tuple[replica.ReplicaEvent, ...]:
         """Perform all actions that are due."""
+        if now - self._advanced_at > PAUSE_LIMIT:
+            self._resumes_at = now + RESUME_TIME
+        self._advanced_at = now
         events = self.replica.advance(now)
         self.roster.remove_long_down(now)
         self._quota_holder.remove_idle(now)
@@ -168,7 +181,13 @@
                 terms.repeat_slack / max(1, count),
                 terms.repeat_window,
             )
-            pool = dispatch.ServerPool(shard.service, budget, shard.has_server)
+            limits = server_limits.ShardLimits(
+                self.limits,
+                functools.partial(self._find_limit_position, shard),
+            )
+            pool = dispatch.ServerPool(
+                shard.service, budget, shard.has_server, limits
+            )
             self.pools[shard] = pool
             pool.load_servers(self.current_configuration)
         return pool
@@ -296,6 +315,25 @@
             self.roster.has_settled_other(now),
         )
 
+    def _find_limit_position(
+        self, shard: shards.Shard, now: datetime.timedelta
+    ) -> fleet_buckets.FleetPosition:
+        """Return the part of the limits at a shard's servers to use here."""
+        name = self.instance_settings.name
+        known = self.roster.count_possibly_up()
+        ratio = 0.0
+        was_paused = (
+            now < self._resumes_at or now - self._advanced_at > PAUSE_LIMIT
+        )
+        if not was_paused and self.find_shard_holder(shard, now) == name:
+            has_joined = self.roster.has_finished_joining(now)
+            ratio = server_limits.find_usable_part(
+                len(self.roster.list_up()), known if has_joined else 0
+            )
+        return fleet_buckets.FleetPosition(
+            name, self.roster.own_rank, known, ratio
+        )
+
     def _handle_ask_quota(
         self, message: messages.AskQuota, now: datetime.timedelta
     ) -> messages.QuotaReply:
@@ -318,10 +356,16 @@
         self, sender: str, message: messages.AskServer, now: datetime.timedelta
     ) -> messages.ServerReply:
         pool = self._get_pool(message.shard)
+        self.limits.merge(message.limits, now)
         result = pool.request_permit(
             _make_dispatch_request(message, sender), now
         )
         ejected = pool.list_ejected(now)
+        limits = self.limits.list_limits(
+            message.shard.has_server,
+            now,
+            frozenset(limit.server for limit in message.limits),
+        )
         match result:
             case dispatch_requests.DispatchPermit(permit_id, server, patience):
                 return messages.ServerReply(
@@ -329,16 +373,19 @@
                     server,
                     patience.total_seconds(),
                     ejected=ejected,
+                    limits=limits,
                 )
             case dispatch_requests.DispatchDenial(code, retry_after):
                 return messages.ServerReply(
                     code=code,
                     retry_after_s=retry_after.total_seconds(),
                     ejected=ejected,
+                    limits=limits,
                 )
             case dispatch_requests.QueuePlace(wait, doubt):
                 return messages.ServerReply(
                     ejected=ejected,
+                    limits=limits,
                     wait_s=wait.total_seconds(),
                     doubt=doubt,
                 )
@@ -353,5 +400,6 @@
                 message.outcome,
                 datetime.timedelta(seconds=message.latency_s),
                 now,
+                message.limit,
             )
         return messages.Done()
--- a/cranberryscale/errors.py
+++ b/cranberryscale/errors.py
@@ -183,6 +183,12 @@
         RETRY_LATER,
         'all backend servers of the service are busy',
     ),
+    (
+        'pool_limited',
+        _S.SERVICE_UNAVAILABLE,
+        RETRY_LATER,
+        'the service\'s backend servers get as much as they ask for',
+    ),
     (
         'pool_unavailable',
         _S.SERVICE_UNAVAILABLE,
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -13,6 +13,7 @@
 
 from cranberryscale import errors
 from cranberryscale.process import roster
+from cranberryscale.process import server_limits
 from cranberryscale.process import shards
 from cranberryscale.version import replica
 
@@ -417,7 +418,8 @@
 class AskServer(NamedTuple):
     """A request to the holder of a shard for a backend server.
 
-    See dispatch_requests.DispatchRequest.
+    See dispatch_requests.DispatchRequest. `limits` are those in force at the
+    shard's servers as far as the sender knows.
     """
 
     shard: shards.Shard
@@ -431,6 +433,7 @@
     is_idempotent: bool = False
     may_wait: bool = True
     is_new: bool = True
+    limits: tuple[server_limits.ServerLimit, ...] = ()
 
 
 class ServerReply(NamedTuple):
@@ -439,7 +442,8 @@
     With neither, a request that may wait is queued and the sender repeats the
     message. Without `may_wait` it is not queued, and `wait_s` is the expected
     wait in the queue. `doubt` is that of dispatch_requests.QueuePlace.
-    `ejected` lists the servers that are ejected.
+    `ejected` lists the servers that are ejected. `limits` are those in force
+    at the shard's servers, and those of the request that have ended.
     """
 
     permit_id: int = 0
@@ -450,15 +454,20 @@
     ejected: tuple[str, ...] = ()
     wait_s: float = 0.0
     doubt: int = 0
+    limits: tuple[server_limits.ServerLimit, ...] = ()
 
 
 class FinishRequest(NamedTuple):
-    """A report to a shard's holder on the end of a request with a permit."""
+    """A report to a shard's holder on the end of a request with a permit.
+
+    `limit` is what the server's answer states, None if there was no answer.
+    """
 
     shard: shards.Shard
     permit_id: int
     outcome: str
     latency_s: float
+    limit: server_limits.LimitStatement | None = None
 
 
 class Done(NamedTuple):
@@ -548,12 +557,27 @@
 BOOTSTRAP_CALLS = (FetchView, FetchSubtrees)
 
 
+def _omit_trailing_defaults(message: Any) -> tuple:
+    """Return the fields up to the last one that differs from its default.
+
+    Programs that do not have the newer fields can then read the message.
+    """
+    values, defaults = tuple(message), message._field_defaults
+    for name in reversed(message._fields):
+        if name not in defaults or values[-1] != defaults[name]:
+            break
+        values = values[:-1]
+    return values
+
+
 def encode(message: Any) -> bytes:
     """Return the wire format: a tag byte and a MessagePack array.
 
     Large messages are compressed, since some instances have slow links.
     """
-    body = bytes((_TAG_OF[type(message)],)) + _ENCODER.encode(message)
+    body = bytes((_TAG_OF[type(message)],)) + _ENCODER.encode(
+        _omit_trailing_defaults(message)
+    )
     if len(body) <= COMPRESS_ABOVE_BYTES:
         return body
     return bytes((COMPRESSED_TAG,)) + zlib.compress(body, COMPRESS_LEVEL)
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -8,19 +8,24 @@
 within a priority requests that can still meet their target go first); slow or
 missing servers (the expected wait grows as slots disappear, so denials begin
 at once); cold servers that return together (each gets no more requests a
-second than it can take while it warms up).
+second than it can take while it warms up); servers that name a limit (see
+server_limits; requests that find no other server are refused at once, with
+the time at which the limits have room for them).
 """
 
 from collections.abc import Callable
 import datetime
+import heapq
 import itertools
 from typing import NamedTuple
 import zlib
 
 from cranberryscale.process import dispatch_requests
+from cranberryscale.process import fleet_buckets
 from cranberryscale.process import health
 from cranberryscale.process import load_statistics
 from cranberryscale.process import retry_budgets
+from cranberryscale.process import server_limits
 from cranberryscale.process import server_ranking
 from cranberryscale.process import tracked_servers
 from cranberryscale.version import configuration
@@ -34,6 +39,10 @@
 POLL_TIMEOUT = datetime.timedelta(milliseconds=600)
 QUEUE_LIMIT = 512
 MIN_RETRY_AFTER = datetime.timedelta(milliseconds=100)
+# A limit may have ended by then.
+MAX_RETRY_AFTER = datetime.timedelta(seconds=5)
+# Bounds the work for one denial.
+MAX_RETURNS = 200
 # Above this utilization, arrivals count as a surge.
 SURGE_UTILIZATION = 0.95
 # Above this utilization of the healthy servers, unhealthy ones are used as
@@ -83,6 +92,12 @@
         )
 
 
+def _find_whole_position(
+    now: datetime.timedelta,
+) -> fleet_buckets.FleetPosition:
+    return fleet_buckets.FleetPosition('', 0, 1)
+
+
 class ServerPool:
     """The backend servers of one service for which `has_server` holds.
 
@@ -95,8 +110,14 @@
         budget: retry_budgets.RetryBudget,
         has_server: Callable[[configuration.BackendServer], bool]
         | None = None,
+        limits: server_limits.ShardLimits | None = None,
     ):
         self.service = service
+        self._limits = limits or server_limits.ShardLimits(
+            server_limits.LimitTable(), _find_whole_position
+        )
+        # When callers that were denied for a limit come back.
+        self._returns: list[datetime.timedelta] = []
         self._retry_budget = budget
         self._has_server = has_server or (
             lambda server: server.service == service
@@ -136,6 +157,35 @@
             loaded[definition.name] = tracked
         self._ranker.tracked = loaded
 
+    def _update_limits(self, now: datetime.timedelta) -> None:
+        """Apply the limits in force; refill the buckets of limited servers."""
+        rates = self._limits.table.list_rates()
+        limited = [
+            server
+            for name, server in self._ranker.tracked.items()
+            if name in rates or server.limit is not None
+        ]
+        if not limited:
+            return
+        position = self._limits.find_position(now)
+        for server in limited:
+            rate_per_s = rates.get(server.definition.name)
+            server.update_limit(rate_per_s, position, now)
+
+    def _is_overdue(
+        self,
+        permit: dispatch_requests.DispatchPermit,
+        granted_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether a permit for a limited server comes too late."""
+        server = self._ranker.tracked.get(permit.server)
+        return (
+            server is not None
+            and server.limit is not None
+            and now - granted_at > server_limits.CLAIM_TIME
+        )
+
     @property
     def queue_length(self) -> int:
         """Return the number of queued requests."""
@@ -168,9 +218,14 @@
 
         Polling with the same request id keeps the place in the queue.
         """
+        self._update_limits(now)
         granted = self._granted.pop(request.request_id, None)
         if granted is not None:
-            return granted[0]
+            permit, granted_at = granted
+            if not self._is_overdue(permit, granted_at, now):
+                return permit
+            self.finish_permit(permit.permit_id, 'unused', ZERO, now)
+            request = request._replace(is_new=False)
         denied = self._denied.pop(request.request_id, None)
         if denied is not None:
             return denied
@@ -211,9 +266,7 @@
         if wait is None or len(self._queued) >= QUEUE_LIMIT:
             if request.is_repeat:
                 self._retry_budget.refund()
-            return dispatch_requests.DispatchDenial(
-                'pool_busy', self._find_retry_after(request)
-            )
+            return self._make_denial(request, now)
         self._queued[request.request_id] = queued
         return dispatch_requests.QueuePlace()
 
@@ -247,9 +300,7 @@
                 return self._grant(request, server, now)
         wait = self._estimate_wait(queued, now)
         if wait is None or len(self._queued) >= QUEUE_LIMIT:
-            return dispatch_requests.DispatchDenial(
-                'pool_busy', self._find_retry_after(request)
-            )
+            return self._make_denial(request, now)
         return dispatch_requests.QueuePlace(
             wait, self._ranker.grade_best_server(request, now)
         )
@@ -265,8 +316,7 @@
             server.definition.name,
             self._latencies.find_first_byte_timeout(request.target),
         )
-        server.running[permit.permit_id] = now
-        server.start_times.append(now)
+        server.start_request(permit.permit_id, now)
         self._running[permit.permit_id] = _RunningRequest(
             server.definition.name,
             request.sender,
@@ -282,11 +332,13 @@
         outcome: str,
         latency: datetime.timedelta,
         now: datetime.timedelta,
+        limit: server_limits.LimitStatement | None = None,
     ) -> None:
         """Free the slot of a permit and record how its request ended.
 
         `outcome` is "ok", "unused", "cancelled", "shed", "refused" (no
-        connection) or one of health.FAILURE_OUTCOMES.
+        connection) or one of health.FAILURE_OUTCOMES; `limit` is what the
+        server's answer states.
         """
         running = self._running.pop(permit_id, None)
         if running is None:
@@ -296,7 +348,14 @@
             had_free_slots = len(server.running) <= max(
                 1, server.definition.slots // 2
             )
-            server.running.pop(permit_id, None)
+            granted_at = server.running.get(permit_id)
+            if granted_at is not None:
+                self._limits.table.record(
+                    running.server, limit, granted_at, now
+                )
+            server.finish_request(
+                permit_id, outcome not in ('unused', 'refused')
+            )
             self._record_outcome(
                 server, running, outcome, latency, had_free_slots, now
             )
@@ -329,6 +388,7 @@
 
     def advance(self, now: datetime.timedelta) -> None:
         """Grant free slots to queued requests and deny the expired ones."""
+        self._update_limits(now)
         self._expire(now)
         if not self._queued:
             return
@@ -358,20 +418,24 @@
             queued.deadline - now
             < self._latencies.estimate_latency(request.target) / 2
         ):
-            self._deny(request, MIN_RETRY_AFTER)
+            self._deny(
+                request,
+                self._make_denial(queued.make_current_request(now), now),
+            )
         elif request.is_new and self._ranker.grade_best_server(request, now):
             # The queue of another pool may still lead to a healthy server.
-            self._deny(request, MIN_RETRY_AFTER)
+            self._deny(
+                request,
+                dispatch_requests.DispatchDenial('pool_busy', MIN_RETRY_AFTER),
+            )
 
     def _deny(
         self,
         request: dispatch_requests.DispatchRequest,
-        retry_after: datetime.timedelta,
+        denial: dispatch_requests.DispatchDenial,
     ) -> None:
         del self._queued[request.request_id]
-        self._denied[request.request_id] = dispatch_requests.DispatchDenial(
-            'pool_busy', retry_after
-        )
+        self._denied[request.request_id] = denial
 
     @property
     def has_results(self) -> bool:
@@ -388,7 +452,7 @@
             i for i, run in self._running.items() if now >= run.deadline
         ]
         for permit_id in expired:
-            self._release(permit_id)
+            self._release(permit_id, True)
         unclaimed = [
             (request_id, permit.permit_id)
             for request_id, (permit, at) in self._granted.items()
@@ -396,14 +460,15 @@
         ]
         for request_id, permit_id in unclaimed:
             del self._granted[request_id]
-            self._release(permit_id)
+            self._release(permit_id, False)
         if len(self._denied) > QUEUE_LIMIT:
             self._denied.clear()
 
-    def _release(self, permit_id: int) -> None:
+    def _release(self, permit_id: int, has_started: bool) -> None:
         running = self._running.pop(permit_id, None)
         if running is not None and running.server in self._ranker.tracked:
-            self._ranker.tracked[running.server].running.pop(permit_id, None)
+            server = self._ranker.tracked[running.server]
+            server.finish_request(permit_id, has_started)
 
     def _find_queue_order(
         self, queued: _QueuedRequest, now: datetime.timedelta
@@ -463,16 +528,16 @@
         now: datetime.timedelta,
     ) -> float:
         """Return how many requests per second the usable servers complete."""
-        slots = sum(
-            s.definition.slots for s in self._ranker.list_usable(request, now)
-        )
         busy = [
             self._latencies.estimate_latency(run.kind)
             for run in self._running.values()
         ]
         usual = sum(busy, ZERO) / len(busy) if busy else None
         usual = usual or self._latencies.estimate_latency(request.target)
-        return slots / usual.total_seconds()
+        return sum(
+            server.estimate_rate(usual)
+            for server in self._ranker.list_usable(request, now)
+        )
 
     def _estimate_wait(
         self, queued: _QueuedRequest, now: datetime.timedelta
@@ -483,7 +548,8 @@
         and for those of higher priority that arrive meanwhile. A request that
         will miss its target is served from the capacity that all others leave.
         During a surge only a few of these are queued, to be served when the
-        surge ends.
+        surge ends, and none where servers are at their limit: limits last for
+        longer than a request can wait.
         """
         request = queued.request
         usual = self._latencies.estimate_latency(request.target)
@@ -501,12 +567,66 @@
             self._arrivals.find_rate(request.priority, now)
             > capacity * SURGE_UTILIZATION
         )
+        if is_surge and self._is_limited(request, now):
+            return None
         spare_time = request.remaining - usual
         limit = spare_time * (
             SURGE_WAIT_RATIO if is_surge else LATE_WAIT_RATIO
         )
         return wait if wait <= limit else None
 
+    def _is_limited(
+        self,
+        request: dispatch_requests.DispatchRequest,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether limits keep servers from starting the request."""
+        return any(
+            server.has_free_slot and server.is_at_limit
+            for server in self._ranker.list_usable(request, now)
+        )
+
+    def _make_denial(
+        self,
+        request: dispatch_requests.DispatchRequest,
+        now: datetime.timedelta,
+    ) -> dispatch_requests.DispatchDenial:
+        """Return the denial of a request that no server can take in time."""
+        if self._is_limited(request, now):
+            return dispatch_requests.DispatchDenial(
+                'pool_limited', self._schedule_return(request, now)
+            )
+        return dispatch_requests.DispatchDenial(
+            'pool_busy', self._find_retry_after(request)
+        )
+
+    def _schedule_return(
+        self,
+        request: dispatch_requests.DispatchRequest,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Return after what time the servers can take a denied request.
+
+        That is behind those in the queue and those that were denied before
+        and have not returned yet.
+        """
+        self._returns = [at for at in self._returns if at > now]
+        usual = self._latencies.estimate_latency(request.target)
+        starts = heapq.merge(
+            *(
+                server.list_starts(usual)
+                for server in self._ranker.list_usable(request, now)
+            )
+        )
+        ahead = min(len(self._queued) + len(self._returns), MAX_RETURNS)
+        # Without any start, another instance is the holder.
+        delay = next(
+            itertools.islice(starts, ahead, None), server_limits.HANDOVER_TIME
+        )
+        if request.may_wait and delay <= request.remaining:
+            self._returns.append(now + delay)
+        return min(max(delay, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+
     def _find_retry_after(
         self, request: dispatch_requests.DispatchRequest
     ) -> datetime.timedelta:
--- a/cranberryscale/process/fallback.py
+++ b/cranberryscale/process/fallback.py
@@ -2,7 +2,7 @@
 
 Used while the holder does not answer. Every instance may do this at the same
 time, so it spreads requests evenly, leaves cold servers out and makes no
-retries.
+retries. Its caller also excludes servers that name a limit.
 """
 
 import collections
--- a/cranberryscale/process/roster.py
+++ b/cranberryscale/process/roster.py
@@ -113,6 +113,8 @@
         self._records = {own.name: own}
         self._changed_at = {own.name: now}
         self._up_since = {own.name: now}
+        # Instances that announced that they leave.
+        self._left: set[str] = set()
         self._update_copies_left: dict[str, int] = {}
         # Instances to check next.
         self._scheduled_checks: list[str] = []
@@ -206,6 +208,21 @@
             for record in self._records.values()
         )
 
+    def count_possibly_up(self) -> int:
+        """Count the instances that may serve, even if they seem to be down.
+
+        These are all but those that announced that they leave and then went
+        down.
+        """
+        return self._derive(
+            ('possibly up',),
+            lambda: sum(
+                record.state != InstanceState.DOWN
+                or record.name not in self._left
+                for record in self._records.values()
+            ),
+        )
+
     def choose_holder(
         self,
         resource: rendezvous.CoordinatedResource,
@@ -323,6 +340,10 @@
         if record.name == self.own_record.name:
             self.own_record = record
         self._changed_at[record.name] = now
+        if record.state == InstanceState.LEAVING:
+            self._left.add(record.name)
+        elif record.state != InstanceState.DOWN:
+            self._left.discard(record.name)
         if known is None:
             self._last_discovery_at = now
         if self._joined_at is None and len(self._records) > 1:
@@ -471,6 +492,7 @@
             self._derived.clear()
         for name in old:
             del self._records[name], self._changed_at[name]
+            self._left.discard(name)
             self._up_since.pop(name, None)
             self._update_copies_left.pop(name, None)
             self._locally_down.pop(name, None)
--- a/cranberryscale/process/tracked_servers.py
+++ b/cranberryscale/process/tracked_servers.py
@@ -1,9 +1,13 @@
 """State of one backend server as tracked by the holder of its pool."""
 
 import collections
+from collections.abc import Iterator
 import datetime
+import itertools
 
+from cranberryscale.process import fleet_buckets
 from cranberryscale.process import health
+from cranberryscale.process import server_limits
 from cranberryscale.version import configuration
 
 
@@ -29,12 +33,14 @@
     """A server's published definition, health and running requests.
 
     `running` maps permits to the times at which their requests started.
+    `limit` is None unless the server names a limit.
     """
 
     def __init__(self, definition: configuration.BackendServer):
         self.definition = definition
         self.health = health.ServerHealth()
         self.running: dict[int, datetime.timedelta] = {}
+        self.limit: server_limits.LimitedStarts | None = None
         self.start_times: collections.deque[datetime.timedelta] = (
             collections.deque()
         )
@@ -44,6 +50,26 @@
         """Return whether one more request may run."""
         return len(self.running) < self.definition.slots
 
+    def estimate_rate(self, latency: datetime.timedelta) -> float:
+        """Return how many requests of a latency complete in a second."""
+        rate_per_s = self.definition.slots / latency.total_seconds()
+        if self.limit is not None:
+            return min(rate_per_s, self.limit.rate_per_s)
+        return rate_per_s
+
+    def list_starts(
+        self, latency: datetime.timedelta
+    ) -> Iterator[datetime.timedelta]:
+        """Yield after what times from now further requests can start.
+
+        Requests that have no limit to wait for wait for a slot.
+        """
+        if self.limit is not None:
+            yield from self.limit.list_starts()
+            return
+        for number in itertools.count(1):
+            yield latency * number / self.definition.slots
+
     def can_start_trial(self, now: datetime.timedelta) -> bool:
         """Return whether a trial request may start."""
         return not self.running and self._is_idle_for(TRIAL_INTERVAL, now)
@@ -72,8 +98,48 @@
     ) -> bool:
         return not self.start_times or now - self.start_times[-1] >= period
 
+    @property
+    def is_at_limit(self) -> bool:
+        """Return whether the limit that the server names is used up."""
+        return self.limit is not None and not self.limit.has_token
+
+    def update_limit(
+        self,
+        rate_per_s: float | None,
+        position: fleet_buckets.FleetPosition,
+        now: datetime.timedelta,
+    ) -> None:
+        """Apply the limit in force, in requests per second, or None."""
+        if rate_per_s is None:
+            self.limit = None
+            return
+        if self.limit is None:
+            self.limit = server_limits.LimitedStarts(self.definition.name)
+        self.limit.update(rate_per_s, position, now)
+
+    def start_request(self, permit_id: int, now: datetime.timedelta) -> None:
+        """Record that a request may start."""
+        self.running[permit_id] = now
+        self.start_times.append(now)
+        if self.limit is not None:
+            self.limit.spend(permit_id)
+
+    def finish_request(self, permit_id: int, has_started: bool) -> None:
+        """Free the slot; `has_started` unless nothing reached the server."""
+        self.running.pop(permit_id, None)
+        if self.limit is not None:
+            self.limit.finish(permit_id, has_started)
+
     def can_start_request(
         self, cold_rate_per_s: float, now: datetime.timedelta
+    ) -> bool:
+        """Return whether a limit or a cold start allows one more request."""
+        return not self.is_at_limit and self._can_start_cold(
+            cold_rate_per_s, now
+        )
+
+    def _can_start_cold(
+        self, cold_rate_per_s: float, now: datetime.timedelta
     ) -> bool:
         """Return whether a cold server may start one more request now.
 
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -16,6 +16,7 @@
 from cranberryscale import logs
 from cranberryscale import messages
 from cranberryscale.process import metrics
+from cranberryscale.process import server_limits
 from cranberryscale.process import shards
 from cranberryscale.process import shutdown
 from cranberryscale.request import actions
@@ -72,6 +73,7 @@
     shard: shards.Shard
     holder: str
     reply: messages.ServerReply
+    asked_at: datetime.timedelta
 
 
 def _rank_reply(shard_reply: _ShardReply) -> tuple[bool, int, float]:
@@ -321,11 +323,12 @@
             now = self._clock.read_elapsed()
             holder = self._core.find_shard_holder(query.shard, now)
             unreachable = self._core.fallback.list_unreachable(now)
+            limits = self._core.limits.list_limits(query.shard.has_server, now)
         elapsed = now - query.started_at
         remaining = action.remaining - elapsed
         if remaining <= datetime.timedelta(0):
             reply = messages.ServerReply(code='pool_busy')
-            return _ShardReply(query.shard, holder, reply)
+            return _ShardReply(query.shard, holder, reply, now)
         if self._driver.is_unresponsive(holder):
             return None
         message = messages.AskServer(
@@ -340,6 +343,7 @@
             action.probe_ok,
             query.may_wait,
             not (action.excluded or query.is_second_queue),
+            limits,
         )
         timeout = core_driver.HOLDER_TIMEOUT
         if query.may_wait:
@@ -351,13 +355,14 @@
             return None
         with self._driver.lock:
             self._core.fallback.record_ejected(query.shard, reply.ejected)
-        return _ShardReply(query.shard, holder, reply)
+            self._core.limits.merge(reply.limits, self._clock.read_elapsed())
+        return _ShardReply(query.shard, holder, reply, now)
 
     def _make_event(
         self, query: _ServerQuery, shard_reply: _ShardReply
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         action, request_id = query.action, query.request_id
-        shard, holder, reply = shard_reply
+        shard, holder, reply, asked_at = shard_reply
         logs.log_event(
             'permit',
             request_id=request_id,
@@ -379,20 +384,30 @@
         permit_id = (
             f'{holder} {number} {shard.index} {shard.count} {shard.domain}'
         )
-        return self._grant_permit(reply.server, permit_id, first_byte_timeout)
+        return self._grant_permit(
+            reply.server, permit_id, first_byte_timeout, asked_at
+        )
 
     def _choose_locally(
         self, action: actions.AskPermit, request_id: str
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         if action.is_repeat:
             return actions.AdmissionDenied('repeats_spent')
+        now = self._clock.read_elapsed()
+        published = self.context.get_configuration()
         with self._driver.lock:
+            limited = [
+                name
+                for name in self._core.limits.list_rates()
+                if name in published.servers
+                and published.servers[name].service == action.service
+            ]
             server = self._core.fallback.choose_server(
-                self.context.get_configuration(),
+                published,
                 action.service,
                 self._core.instance_settings.domain,
-                action.excluded,
-                self._clock.read_elapsed(),
+                (*action.excluded, *limited),
+                now,
             )
         logs.log_event(
             'permit',
@@ -402,21 +417,30 @@
             server=server,
             **self._core.describe_configuration(self._clock.read_elapsed()),
         )
+        if server is None and limited:
+            # Only holders keep limits, and the next one is known soon.
+            return actions.AdmissionDenied(
+                'pool_limited', core_driver.UNRESPONSIVE_TIME
+            )
         if server is None:
             return actions.AdmissionDenied(
                 'no_backend_server', action.target / 4
             )
-        return self._grant_permit(server, LOCAL_HOLDER, None)
+        return self._grant_permit(server, LOCAL_HOLDER, None, now)
 
     def _grant_permit(
         self,
         server: str,
         permit_id: str,
         first_byte_timeout: datetime.timedelta | None,
+        asked_at: datetime.timedelta,
     ) -> actions.PermitGranted:
         with self._driver.lock:
             self._core.fallback.record_start(server)
+            is_limited = self._core.limits.find_rate(server) is not None
         until = self._clock.read_elapsed() + PERMIT_VALIDITY
+        if is_limited:
+            until = asked_at + server_limits.PERMIT_VALIDITY
         return actions.PermitGranted(
             permit_id, server, until, first_byte_timeout
         )
@@ -439,6 +463,7 @@
                 int(number),
                 action.outcome,
                 action.latency.total_seconds(),
+                action.limit,
             ),
         )
 
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -4,9 +4,12 @@
 allows, and five requests, in any four seconds, from all instances together.
 """
 
+import collections
 from concurrent import futures
 import itertools
 import random
+import re
+import signal
 import time
 from typing import NamedTuple
 
@@ -92,3 +95,72 @@
     used = [t for t in limited.arrivals_s if named_s + 1 < t < ended_s]
     assert len(used) > 0.5 * 3.0 * (ended_s - named_s - 1)
     assert statuses.count(200) == len(statuses)
+
+
+def test_callers_are_refused_at_once_when_all_servers_are_limited(tmp_path):
+    """Guards against waits that end in a refusal, and against bursts."""
+    with machines.FleetEnvironment(tmp_path, instances=6) as fleet:
+        limited = [s for s in fleet.servers if s.service == 'x']
+        callers = Callers(fleet)
+        callers.send_for(1, 20)
+        for server in limited:
+            server.limit = '2'
+        named_s = time.monotonic()
+        callers.send_for(8, 40)
+        callers.finish()
+        metrics = [
+            instance.fetch_page('operators', '/metrics')[1].decode()
+            for instance in fleet.instances
+        ]
+    for server in limited:
+        most = find_most_arrivals(server, named_s + CONTACT_S)
+        assert most <= find_bound(2.0)
+    late = [a for a in callers.answers if a.sent_s > named_s + 1]
+    refused = [answer for answer in late if answer.status == 503]
+    served = [answer for answer in late if answer.status == 200]
+    others = [a for a in late if a.status not in (200, 503)]
+    assert not others
+    # Six requests a second are taken for seven seconds.
+    assert len(served) > 0.8 * 6 * 7
+    times = sorted(answer.took_s for answer in refused)
+    assert times[len(times) // 2] < 0.3
+    assert all(
+        0.1 <= float(answer.headers['retry-after']) <= 5 for answer in refused
+    )
+    assert any('code="pool_limited"' in text for text in metrics)
+
+
+def find_holder(fleet, domain):
+    """Return the instance that most others logged as a shard's holder."""
+    pattern = re.compile(rf'event=permit .*domain={domain} holder=(\S+) ')
+    found = collections.Counter()
+    for instance in fleet.instances:
+        found.update(pattern.findall(instance.log_path.read_text())[-5:])
+    peers = found.most_common(1)[0][0]
+    return next(i for i in fleet.instances if i.addresses['peers'] == peers)
+
+
+def test_limits_hold_while_holders_are_killed_and_frozen(tmp_path):
+    """Guards real processes against successors that use a limit again."""
+    with machines.FleetEnvironment(tmp_path, instances=9) as fleet:
+        limited = [s for s in fleet.servers if s.service == 'x']
+        callers = Callers(fleet)
+        callers.send_for(2, 40)
+        for server in limited:
+            server.limit = '3.0'
+        named_s = time.monotonic()
+        callers.send_for(2, 40)
+        killed = find_holder(fleet, 'a')
+        killed.send_signal(signal.SIGKILL)
+        killed.wait()
+        callers.send_for(1, 40)
+        killed.start(fleet.seeds)
+        frozen = find_holder(fleet, 'b')
+        frozen.send_signal(signal.SIGSTOP)
+        callers.send_for(2, 40)
+        frozen.send_signal(signal.SIGCONT)
+        callers.send_for(5, 40)
+        callers.finish()
+    for server in limited:
+        most = find_most_arrivals(server, named_s + CONTACT_S)
+        assert 0 < most <= find_bound(3.0)
