Explain what a request would get, and name limits as a reason

On-call engineers of the users' machines could not ask an instance why a server gets few requests; the explain command worked with the project's own platform only.

The operators' address serves /explain: route, service, customer, and for each server its holder, its limit and, at the holder, whether the limit is used up. The metrics count the servers that name a limit, and refusals for limits by their code.

Measured: the test of all servers at their limit asks each of six instances for both; three servers with a limit of 2 a second, each held once.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -218,6 +218,11 @@
             service, counts, self.instance_settings.domain, request_id
         )
 
+    def find_shard(self, server: configuration.BackendServer) -> shards.Shard:
+        """Return the shard to which a server belongs."""
+        counts = self._shard_counts.get(server.service, {})
+        return shards.find_shard(server, counts.get(server.domain, 1))
+
     def find_shard_holder(
         self, shard: shards.Shard, now: datetime.timedelta
     ) -> str:
--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -27,6 +27,7 @@
 from cranberryscale.process import shutdown
 from cranberryscale.request import actions
 from cranberryscale.request import core_admission
+from cranberryscale.request import core_pages
 from cranberryscale.request import gateway
 from cranberryscale.version import deployment
 from cranberryscale.version import replica
@@ -239,6 +240,9 @@
     def _make_server_threads(self) -> Iterable[http_servers.ServerThread]:
         addresses = self.instance_settings.addresses
         endpoints = self._adapter.make_endpoints(self)
+        pages = core_pages.CorePages(
+            self.driver, self.decision_context, self._render_metrics
+        )
         yield http_servers.ServerThread(
             http_servers.CallerServer(
                 self.instance_settings, self.clock, self.gateway
@@ -248,7 +252,7 @@
         for address, app in (
             (addresses.health, endpoints),
             (addresses.directory, endpoints),
-            (addresses.operators, self._serve_metrics),
+            (addresses.operators, pages),
         ):
             yield http_servers.ServerThread(
                 http_servers.PageServer(
@@ -257,20 +261,15 @@
                 self._stopping.set,
             )
 
-    def _serve_metrics(self, environ: dict, start_response) -> list[bytes]:
+    def _render_metrics(self) -> bytes:
         self.metrics.set_gauge('requests_running', self.gateway.running)
         self.metrics.set_gauge('store_calls', self.driver.store.calls)
+        with self.driver.lock:
+            limited_count = len(self.core.limits.list_rates())
+        self.metrics.set_gauge('servers_limited', limited_count)
         for event, count in tuple(self.driver.event_counts.items()):
             self.metrics.set_gauge('store_events', count, event=event)
-        body = self.metrics.render()
-        start_response(
-            '200 OK',
-            [
-                ('Content-Type', 'text/plain; version=0.0.4'),
-                ('Content-Length', str(len(body))),
-            ],
-        )
-        return [body]
+        return self.metrics.render()
 
     def shut_down(self) -> None:
         """Stop being listed, finish the requests in progress, then exit."""
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -204,6 +204,10 @@
             if server.health.classify(now) == health.HealthState.OUT
         )
 
+    def find_server(self, name: str) -> tracked_servers.TrackedServer | None:
+        """Return what is tracked of a server, or None."""
+        return self._ranker.tracked.get(name)
+
     def describe_health(self, name: str, now: datetime.timedelta) -> str:
         """Return the health state of a server for the log, "" if unknown."""
         server = self._ranker.tracked.get(name)
--- a/cranberryscale/process/shards.py
+++ b/cranberryscale/process/shards.py
@@ -13,7 +13,7 @@
 from cranberryscale.version import configuration
 
 
-__all__ = ['Shard', 'count_shards', 'order_shards']
+__all__ = ['Shard', 'count_shards', 'find_shard', 'order_shards']
 
 # A holder spends some milliseconds of processor time on each request; with
 # this many servers the smallest instances use less than half of their
@@ -65,6 +65,12 @@
     }
 
 
+def find_shard(server: configuration.BackendServer, count: int) -> Shard:
+    """Return a server's shard where its domain has `count` shards."""
+    index = _hash_modulo(server.name, count)
+    return Shard(server.service, server.domain, index, count)
+
+
 def order_shards(
     service: str,
     counts: Mapping[str, int],
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -7,12 +7,14 @@
 import collections
 from concurrent import futures
 import itertools
+import json
 import random
 import re
 import signal
 import time
 from typing import NamedTuple
 
+from cranberryscale import commands
 from standins import machines
 
 
@@ -97,8 +99,19 @@
     assert statuses.count(200) == len(statuses)
 
 
-def test_callers_are_refused_at_once_when_all_servers_are_limited(tmp_path):
+def explain(instance, capsys):
+    """Return what the command says of a request of service x."""
+    arguments = ['--path', '/read/1', '--host', machines.HOST]
+    address = instance.addresses['operators']
+    commands.main(['explain', '--operators', address, *arguments])
+    return json.loads(capsys.readouterr().out)
+
+
+def test_callers_are_refused_at_once_when_all_servers_are_limited(
+    tmp_path, capsys, monkeypatch
+):
     """Guards against waits that end in a refusal, and against bursts."""
+    monkeypatch.setenv(commands.KEY_VARIABLE, KEY)
     with machines.FleetEnvironment(tmp_path, instances=6) as fleet:
         limited = [s for s in fleet.servers if s.service == 'x']
         callers = Callers(fleet)
@@ -107,6 +120,7 @@
             server.limit = '2'
         named_s = time.monotonic()
         callers.send_for(8, 40)
+        explanations = [explain(i, capsys) for i in fleet.instances]
         callers.finish()
         metrics = [
             instance.fetch_page('operators', '/metrics')[1].decode()
@@ -128,6 +142,14 @@
         0.1 <= float(answer.headers['retry-after']) <= 5 for answer in refused
     )
     assert any('code="pool_limited"' in text for text in metrics)
+    assert all('cranberryscale_servers_limited 3' in text for text in metrics)
+    for found in explanations:
+        assert (found['refused'], found['service']) == (None, 'x')
+        assert [s['limit_per_s'] for s in found['servers']] == [2.0] * 3
+    held = [s for e in explanations for s in e['servers'] if s['health']]
+    names = ['s-x0', 's-x1', 's-x2']
+    assert sorted(server['server'] for server in held) == names
+    assert any(server['is_at_limit'] for server in held)
 
 
 def find_holder(fleet, domain):
