Show that an answer that ends inside its head is no success

Report of other operators: a server stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body, framed as whole.

It does not happen here: a head ends with its empty line only, and a line without its end is an error.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -222,3 +222,32 @@
             data = proxy.send_raw(b'GET /r/x HTTP/%b' % version)
             assert is_complete(data)
             assert data.startswith(b'HTTP/1.1 200 ')
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', FRAMINGS)
+def test_answer_that_ends_inside_its_head_is_no_success(framing, is_reset):
+    """Guards against a 200 with an empty or short body, framed as whole."""
+    header, body = FRAMINGS[framing]
+    cut_at = 0
+
+    def serve(server, sock, number):
+        head = server.read_head(sock)
+        answer = harness.copy_request_id(head, HEAD + header + b'\r\n')
+        sock.sendall((answer + body)[:cut_at])
+        if is_reset:
+            time.sleep(0.01)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+    with harness.GatewayStack(serve) as proxy:
+        proxy.backends._allows_unframed = True
+        request = b'GET /r/x HTTP/1.1\r\nX-Request-Id: 0123456789abcdef'
+        echo = b'X-Request-Id: 0123456789abcdef\r\n'
+        head_size = len(HEAD + echo + header + b'\r\n')
+        for cut_at in range(0, head_size, 3 if is_reset else 1):
+            data = proxy.send_raw(request)
+            assert data.startswith(b'HTTP/1.1 502 '), (cut_at, data)
+            assert b'"ran": "unknown"' in data
+        cut_at = head_size + len(body)
+        if not is_reset:
+            assert proxy.send_raw(request).startswith(b'HTTP/1.1 200 ')
