Let the soak's servers name limits, and check them from outside

The soak knew servers that fail, are slow or leave, and none that asks for less. A server, or all of a service, names a limit for most of a run, with odd values among them; from three seconds on no window of 4 s may hold more arrivals than one and a half times the limit and five, over all instances. Windows in which links to servers delay requests do not count. Limits are drawn apart from the other faults, so known seeds keep theirs.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,18 +2,30 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from standins import machines
 
 
-__all__ = ['Interval', 'ObservedRequest', 'Violation', 'check_all']
+__all__ = [
+    'Interval',
+    'NamedLimit',
+    'ObservedRequest',
+    'Violation',
+    'check_all',
+]
 
 # With these statuses a request did not run and will not.
 NOT_RUN = frozenset((408, 421, 429, 503))
 # Instances must stop using withdrawn keys and drained servers within this
 # time.
 PROPAGATION_LIMIT_S = 2.0
+# Servers must get no more than 1.5 times the limit that they name and five
+# requests in a window, from this long after they first named it.
+LIMIT_WINDOW_S = 4.0
+LIMIT_CONTACT_S = 3.0
 # That is required of an instance only after this time without a fault.
 SETTLING_S = 3.0
 
@@ -44,6 +56,15 @@
     until_s: float
 
 
+class NamedLimit(NamedTuple):
+    """A limit that a server named in an interval."""
+
+    server: str
+    limit_per_s: float
+    since_s: float
+    until_s: float
+
+
 class Violation(NamedTuple):
     """A broken promise and the request concerned."""
 
@@ -191,6 +212,34 @@
                 yield Violation('graceful stops', request.request_id)
 
 
+def check_limits(
+    arrivals: Mapping[str, Sequence[float]],
+    limits: Iterable[NamedLimit],
+    disturbances: Iterable[Interval],
+) -> Iterable[Violation]:
+    """Yield windows in which a server got more than it allows.
+
+    `arrivals` are the times of all requests that reached a server. Links to
+    servers that delay requests let those of several windows arrive in one.
+    """
+    delays = [each for each in disturbances if each.subject == 'all']
+    for server, limit_per_s, since_s, until_s in limits:
+        bound = 1.5 * limit_per_s * LIMIT_WINDOW_S + 5
+        for first_s in arrivals[server]:
+            last_s = first_s + LIMIT_WINDOW_S
+            if first_s < since_s + LIMIT_CONTACT_S or last_s > until_s:
+                continue
+            is_delayed = any(
+                delay.since_s < last_s and first_s < delay.until_s + SETTLING_S
+                for delay in delays
+            )
+            count = sum(first_s <= at_s < last_s for at_s in arrivals[server])
+            if count > bound and not is_delayed:
+                detail = f'{server} {limit_per_s}/s: {count} of {bound}'
+                yield Violation('limits of servers', detail)
+                break
+
+
 def check_recovery(
     requests: Iterable[ObservedRequest], since_s: float
 ) -> Iterable[Violation]:
@@ -210,12 +259,15 @@
     left: tuple[Interval, ...],
     graceful_stops: tuple[Interval, ...],
     disturbances: tuple[Interval, ...],
+    arrivals: Mapping[str, Sequence[float]],
+    limits: tuple[NamedLimit, ...],
     recovery_s: float,
 ) -> Iterable[Violation]:
     """Yield all violations of promises in one run.
 
     All times are on the monotonic clock. `left` are the intervals in which a
-    server was drained; `recovery_s` is when all requests must be served again.
+    server was drained; `arrivals` are the times of the requests that reached
+    each server; `recovery_s` is when all requests must be served again.
     """
     yield from check_at_most_once(requests, executed)
     yield from check_refused_not_run(requests, executed)
@@ -224,4 +276,5 @@
     yield from check_withdrawn_keys(requests, withdrawn, disturbances)
     yield from check_drained_servers(executed, left, disturbances)
     yield from check_graceful_stops(requests, graceful_stops, disturbances)
+    yield from check_limits(arrivals, limits, disturbances)
     yield from check_recovery(requests, recovery_s)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Draws the schedule of faults of a run from a seed."""
 
 from collections.abc import Iterable
+import heapq
 import random
 from typing import NamedTuple
 
@@ -22,6 +23,10 @@
 # The last part of a run has no faults, so that everything can recover.
 QUIET_RATIO = 0.2
 
+# Limits last for long, since they have to hold some seconds after they began.
+LIMITS_PER_S = ('0.5', '1', '2.0', '4', '4.5, many')
+LOWEST_SHARED_LIMIT = 2
+
 # How often each kind is drawn, relative to the others.
 KIND_WEIGHTS = {
     'kill': 2.0,
@@ -44,7 +49,8 @@
     """A fault that starts `start_s` after the start of the run.
 
     `target` modulo the number of possible targets chooses one. `mode` is used
-    by faults of links only.
+    by faults of links only, `limit` by servers that name one: a server, or all
+    of its service (`service_limit`).
     """
 
     start_s: float
@@ -52,6 +58,7 @@
     target: int
     duration_s: float
     mode: relay.RelayMode = relay.RelayMode.OPEN
+    limit: str = ''
 
 
 def _draw_fault(rng: random.Random, at_s: float) -> ScheduledFault:
@@ -66,8 +73,33 @@
     return fault._replace(mode=mode, duration_s=duration_s)
 
 
-def draw_faults(seed: int, seconds: float) -> Iterable[ScheduledFault]:
-    """Yield the faults of a run in the order of their starts."""
+def _draw_limit(
+    rng: random.Random, at_s: float, end_s: float
+) -> ScheduledFault:
+    kind = rng.choice(('server_limit', 'service_limit'))
+    limits = LIMITS_PER_S
+    if kind == 'service_limit':
+        limits = LIMITS_PER_S[LOWEST_SHARED_LIMIT:]
+    return ScheduledFault(
+        at_s,
+        kind,
+        rng.randrange(1000),
+        rng.uniform(0.7, 1.0) * (end_s - at_s),
+        limit=rng.choice(limits),
+    )
+
+
+def _draw_limits(seed: int, seconds: float) -> Iterable[ScheduledFault]:
+    # A generator of its own keeps the other faults of known seeds.
+    rng = random.Random(f'limits {seed}')
+    at_s = rng.uniform(0.5, 1.5)
+    end_s = seconds * (1 - QUIET_RATIO)
+    while at_s < end_s / 2:
+        yield _draw_limit(rng, at_s, end_s)
+        at_s += rng.expovariate(1 / MAX_DURATION_S)
+
+
+def _draw_others(seed: int, seconds: float) -> Iterable[ScheduledFault]:
     rng = random.Random(seed)
     at_s = 0.5
     end_s = seconds * (1 - QUIET_RATIO) - MAX_DURATION_S
@@ -76,3 +108,12 @@
         # A quarter of the faults start together with the one before.
         if rng.random() > 0.25:
             at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
+
+
+def draw_faults(seed: int, seconds: float) -> Iterable[ScheduledFault]:
+    """Yield the faults of a run in the order of their starts."""
+    yield from heapq.merge(
+        _draw_others(seed, seconds),
+        _draw_limits(seed, seconds),
+        key=lambda fault: fault.start_s,
+    )
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -133,6 +133,7 @@
         self.drained: list[checks.Interval] = []
         self.graceful_stops: list[checks.Interval] = []
         self.disturbances: list[checks.Interval] = []
+        self.limits: list[checks.NamedLimit] = []
         self.applied_faults = 0
         self._active_targets: set[str] = set()
         self._lock = threading.Lock()
@@ -202,6 +203,8 @@
                 target = f'{fault.kind}{instance}'
             case 'server_link' | 'server_errors' | 'server_slow' | 'drain':
                 target = f'server{server}'
+            case 'server_limit' | 'service_limit':
+                target = f'limit{fault.target % 2}'
             case _:
                 target = fault.kind
         with self._lock:
@@ -274,6 +277,8 @@
                 backend.service_s, normal_s = SLOW_SERVICE_S, backend.service_s
                 time.sleep(fault.duration_s)
                 backend.service_s = normal_s
+            case 'server_limit' | 'service_limit':
+                self._name_limits(fault)
             case 'drain':
                 self._drain(backend, fault.duration_s)
             case 'evacuate':
@@ -295,6 +300,24 @@
         time.sleep(fault.duration_s)
         link.set_mode(relay.RelayMode.OPEN)
 
+    def _name_limits(self, fault: faults.ScheduledFault) -> None:
+        """Let one server of a service, or all of them, name a limit."""
+        service = 'xy'[fault.target % 2]
+        servers = [s for s in self.environment.servers if s.service == service]
+        if fault.kind == 'server_limit':
+            servers = [servers[fault.target % len(servers)]]
+        for server in servers:
+            server.limit = fault.limit
+        since_s = time.monotonic()
+        time.sleep(fault.duration_s)
+        until_s = time.monotonic()
+        limit_per_s = float(fault.limit.partition(',')[0])
+        for server in servers:
+            server.limit = ''
+            self.limits.append(
+                checks.NamedLimit(server.name, limit_per_s, since_s, until_s)
+            )
+
     def _drain(
         self, server: machines.StandInServer, duration_s: float
     ) -> None:
@@ -366,6 +389,8 @@
             tuple(self.drained),
             tuple(self.graceful_stops),
             tuple(self.disturbances),
+            {s.name: tuple(s.arrivals_s) for s in self.environment.servers},
+            tuple(self.limits),
             recovery_s,
         )
         return ScenarioReport(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -64,6 +64,8 @@
         'left': (),
         'graceful_stops': (),
         'disturbances': (),
+        'arrivals': {},
+        'limits': (),
         'recovery_s': 1000.0,
     }
     violations = checks.check_all(requests, executed, **(values | fields))
@@ -142,6 +144,28 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('count', 'since_s', 'disturbed', 'is_found'),
+    [
+        (18, 96.0, 'i0', True),
+        (17, 96.0, 'i0', False),
+        (18, 98.0, 'i0', False),
+        (18, 96.0, 'all', False),
+    ],
+)
+def test_requests_over_a_limit_are_found(count, since_s, disturbed, is_found):
+    """The bound holds from 3 s on, unless links to servers delay requests."""
+    arrivals = {'s': [100.0 + 3.9 * n / count for n in range(count)]}
+    violations = find_violations(
+        (),
+        (),
+        arrivals=arrivals,
+        limits=(checks.NamedLimit('s', 2.0, since_s, 110.0),),
+        disturbances=(checks.Interval(disturbed, 99.0, 101.0),),
+    )
+    assert ('limits of servers' in violations) is is_found
+
+
 def test_request_that_fails_after_recovery_is_found():
     violations = find_violations(
         (make_request(status=502),), (make_execution(),), recovery_s=99.0
@@ -167,7 +191,8 @@
 def test_same_seed_draws_same_faults():
     assert [*faults.draw_faults(7, 20)] == [*faults.draw_faults(7, 20)]
     kinds = {f.kind for s in range(20) for f in faults.draw_faults(s, 30)}
-    assert kinds == set(faults.KIND_WEIGHTS)
+    limits = {'server_limit', 'service_limit'}
+    assert kinds == limits | set(faults.KIND_WEIGHTS)
 
 
 def test_relay_faults_end_with_mode_but_stale_connections_stay_silent():
