--- a/tests/test_limit_bounds.py
+++ b/tests/test_limit_bounds.py
@@ -406,3 +406,56 @@
     )
     handover = rate_per_s * server_limits.HANDOVER_TIME.total_seconds()
     assert holders + handover <= find_bound(limit_per_s)
+
+
+def ask(fleet, name, limits=()):
+    """Ask an instance for a server, as another one that knows limits."""
+    message = test_core.make_ask_server(may_wait=False, limits=limits)
+    return fleet.cores[name].handle_message('x', message, fleet.now)
+
+
+def make_calm_fleet():
+    """Return a fleet of four and a limit that allows many requests."""
+    fleet = Fleet(100.0, 4, 1)
+    for _ in range(30):
+        fleet.now += TICK
+        fleet.advance()
+    return fleet, (server_limits.ServerLimit(LIMITED, 100.0, 0.0),)
+
+
+def test_only_the_holder_starts_requests_at_a_limited_server():
+    """An instance that cannot reach the holder may ask another one."""
+    fleet, limits = make_calm_fleet()
+    holder = fleet.find_holder()
+    for name in fleet.cores:
+        ask(fleet, name, limits)
+    for _ in range(3):
+        fleet.now += TICK
+        fleet.advance()
+        for name in fleet.cores:
+            reply = ask(fleet, name, limits)
+            assert bool(reply.server) is (name == holder)
+            assert reply.limits[0].rate_per_s == 100.0
+
+
+def test_holder_learns_a_limit_with_the_question_for_a_server():
+    """A successor would start requests until a first answer came back."""
+    fleet, limits = make_calm_fleet()
+    reply = ask(fleet, fleet.find_holder(), limits)
+    assert (reply.server, reply.limits[0].server) == ('', LIMITED)
+
+
+def test_holder_that_was_paused_waits_until_it_has_heard_from_others():
+    """A successor may have taken over in the meantime."""
+    fleet, limits = make_calm_fleet()
+    holder = fleet.find_holder()
+    fleet.now += 2 * SECOND
+    assert not ask(fleet, holder, limits).server
+    fleet.advance()
+    fleet.now += TICK
+    fleet.advance()
+    assert not ask(fleet, holder, limits).server
+    for _ in range(20):
+        fleet.now += TICK
+        fleet.advance()
+    assert ask(fleet, holder, limits).server == LIMITED
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -288,4 +288,6 @@
     late = granted_at + server_limits.CLAIM_TIME + SECOND / 100
     permit = limited.ask(1, late, remaining=2 * SECOND)
     assert isinstance(permit, dispatch_requests.DispatchPermit)
+    # The first permit was returned.
+    assert permit.permit_id == 2
     assert limited.pool.running_count == 1
