Keep the returns of refused callers apart, and leave None empty in logs

Read as a newcomer: dispatch had grown by the bookkeeping of returns, which is a decision of its own, and an instance that has found no other one was told as a count of zero. The returns move to return_schedule; the unknown count is None. Log fields without a value are written as an empty text, so that traces leave them out. A test shows that messages without limits are read by programs that do not have the field.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -333,7 +333,7 @@
         if not was_paused and self.find_shard_holder(shard, now) == name:
             has_joined = self.roster.has_finished_joining(now)
             ratio = server_limits.find_usable_part(
-                self.roster.count_settled(now), known if has_joined else 0
+                self.roster.count_settled(now), known if has_joined else None
             )
         return fleet_buckets.FleetPosition(
             name, self.roster.own_rank, known, ratio
--- a/cranberryscale/logs.py
+++ b/cranberryscale/logs.py
@@ -29,7 +29,7 @@
 
 
 def _format_value(value: object) -> str:
-    text = str(value)
+    text = '' if value is None else str(value)
     # JSON escapes line breaks and quotes in values sent by callers.
     return text if _UNQUOTED.fullmatch(text) else json.dumps(text)
 
@@ -37,6 +37,8 @@
 def format_event(event: str, **fields: object) -> str:
     """Return the line of an event, with fields in the order given.
 
+    None is written as an empty text.
+
     Never pass an API key or a value that may contain one.
     """
     pairs = (f'{k}={_format_value(v)}' for k, v in fields.items())
--- a/cranberryscale/process/__init__.py
+++ b/cranberryscale/process/__init__.py
@@ -1,9 +1,10 @@
 """State and decisions kept in memory for the lifetime of the process.
 
 Only a `core` uses dispatch, dispatch_requests, fallback, fleet_buckets,
-health, load_statistics, quotas, rendezvous, retry_budgets, roster,
-server_limits, server_ranking, shards, store_follower and tracked_servers. Both
-programs use metrics; all other modules belong to a `node`.
+health, load_statistics, quotas, rendezvous, retry_budgets, return_schedule,
+roster, server_limits, server_ranking, shards, store_follower and
+tracked_servers. Both programs use metrics; all other modules belong to a
+`node`.
 
 Terms:
 
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -25,6 +25,7 @@
 from cranberryscale.process import health
 from cranberryscale.process import load_statistics
 from cranberryscale.process import retry_budgets
+from cranberryscale.process import return_schedule
 from cranberryscale.process import server_limits
 from cranberryscale.process import server_ranking
 from cranberryscale.process import tracked_servers
@@ -39,10 +40,6 @@
 POLL_TIMEOUT = datetime.timedelta(milliseconds=600)
 QUEUE_LIMIT = 512
 MIN_RETRY_AFTER = datetime.timedelta(milliseconds=100)
-# A limit may have ended by then.
-MAX_RETRY_AFTER = datetime.timedelta(seconds=5)
-# Bounds the work for one denial.
-MAX_RETURNS = 200
 # Above this utilization, arrivals count as a surge.
 SURGE_UTILIZATION = 0.95
 # Above this utilization of the healthy servers, unhealthy ones are used as
@@ -116,8 +113,7 @@
         self._limits = limits or server_limits.ShardLimits(
             server_limits.LimitTable(), _find_whole_position
         )
-        # When callers that were denied for a limit come back.
-        self._returns: list[datetime.timedelta] = []
+        self._returns = return_schedule.ReturnSchedule()
         self._retry_budget = budget
         self._has_server = has_server or (
             lambda server: server.service == service
@@ -609,12 +605,7 @@
         request: dispatch_requests.DispatchRequest,
         now: datetime.timedelta,
     ) -> datetime.timedelta:
-        """Return after what time the servers can take a denied request.
-
-        That is behind those in the queue and those that were denied before
-        and have not returned yet.
-        """
-        self._returns = [at for at in self._returns if at > now]
+        """Return after what time the servers can take a denied request."""
         usual = self._latencies.estimate_latency(request.target)
         starts = heapq.merge(
             *(
@@ -622,14 +613,13 @@
                 for server in self._ranker.list_usable(request, now)
             )
         )
-        ahead = min(len(self._queued) + len(self._returns), MAX_RETURNS)
         # Without any start, another instance is the holder.
-        delay = next(
-            itertools.islice(starts, ahead, None), server_limits.HANDOVER_TIME
+        delay = self._returns.find_delay(
+            starts, len(self._queued), now, server_limits.HANDOVER_TIME
         )
         if request.may_wait and delay <= request.remaining:
-            self._returns.append(now + delay)
-        return min(max(delay, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
+            self._returns.add(now + delay)
+        return delay
 
     def _find_retry_after(
         self, request: dispatch_requests.DispatchRequest
--- a/cranberryscale/process/server_limits.py
+++ b/cranberryscale/process/server_limits.py
@@ -270,13 +270,13 @@
             yield LimitChange(server, rate_per_s)
 
 
-def find_usable_part(up: int, known: int) -> float:
+def find_usable_part(up: int, known: int | None) -> float:
     """Return the part of a limit that a holder uses by its own records.
 
-    `up` of the `known` instances are up, as far as it knows; an instance that
-    knows no other one is told 0.
+    `up` of the `known` instances are up, as far as it knows; `known` is None
+    for an instance that has not found the others yet.
     """
-    if not known:
+    if known is None:
         return 1 / ASSUMED_INSTANCES
     return min(1.0, PART_MARGIN * up / known)
 
--- a/cranberryscale_bench/limit_mutants.py
+++ b/cranberryscale_bench/limit_mutants.py
@@ -50,8 +50,8 @@
     mutants.Mutation(
         'limit-unsettled-counted',
         'cranberryscale/core.py',
-        'self.roster.count_settled(now), known if has_joined else 0',
-        'len(self.roster.list_up()), known if has_joined else 0',
+        'self.roster.count_settled(now), known if has_joined else None',
+        'len(self.roster.list_up()), known if has_joined else None',
         ('limit_bounds',),
         'sides that just met again do not both use the whole limit',
     ),
@@ -99,8 +99,8 @@
     ),
     mutants.Mutation(
         'limit-return-not-queued',
-        'cranberryscale/process/dispatch.py',
-        'ahead = min(len(self._queued) + len(self._returns), MAX_RETURNS)',
+        'cranberryscale/process/return_schedule.py',
+        'ahead = min(waiting + len(self._returns), MAX_RETURNS)',
         'ahead = 0',
         ('server_limits',),
         'callers are told when there is room for them',
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,12 +1,16 @@
 """Tests for the wire format of messages between instances."""
 
 import json
+from typing import NamedTuple
 import zlib
 
+import msgspec
 import pytest
 
 from cranberryscale import errors
 from cranberryscale import messages
+from cranberryscale.process import server_limits
+from cranberryscale.process import shards
 from cranberryscale.version import replica
 from cranberryscale.version import view
 
@@ -94,3 +98,34 @@
     with pytest.raises(errors.PeerError) as caught:
         messages.decode(bytes((messages.COMPRESSED_TAG,)) + packed)
     assert caught.value.code == 'message_undecodable'
+
+
+def test_fields_at_their_default_are_left_out_at_the_end():
+    """Programs without the newer fields could not read the message."""
+
+    class OlderAskServer(NamedTuple):
+        shard: shards.Shard
+        request_id: str
+        target_s: float
+        waited_s: float
+        remaining_s: float
+        priority: int = 0
+        excluded: tuple[str, ...] = ()
+        is_repeat: bool = False
+        is_idempotent: bool = False
+        may_wait: bool = True
+        is_new: bool = True
+
+    shard = shards.Shard('x', 'a')
+    message = messages.AskServer(shard, 'r/0', 0.5, 0.0, 1.0, is_new=False)
+    body = messages.encode(message)
+    older = msgspec.msgpack.decode(body[1:], type=OlderAskServer)
+    assert tuple(older) == tuple(message)[:-1]
+    assert messages.decode(body) == message
+    limit = server_limits.ServerLimit('s1', None, 0.5)
+    limited = message._replace(limits=(limit,))
+    assert messages.decode(messages.encode(limited)) == limited
+    finished = messages.FinishRequest(
+        shard, 1, 'ok', 0.1, server_limits.LimitStatement(2.5)
+    )
+    assert messages.decode(messages.encode(finished)) == finished
