Read on before a connection is closed that may carry further requests

Cause: the instance closed the connection with the further request unread, and Linux then resets it and drops what was not sent yet. It read on only after an unread body.

Change: the instance reads on, bounded, at each close that it decides itself unless the caller announced its last request.

--- a/cranberryscale/connection/caller_requests.py
+++ b/cranberryscale/connection/caller_requests.py
@@ -125,6 +125,8 @@
         self.inheaders = _Headers()
         self.request_id = uuid.uuid4().hex
         self.request_protocol = b'HTTP/1.1'
+        # Whether the caller announced that it sends nothing further.
+        self._is_last = False
         self.received = server.clock.read_elapsed()
 
     @property
@@ -176,7 +178,7 @@
             self._check_absolute_form()
         options = self.inheaders.get(b'Connection', b'').lower()
         options = {option.strip() for option in options.split(b',')}
-        self.close_connection = b'close' in options or (
+        self._is_last = self.close_connection = b'close' in options or (
             not is_11 and b'keep-alive' not in options
         )
         return True
@@ -224,7 +226,10 @@
         except OSError:
             # The caller disconnected, or the response was aborted on purpose.
             self.close_connection = True
-        self.conn.has_unread_body = not self.rfile.finished
+        # A caller that does not know of the close may send further requests.
+        self.conn.may_receive_more = not self.rfile.finished or (
+            self.close_connection and not self._is_last
+        )
 
     def send_headers(self) -> None:
         """Write status and headers; close the connection after unread bodies.
@@ -245,7 +250,7 @@
         head = '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
         sock = self.conn.wrapped_socket
         sock.set_deadline(self.server.clock.read_elapsed() + REFUSAL_TIMEOUT)
-        self.conn.has_unread_body = True
+        self.conn.may_receive_more = True
         self.close_connection = self.sent_headers = True
         with contextlib.suppress(OSError):
             self.conn.wfile.write(head + error_response.body)
--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -31,8 +31,9 @@
 __all__ = ['CallerServer', 'PageServer', 'ServerThread']
 
 MAX_IDLE_CONNECTIONS = 1024
-# Bounds of reading from a caller that is still sending its body when the
-# connection is closed. Without it, a reset could discard the response.
+# Bounds of reading from a caller that may still be sending, a body or further
+# requests, when the connection is closed. Without it, a reset could discard
+# the part of the response that the caller has not received.
 LINGER_TIME = datetime.timedelta(seconds=0.5)
 MAX_LINGER_BYTES = 1024 * 1024
 
@@ -132,7 +133,7 @@
     """Connection of a caller."""
 
     RequestHandlerClass = caller_requests.CallerRequest
-    has_unread_body = False
+    may_receive_more = False
     is_aborted = False
 
     def __init__(self, server, sock, makefile=None):
@@ -172,7 +173,7 @@
                 )
                 self.socket.close()
                 return
-            if self.has_unread_body:
+            if self.may_receive_more:
                 self._linger()
         with contextlib.suppress(OSError, ValueError):
             super().close()
@@ -269,7 +270,7 @@
         except queue.Full:
             request = caller_requests.CallerRequest(self, conn)
             request.refuse(errors.make_error('instance_busy'))
-            conn.has_unread_body = False
+            conn.may_receive_more = False
             conn.close()
 
 
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -142,3 +142,45 @@
         assert accepted.recv(7) == b'request'
         accepted.close()
         early.close()
+
+
+ANSWER_BYTES = 200_000
+
+
+def serve_large_answer(server, sock, number):
+    """Respond to each request after 0.2 s, with more than a window holds."""
+    while head := server.read_head(sock):
+        time.sleep(0.2)
+        answer = (
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % ANSWER_BYTES
+        )
+        sock.sendall(harness.copy_request_id(head, answer))
+        sock.sendall(b'x' * ANSWER_BYTES)
+
+
+def read_slowly(sock):
+    """Read as a caller with a small window; return all bytes received."""
+    data = b''
+    with contextlib.suppress(ConnectionResetError):
+        while part := sock.recv(4096):
+            data += part
+            time.sleep(0.002)
+    return data
+
+
+@pytest.mark.parametrize('further', [0, 1, 3])
+def test_answer_before_pipelined_requests_is_whole_in_a_planned_stop(further):
+    """Guards against a reset by requests that lie unread at the close."""
+    with harness.GatewayStack(serve_large_answer) as proxy:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.settimeout(5)
+            sock.connect(('127.0.0.1', proxy.port))
+            sock.sendall(REQUEST)
+            time.sleep(0.05)
+            sock.sendall(REQUEST * further)
+            proxy.gateway.drain(harness.plan_shutdown(3 * harness.SECOND))
+            data = read_slowly(sock)
+    head, _, body = data.partition(b'\r\n\r\n')
+    assert b'Connection: close' in head
+    assert len(body) == ANSWER_BYTES
