--- a/cranberryscale/connection/backend_headers.py
+++ b/cranberryscale/connection/backend_headers.py
@@ -7,11 +7,13 @@
 from typing import NamedTuple
 
 from cranberryscale.connection import http_framing
+from cranberryscale.process import server_statements
 
 
 __all__ = ['BackendHeaders']
 
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
 
 
 class BackendHeaders(NamedTuple):
@@ -23,8 +25,10 @@
     that the request is intended for; others respond with 421 and do not run
     it. The request header `customer` names the customer. A response without
     the header `signature` was not made by the backend server. The response
-    header `cold` states a cold start, and `limit` how many requests per second
-    the server takes from the whole fleet. `has_decimal_retry_after` allows
+    header `cold` states a cold start, `limit` how many requests per second the
+    server takes from the whole fleet, `leaving` that it leaves, and `rest`,
+    in responses with status 503, for how many seconds it wants no further
+    request from the instance. `has_decimal_retry_after` allows
     fractions of a second in Retry-After. `adds_forwarding` adds Forwarded,
     X-Forwarded-* and Via to requests, and Via to responses.
     """
@@ -37,6 +41,8 @@
     signature: str = ''
     cold: str = 'x-cold-start'
     limit: str = ''
+    leaving: str = ''
+    rest: str = ''
     has_decimal_retry_after: bool = False
     adds_forwarding: bool = True
 
@@ -55,9 +61,18 @@
         values = http_framing.find_header_values(pairs, self.cold)
         return bool(values) and values[-1].lower() == 'true'
 
-    def list_limits(self, pairs: http_framing.HeaderPairs) -> tuple[str, ...]:
-        """Return the values of the header that limits requests."""
-        return tuple(http_framing.find_header_values(pairs, self.limit))
+    def read_statement(
+        self, status: int, pairs: http_framing.HeaderPairs
+    ) -> server_statements.ServerStatement:
+        """Return what a response says of its server."""
+        turns_away = status == _UNAVAILABLE_STATUS
+        return server_statements.read_statement(
+            http_framing.find_header_values(pairs, self.limit),
+            http_framing.find_header_values(pairs, self.leaving),
+            http_framing.find_header_values(pairs, self.rest)
+            if turns_away
+            else (),
+        )
 
     def is_signed(self, pairs: http_framing.HeaderPairs) -> bool:
         """Return whether the backend server itself made the response."""
--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -25,6 +25,7 @@
 from cranberryscale.process import retry_budgets
 from cranberryscale.process import roster
 from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.process import store_follower
 from cranberryscale.version import configuration
@@ -87,7 +88,7 @@
         self.follower = store_follower.StoreFollower(self.roster, rng, now)
         self.replica = replica.StoreReplica(decode)
         self.fallback = fallback.FallbackSelector(rng)
-        self.limits = server_limits.LimitTable()
+        self.statements = server_statements.StatementTable()
         self._advanced_at = now
         # Until then a successor may have taken over what this instance holds.
         self._resumes_at = now
@@ -166,7 +167,7 @@
         if self._loaded_configuration is self.replica.current_configuration:
             return
         self._loaded_configuration = self.replica.current_configuration
-        self.limits.load_servers(self._loaded_configuration.servers, now)
+        self.statements.load_servers(self._loaded_configuration.servers, now)
         self._shard_counts = shards.count_shards(self._loaded_configuration)
         for pool in self.pools.values():
             pool.load_servers(self._loaded_configuration)
@@ -181,12 +182,12 @@
                 terms.repeat_slack / max(1, count),
                 terms.repeat_window,
             )
-            limits = server_limits.ShardLimits(
-                self.limits,
-                functools.partial(self._find_limit_position, shard),
-            )
             pool = dispatch.ServerPool(
-                shard.service, budget, shard.has_server, limits
+                shard.service,
+                budget,
+                shard.has_server,
+                self.statements,
+                functools.partial(self._find_limit_position, shard),
             )
             self.pools[shard] = pool
             pool.load_servers(self.current_configuration)
@@ -361,12 +362,12 @@
         self, sender: str, message: messages.AskServer, now: datetime.timedelta
     ) -> messages.ServerReply:
         pool = self._get_pool(message.shard)
-        self.limits.merge(message.limits, now)
+        self.statements.limits.merge(message.limits, now)
         result = pool.request_permit(
             _make_dispatch_request(message, sender), now
         )
         ejected = pool.list_ejected(now)
-        limits = self.limits.list_limits(
+        limits = self.statements.limits.list_limits(
             message.shard.has_server,
             now,
             frozenset(limit.server for limit in message.limits),
@@ -405,6 +406,6 @@
                 message.outcome,
                 datetime.timedelta(seconds=message.latency_s),
                 now,
-                message.limit,
+                message.statement,
             )
         return messages.Done()
--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -265,8 +265,11 @@
         self.metrics.set_gauge('requests_running', self.gateway.running)
         self.metrics.set_gauge('store_calls', self.driver.store.calls)
         with self.driver.lock:
-            limited_count = len(self.core.limits.list_rates())
+            statements = self.core.statements
+            limited_count = len(statements.limits.list_rates())
+            avoided = statements.list_avoided(self.clock.read_elapsed())
         self.metrics.set_gauge('servers_limited', limited_count)
+        self.metrics.set_gauge('servers_avoided', len(avoided))
         for event, count in tuple(self.driver.event_counts.items()):
             self.metrics.set_gauge('store_events', count, event=event)
         return self.metrics.render()
--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -244,7 +244,7 @@
             sender=sender,
             server=reply.server,
             health=pool.describe_health(reply.server, now),
-            limit=self.core.limits.find_rate(reply.server),
+            limit=self.core.statements.limits.find_rate(reply.server),
             code=reply.code,
             idempotent=message.is_idempotent,
             waited_ms=round(message.waited_s * 1000),
@@ -268,7 +268,7 @@
             with self._changed:
                 now = self._clock.read_elapsed()
                 events = self.core.advance(now)
-                limit_changes = tuple(self.core.limits.collect_changes(now))
+                changes = tuple(self.core.statements.collect_changes(now))
                 if any(p.has_results for p in self.core.pools.values()):
                     self._changed.notify_all()
                 targets = ()
@@ -276,8 +276,10 @@
                     targets = self.core.roster.choose_update_targets()
                     check = self._make_check()
             self.log_events(events)
-            for change in limit_changes:
-                logs.log_event('server_limit', **change._asdict())
+            for change in changes:
+                logs.log_event(
+                    change.event, server=change.server, value=change.value
+                )
             for name in targets:
                 self._workers.submit(self._check, name, check)
 
--- a/cranberryscale/errors.py
+++ b/cranberryscale/errors.py
@@ -189,6 +189,12 @@
         RETRY_LATER,
         'the service\'s backend servers get as much as they ask for',
     ),
+    (
+        'pool_resting',
+        _S.SERVICE_UNAVAILABLE,
+        RETRY_LATER,
+        'the service\'s backend servers asked for no requests for a while',
+    ),
     (
         'pool_unavailable',
         _S.SERVICE_UNAVAILABLE,
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -14,6 +14,7 @@
 from cranberryscale import errors
 from cranberryscale.process import roster
 from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.version import replica
 
@@ -460,14 +461,14 @@
 class FinishRequest(NamedTuple):
     """A report to a shard's holder on the end of a request with a permit.
 
-    `limit` is what the server's answer states, None if there was no answer.
+    `statement` is what the server's answer says of it, None without answer.
     """
 
     shard: shards.Shard
     permit_id: int
     outcome: str
     latency_s: float
-    limit: server_limits.LimitStatement | None = None
+    statement: server_statements.ServerStatement | None = None
 
 
 class Done(NamedTuple):
--- a/cranberryscale/node_admission.py
+++ b/cranberryscale/node_admission.py
@@ -49,6 +49,10 @@
         with self._lock:
             return self._node.decide_keyed(self._clock.read_elapsed()).serves
 
+    def is_avoided(self, server: str) -> bool:
+        """Return False: what servers say in answers is not read here."""
+        return False
+
     def find_customer(self, key: str) -> str | None:
         """Return the customer of a key that is valid now, or None."""
         try:
--- a/cranberryscale/platform/header_names.py
+++ b/cranberryscale/platform/header_names.py
@@ -15,6 +15,8 @@
     # Servers announce a cold start in their store entries, not in responses.
     cold='',
     limit='server-limit',
+    leaving='server-leaving',
+    rest='retry-after',
     has_decimal_retry_after=True,
     adds_forwarding=False,
 )
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -28,6 +28,7 @@
 from cranberryscale.process import return_schedule
 from cranberryscale.process import server_limits
 from cranberryscale.process import server_ranking
+from cranberryscale.process import server_statements
 from cranberryscale.process import tracked_servers
 from cranberryscale.version import configuration
 
@@ -35,6 +36,7 @@
 __all__ = ['ServerPool']
 
 ZERO = datetime.timedelta(0)
+SECOND = datetime.timedelta(seconds=1)
 # An instance polls for its queued request within this time; one that does not
 # is gone.
 POLL_TIMEOUT = datetime.timedelta(milliseconds=600)
@@ -107,12 +109,14 @@
         budget: retry_budgets.RetryBudget,
         has_server: Callable[[configuration.BackendServer], bool]
         | None = None,
-        limits: server_limits.ShardLimits | None = None,
+        statements: server_statements.StatementTable | None = None,
+        find_limit_position: Callable[
+            [datetime.timedelta], fleet_buckets.FleetPosition
+        ] = _find_whole_position,
     ):
         self.service = service
-        self._limits = limits or server_limits.ShardLimits(
-            server_limits.LimitTable(), _find_whole_position
-        )
+        self._statements = statements or server_statements.StatementTable()
+        self._find_limit_position = find_limit_position
         self._returns = return_schedule.ReturnSchedule()
         self._retry_budget = budget
         self._has_server = has_server or (
@@ -153,9 +157,11 @@
             loaded[definition.name] = tracked
         self._ranker.tracked = loaded
 
-    def _update_limits(self, now: datetime.timedelta) -> None:
-        """Apply the limits in force; refill the buckets of limited servers."""
-        rates = self._limits.table.list_rates()
+    def _apply_statements(self, now: datetime.timedelta) -> None:
+        """Apply what servers say; refill the buckets of limited servers."""
+        for name, server in self._ranker.tracked.items():
+            server.is_leaving = self._statements.is_leaving(name)
+        rates = self._statements.limits.list_rates()
         limited = [
             server
             for name, server in self._ranker.tracked.items()
@@ -163,7 +169,7 @@
         ]
         if not limited:
             return
-        position = self._limits.find_position(now)
+        position = self._find_limit_position(now)
         for server in limited:
             rate_per_s = rates.get(server.definition.name)
             server.update_limit(rate_per_s, position, now)
@@ -218,7 +224,7 @@
 
         Polling with the same request id keeps the place in the queue.
         """
-        self._update_limits(now)
+        self._apply_statements(now)
         granted = self._granted.pop(request.request_id, None)
         if granted is not None:
             permit, granted_at = granted
@@ -332,13 +338,13 @@
         outcome: str,
         latency: datetime.timedelta,
         now: datetime.timedelta,
-        limit: server_limits.LimitStatement | None = None,
+        statement: server_statements.ServerStatement | None = None,
     ) -> None:
         """Free the slot of a permit and record how its request ended.
 
         `outcome` is "ok", "unused", "cancelled", "shed", "refused" (no
-        connection) or one of health.FAILURE_OUTCOMES; `limit` is what the
-        server's answer states.
+        connection) or one of health.FAILURE_OUTCOMES; `statement` is what the
+        answer says of its server.
         """
         running = self._running.pop(permit_id, None)
         if running is None:
@@ -350,8 +356,8 @@
             )
             granted_at = server.running.get(permit_id)
             if granted_at is not None:
-                self._limits.table.record(
-                    running.server, limit, granted_at, now
+                self._statements.record(
+                    running.server, statement, granted_at, now
                 )
             server.finish_request(
                 permit_id, outcome not in ('unused', 'refused')
@@ -359,6 +365,8 @@
             self._record_outcome(
                 server, running, outcome, latency, had_free_slots, now
             )
+            if statement is not None and statement.rest_s:
+                server.health.record_rest(statement.rest_s * SECOND, now)
         self.advance(now)
 
     def _record_outcome(
@@ -388,7 +396,7 @@
 
     def advance(self, now: datetime.timedelta) -> None:
         """Grant free slots to queued requests and deny the expired ones."""
-        self._update_limits(now)
+        self._apply_statements(now)
         self._expire(now)
         if not self._queued:
             return
--- a/cranberryscale/process/health.py
+++ b/cranberryscale/process/health.py
@@ -216,6 +216,15 @@
         if had_free_slots:
             self._add_evidence(SHED_EVIDENCE, now)
 
+    def record_rest(
+        self, rest: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Record that the server asked an instance for rest.
+
+        It is used last until then, so that the others do not take its place.
+        """
+        self._deprioritize(now, rest)
+
     def _deprioritize(
         self, now: datetime.timedelta, penalty: datetime.timedelta
     ) -> None:
--- a/cranberryscale/process/server_limits.py
+++ b/cranberryscale/process/server_limits.py
@@ -50,8 +50,8 @@
     'LimitTable',
     'LimitedStarts',
     'ServerLimit',
-    'ShardLimits',
     'find_usable_part',
+    'read_numbers',
     'read_statement',
 ]
 
@@ -89,7 +89,7 @@
 # Of a limit in a message; older ones are of no interest.
 MAX_AGE_S = 86_400.0
 
-_RATE = re.compile(r'[0-9]+(?:\.[0-9]*)?|\.[0-9]+')
+_NUMBER = re.compile(r'[0-9]+(?:\.[0-9]*)?|\.[0-9]+')
 
 
 class LimitStatement(NamedTuple):
@@ -116,16 +116,22 @@
     rate_per_s: float | None
 
 
+def read_numbers(values: Iterable[str]) -> tuple[float, ...]:
+    """Return the plain decimal numbers in the values of a header."""
+    items = (item.strip() for value in values for item in value.split(','))
+    return tuple(float(item) for item in items if _NUMBER.fullmatch(item))
+
+
 def read_statement(values: Iterable[str]) -> LimitStatement | None:
     """Return what the values of the header say; None if that is unreadable.
 
     Of several limits the smallest counts. Values that are no plain decimal
     numbers, among them negative ones and NaN, are ignored.
     """
-    items = [item.strip() for value in values for item in value.split(',')]
-    if not items:
+    values = tuple(values)
+    if not values:
         return LimitStatement(None)
-    rates = [float(item) for item in items if _RATE.fullmatch(item)]
+    rates = read_numbers(values)
     return LimitStatement(min(*rates, MAX_RATE_PER_S)) if rates else None
 
 
@@ -281,17 +287,6 @@
     return min(1.0, PART_MARGIN * up / known)
 
 
-class ShardLimits(NamedTuple):
-    """The limits that a shard's holder keeps.
-
-    `find_position` returns the part of the limits that it may use, 0 for an
-    instance that is not the holder by its own records.
-    """
-
-    table: LimitTable
-    find_position: Callable[[datetime.timedelta], fleet_buckets.FleetPosition]
-
-
 class LimitedStarts:
     """Token bucket for the requests that start at a limited server."""
 
--- a/cranberryscale/process/server_ranking.py
+++ b/cranberryscale/process/server_ranking.py
@@ -180,7 +180,7 @@
         return [
             server
             for name, server in self.tracked.items()
-            if name not in request.excluded
+            if name not in request.excluded and not server.is_leaving
         ]
 
     def _list_trials(
--- a/cranberryscale/process/tracked_servers.py
+++ b/cranberryscale/process/tracked_servers.py
@@ -33,7 +33,8 @@
     """A server's published definition, health and running requests.
 
     `running` maps permits to the times at which their requests started.
-    `limit` is None unless the server names a limit.
+    `limit` is None unless the server names a limit; `is_leaving` if it says so
+    in its answers.
     """
 
     def __init__(self, definition: configuration.BackendServer):
@@ -41,6 +42,7 @@
         self.health = health.ServerHealth()
         self.running: dict[int, datetime.timedelta] = {}
         self.limit: server_limits.LimitedStarts | None = None
+        self.is_leaving = False
         self.start_times: collections.deque[datetime.timedelta] = (
             collections.deque()
         )
@@ -134,9 +136,9 @@
         self, cold_rate_per_s: float, now: datetime.timedelta
     ) -> bool:
         """Return whether a limit or a cold start allows one more request."""
-        return not self.is_at_limit and self._can_start_cold(
-            cold_rate_per_s, now
-        )
+        if self.is_leaving or self.is_at_limit:
+            return False
+        return self._can_start_cold(cold_rate_per_s, now)
 
     def _can_start_cold(
         self, cold_rate_per_s: float, now: datetime.timedelta
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from cranberryscale import errors
-from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.process import shutdown
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
@@ -59,6 +59,9 @@
     def find_customer(self, key: str) -> str | None:
         """Return the customer of a currently valid API key, or None."""
 
+    def is_avoided(self, server: str) -> bool:
+        """Return whether a server wants no requests of this instance now."""
+
 
 class ParsedRequest(NamedTuple):
     """Request of a caller, as far as decisions depend on it.
@@ -140,7 +143,7 @@
 class ReportPermit(NamedTuple):
     """Action: return a permit and report how the server behaved.
 
-    `limit` is what the server's answer states, None if there was no answer.
+    `statement` is what the server's answer says of it, None without answer.
     """
 
     service: str
@@ -149,7 +152,7 @@
     outcome: str
     latency: datetime.timedelta
     cold: bool = False
-    limit: server_limits.LimitStatement | None = None
+    statement: server_statements.ServerStatement | None = None
 
 
 class RefuseRequest(NamedTuple):
@@ -208,15 +211,15 @@
 
     `not_run` is set if the response states that the request did not run
     (X-Not-Run), `can_resend` if the request's body can be sent again, `cold`
-    if the response states a cold start. `limit` is what it states of the
-    server's limit, None if that is unreadable.
+    if the response states a cold start. `statement` is what it says of its
+    server.
     """
 
     status: int
     not_run: bool = False
     can_resend: bool = True
     cold: bool = False
-    limit: server_limits.LimitStatement | None = None
+    statement: server_statements.ServerStatement | None = None
 
 
 class AttemptFailed(NamedTuple):
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -111,6 +111,10 @@
         """
         return True
 
+    def is_avoided(self, server: str) -> bool:
+        """Return whether a server wants no requests of this instance now."""
+        return self._core.statements.is_avoided(server, self.read_elapsed())
+
     def find_customer(self, key: str) -> str | None:
         """Return the customer of a currently valid API key, or None."""
         try:
@@ -262,11 +266,32 @@
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         """Return a permit, after waiting in a pool's queue if necessary."""
         started_at = self._clock.read_elapsed()
+        rest = self._find_common_rest(action.service, started_at)
+        if rest:
+            return actions.AdmissionDenied('pool_resting', rest)
         result = self._query_shards(action, request_id, started_at)
         waited = self._clock.read_elapsed() - started_at
         self._metrics.record('step_seconds', waited, step='permit')
         return result
 
+    def _find_common_rest(
+        self, service: str, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return for how long no server of a service wants a request.
+
+        That is zero unless all servers that are in use say so.
+        """
+        published = self.context.get_configuration()
+        with self._driver.lock:
+            rests = [
+                self._core.statements.find_rest(server.name, now)
+                for server in published.servers.values()
+                if server.service == service
+                and not published.is_server_out(server)
+                and not self._core.statements.is_leaving(server.name)
+            ]
+        return min(rests, default=datetime.timedelta(0))
+
     def _query_shards(
         self,
         action: actions.AskPermit,
@@ -323,7 +348,10 @@
             now = self._clock.read_elapsed()
             holder = self._core.find_shard_holder(query.shard, now)
             unreachable = self._core.fallback.list_unreachable(now)
-            limits = self._core.limits.list_limits(query.shard.has_server, now)
+            avoided = self._core.statements.list_avoided(now)
+            limits = self._core.statements.limits.list_limits(
+                query.shard.has_server, now
+            )
         elapsed = now - query.started_at
         remaining = action.remaining - elapsed
         if remaining <= datetime.timedelta(0):
@@ -338,7 +366,7 @@
             (action.waited + elapsed).total_seconds(),
             remaining.total_seconds(),
             action.priority,
-            tuple({*action.excluded, *unreachable}),
+            tuple({*action.excluded, *unreachable, *avoided}),
             action.is_repeat,
             action.probe_ok,
             query.may_wait,
@@ -355,7 +383,9 @@
             return None
         with self._driver.lock:
             self._core.fallback.record_ejected(query.shard, reply.ejected)
-            self._core.limits.merge(reply.limits, self._clock.read_elapsed())
+            self._core.statements.limits.merge(
+                reply.limits, self._clock.read_elapsed()
+            )
         return _ShardReply(query.shard, holder, reply, now)
 
     def _make_event(
@@ -398,7 +428,7 @@
         with self._driver.lock:
             limited = [
                 name
-                for name in self._core.limits.list_rates()
+                for name in self._core.statements.limits.list_rates()
                 if name in published.servers
                 and published.servers[name].service == action.service
             ]
@@ -406,7 +436,11 @@
                 published,
                 action.service,
                 self._core.instance_settings.domain,
-                (*action.excluded, *limited),
+                (
+                    *action.excluded,
+                    *limited,
+                    *self._core.statements.list_avoided(now),
+                ),
                 now,
             )
         logs.log_event(
@@ -437,7 +471,9 @@
     ) -> actions.PermitGranted:
         with self._driver.lock:
             self._core.fallback.record_start(server)
-            is_limited = self._core.limits.find_rate(server) is not None
+            is_limited = (
+                self._core.statements.limits.find_rate(server) is not None
+            )
         until = self._clock.read_elapsed() + PERMIT_VALIDITY
         if is_limited:
             until = asked_at + server_limits.PERMIT_VALIDITY
@@ -450,8 +486,8 @@
         now = self._clock.read_elapsed()
         with self._driver.lock:
             self._core.fallback.record_end(action.server, action.outcome, now)
-            self._core.limits.record(
-                action.server, action.limit, now - action.latency, now
+            self._core.statements.record_own(
+                action.server, action.statement, now - action.latency, now
             )
         if action.permit_id == LOCAL_HOLDER:
             return
@@ -463,7 +499,7 @@
                 int(number),
                 action.outcome,
                 action.latency.total_seconds(),
-                action.limit,
+                action.statement,
             ),
         )
 
--- a/cranberryscale/request/core_pages.py
+++ b/cranberryscale/request/core_pages.py
@@ -23,7 +23,9 @@
 class ServerExplanation(TypedDict):
     """A backend server as this instance knows it.
 
-    `limit_per_s` is the limit that the server names, None without one.
+    `is_leaving` if the server said so in an answer. `rest_s` is for how long
+    it wants nothing from this instance, `limit_per_s` the limit that it names,
+    None without one.
     `health`, `running` and `is_at_limit` are known only to the `holder` of the
     server's shard and None elsewhere.
     """
@@ -33,6 +35,8 @@
     holder: str
     is_out: bool
     is_cold: bool
+    is_leaving: bool
+    rest_s: float
     limit_per_s: float | None
     is_at_limit: bool | None
     health: str | None
@@ -118,7 +122,11 @@
                     holder=holder,
                     is_out=published.is_server_out(server),
                     is_cold=server.is_cold,
-                    limit_per_s=core.limits.find_rate(name),
+                    is_leaving=core.statements.is_leaving(name),
+                    rest_s=core.statements.find_rest(
+                        name, now
+                    ).total_seconds(),
+                    limit_per_s=core.statements.limits.find_rate(name),
                     **self._describe_held(shard, holder, name),
                 )
 
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -81,7 +81,7 @@
         outcome,
         now - (now if started_at is None else started_at),
         response is not None and response.cold,
-        None if response is None else response.limit,
+        None if response is None else response.statement,
     )
 
 
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -14,7 +14,6 @@
 from cranberryscale.connection import http_framing
 from cranberryscale.connection import http_heads
 from cranberryscale import errors
-from cranberryscale.process import server_limits
 from cranberryscale.request import actions
 from cranberryscale.request import flow
 from cranberryscale.request import headers
@@ -263,9 +262,7 @@
             not_run,
             self._body.can_resend,
             header_names.is_cold_start(response.pairs),
-            server_limits.read_statement(
-                header_names.list_limits(response.pairs)
-            ),
+            header_names.read_statement(response.status, response.pairs),
         )
 
     def _refuse(
--- a/cranberryscale/request/request_state.py
+++ b/cranberryscale/request/request_state.py
@@ -161,6 +161,9 @@
             return None
         if current.is_server_out(server):
             return None
+        # It may have answered another request since the permit was granted.
+        if self.context.is_avoided(server.name):
+            return None
         is_in_time = self.context.read_elapsed() < permit.start_until
         return server if is_in_time else None
 
@@ -169,9 +172,10 @@
     ) -> None:
         """Record whether an attempt reached a server and may have run."""
         match event:
-            case actions.ResponseReceived(not_run=not_run, limit=limit):
+            case actions.ResponseReceived(not_run=not_run, statement=said):
                 self.has_reached_server = True
                 self.possible_runs += not not_run
+                limit = said.limit if said else None
                 self.server_limit = limit.rate_per_s if limit else None
             case actions.AttemptFailed(is_sent=True):
                 self.has_reached_server = True
--- a/cranberryscale_bench/mutations.py
+++ b/cranberryscale_bench/mutations.py
@@ -20,11 +20,11 @@
 import time
 from typing import NamedTuple
 
-from cranberryscale_bench import limit_mutants
 from cranberryscale_bench import mutants
 from cranberryscale_bench import pool_mutants
 from cranberryscale_bench import report_mutants
 from cranberryscale_bench import request_mutants
+from cranberryscale_bench import statement_mutants
 
 
 __all__ = ['MutationOutcome', 'list_mutations', 'main']
@@ -68,7 +68,7 @@
         + pool_mutants.MUTATIONS
         + request_mutants.MUTATIONS
         + report_mutants.MUTATIONS
-        + limit_mutants.MUTATIONS
+        + statement_mutants.MUTATIONS
     )
 
 
--- a/cranberryscale_bench/limit_mutants.py
+++ b/cranberryscale_bench/statement_mutants.py
@@ -1,4 +1,4 @@
-"""Mutations of what keeps the limits that backend servers name."""
+"""Mutations of what keeps to the statements of backend servers."""
 
 from cranberryscale_bench import mutants
 
@@ -18,8 +18,8 @@
     mutants.Mutation(
         'limit-not-binding',
         'cranberryscale/process/tracked_servers.py',
-        'return not self.is_at_limit and self._can_start_cold(',
-        'return self._can_start_cold(',
+        'if self.is_leaving or self.is_at_limit:',
+        'if self.is_leaving:',
         ('server_limits',),
         'a server at its limit starts nothing',
     ),
@@ -58,7 +58,7 @@
     mutants.Mutation(
         'limit-not-told-to-holder',
         'cranberryscale/core.py',
-        '        self.limits.merge(message.limits, now)\n',
+        '        self.statements.limits.merge(message.limits, now)\n',
         '',
         ('limit_bounds',),
         'a successor learns limits from instances that were told',
@@ -105,6 +105,86 @@
         ('server_limits',),
         'callers are told when there is room for them',
     ),
+    mutants.Mutation(
+        'leaving-server-used',
+        'cranberryscale/process/server_ranking.py',
+        'if name not in request.excluded and not server.is_leaving',
+        'if name not in request.excluded',
+        ('server_statements',),
+        'a service whose servers all leave refuses at once',
+    ),
+    mutants.Mutation(
+        'leaving-server-started',
+        'cranberryscale/process/tracked_servers.py',
+        'if self.is_leaving or self.is_at_limit:',
+        'if self.is_at_limit:',
+        ('server_statements',),
+        'a leaving server gets no trial',
+    ),
+    mutants.Mutation(
+        'leaving-ended-by-earlier-request',
+        'cranberryscale/process/server_statements.py',
+        'elif known is not None and sent_at > known.stated_at:',
+        'elif known is not None:',
+        ('server_statements',),
+        'an answer to an earlier request does not end a leave',
+    ),
+    mutants.Mutation(
+        'rest-not-kept',
+        'cranberryscale/request/core_admission.py',
+        'tuple({*action.excluded, *unreachable, *avoided}),',
+        'tuple({*action.excluded, *unreachable}),',
+        ('coordination',),
+        'a server that wants rest gets no requests of the instance',
+    ),
+    mutants.Mutation(
+        'rest-for-all-instances',
+        'cranberryscale/process/server_statements.py',
+        'self.record(server, statement, sent_at, now)',
+        'self.record_own(server, statement, sent_at, now)',
+        ('server_statements',),
+        'a rest concerns the instance that was turned away',
+    ),
+    mutants.Mutation(
+        'rest-unbounded',
+        'cranberryscale/process/server_statements.py',
+        'min(rest_s, MAX_REST.total_seconds()),',
+        'rest_s,',
+        ('server_statements',),
+        'no server is shut out for long',
+    ),
+    mutants.Mutation(
+        'rest-shortened',
+        'cranberryscale/process/server_statements.py',
+        'if known is None or known.until < until:',
+        'if True:',
+        ('server_statements',),
+        'a later shorter time does not end an earlier one',
+    ),
+    mutants.Mutation(
+        'rest-unknown-to-holder',
+        'cranberryscale/process/dispatch.py',
+        'if statement is not None and statement.rest_s:',
+        'if False:',
+        ('server_statements',),
+        'other instances do not take the place of one that was turned away',
+    ),
+    mutants.Mutation(
+        'permit-used-after-rest',
+        'cranberryscale/request/request_state.py',
+        'if self.context.is_avoided(server.name):',
+        'if False:',
+        ('flow',),
+        'a permit is not used after its server asked for no requests',
+    ),
+    mutants.Mutation(
+        'close-before-pipelined',
+        'cranberryscale/connection/caller_requests.py',
+        'self.close_connection and not self._is_last',
+        'False',
+        ('stops',),
+        'an answer before a pipelined request is delivered whole',
+    ),
     mutants.Mutation(
         'joiner-ignores-down',
         'cranberryscale/process/roster.py',
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -26,6 +26,12 @@
 # requests in a window, from this long after they first named it.
 LIMIT_WINDOW_S = 4.0
 LIMIT_CONTACT_S = 3.0
+# A server that says that it leaves gets no request that came later than this.
+LEAVING_LIMIT_S = 2.0
+# A server that turned an instance away gets no more than so many requests from
+# it between this time and the one that it named.
+REST_CONTACT_S = 0.5
+REST_REQUESTS = 2
 # That is required of an instance only after this time without a fault.
 SETTLING_S = 3.0
 
@@ -65,6 +71,10 @@
     until_s: float
 
 
+# The requests that reached each server.
+Arrivals = Mapping[str, Sequence[machines.Arrival]]
+
+
 class Violation(NamedTuple):
     """A broken promise and the request concerned."""
 
@@ -212,20 +222,94 @@
                 yield Violation('graceful stops', request.request_id)
 
 
+def _was_disturbed(
+    disturbances: Iterable[Interval], name: str, since_s: float, until_s: float
+) -> bool:
+    return any(
+        interval.subject in (name, 'all')
+        and interval.since_s <= until_s
+        and since_s <= interval.until_s
+        for interval in disturbances
+    )
+
+
+def check_leaving_servers(
+    requests: Iterable[ObservedRequest],
+    arrivals: Arrivals,
+    leaving: Iterable[Interval],
+    disturbances: Iterable[Interval],
+) -> Iterable[Violation]:
+    """Yield late requests to servers that said in answers that they leave.
+
+    `leaving` are the intervals in which servers said so. An instance was told
+    once it had passed on such an answer.
+    """
+    by_id = {request.request_id: request for request in requests}
+    for server, since_s, until_s in leaving:
+        told_at: dict[int, float] = {}
+        for request in by_id.values():
+            seal = request.headers.get('x-upstream-seal', '')
+            if (
+                seal.partition('.')[0] == server
+                and since_s < request.sent_s
+                and request.ended_s < until_s
+            ):
+                at_s = told_at.get(request.instance, until_s)
+                told_at[request.instance] = min(at_s, request.ended_s)
+        for arrival in arrivals[server]:
+            request = by_id.get(arrival.request_id)
+            if request is None or not since_s < arrival.at_s < until_s:
+                continue
+            told_s = told_at.get(request.instance, until_s)
+            if request.sent_s > told_s + LEAVING_LIMIT_S and not (
+                _was_disturbed(
+                    disturbances,
+                    f'i{request.instance}',
+                    told_s,
+                    arrival.at_s,
+                )
+            ):
+                yield Violation('leaving answers', arrival.request_id)
+
+
+def check_rests(
+    requests: Iterable[ObservedRequest],
+    arrivals: Arrivals,
+    disturbances: Iterable[Interval],
+) -> Iterable[Violation]:
+    """Yield instances that a server had turned away and that came too soon."""
+    instances = {r.request_id: r.instance for r in requests}
+    for server, arrived in arrivals.items():
+        for refused in arrived:
+            instance = instances.get(refused.request_id)
+            until_s = refused.at_s + refused.rest_s
+            early = [
+                each
+                for each in arrived
+                if instances.get(each.request_id) == instance
+                and refused.at_s + REST_CONTACT_S < each.at_s < until_s
+            ]
+            if len(early) > REST_REQUESTS and not _was_disturbed(
+                disturbances, f'i{instance}', refused.at_s, until_s
+            ):
+                yield Violation('rests of servers', f'{server} i{instance}')
+
+
 def check_limits(
-    arrivals: Mapping[str, Sequence[float]],
+    arrivals: Arrivals,
     limits: Iterable[NamedLimit],
     disturbances: Iterable[Interval],
 ) -> Iterable[Violation]:
     """Yield windows in which a server got more than it allows.
 
-    `arrivals` are the times of all requests that reached a server. Links to
-    servers that delay requests let those of several windows arrive in one.
+    Links to servers that delay requests let those of several windows arrive
+    in one.
     """
     delays = [each for each in disturbances if each.subject == 'all']
     for server, limit_per_s, since_s, until_s in limits:
         bound = 1.5 * limit_per_s * LIMIT_WINDOW_S + 5
-        for first_s in arrivals[server]:
+        times = [arrival.at_s for arrival in arrivals[server]]
+        for first_s in times:
             last_s = first_s + LIMIT_WINDOW_S
             if first_s < since_s + LIMIT_CONTACT_S or last_s > until_s:
                 continue
@@ -233,7 +317,7 @@
                 delay.since_s < last_s and first_s < delay.until_s + SETTLING_S
                 for delay in delays
             )
-            count = sum(first_s <= at_s < last_s for at_s in arrivals[server])
+            count = sum(first_s <= at_s < last_s for at_s in times)
             if count > bound and not is_delayed:
                 detail = f'{server} {limit_per_s}/s: {count} of {bound}'
                 yield Violation('limits of servers', detail)
@@ -259,15 +343,17 @@
     left: tuple[Interval, ...],
     graceful_stops: tuple[Interval, ...],
     disturbances: tuple[Interval, ...],
-    arrivals: Mapping[str, Sequence[float]],
+    arrivals: Arrivals,
     limits: tuple[NamedLimit, ...],
+    leaving: tuple[Interval, ...],
     recovery_s: float,
 ) -> Iterable[Violation]:
     """Yield all violations of promises in one run.
 
     All times are on the monotonic clock. `left` are the intervals in which a
-    server was drained; `arrivals` are the times of the requests that reached
-    each server; `recovery_s` is when all requests must be served again.
+    server was drained, `leaving` those in which it said only in answers that
+    it leaves; `arrivals` are the requests that reached each server;
+    `recovery_s` is when all requests must be served again.
     """
     yield from check_at_most_once(requests, executed)
     yield from check_refused_not_run(requests, executed)
@@ -277,4 +363,6 @@
     yield from check_drained_servers(executed, left, disturbances)
     yield from check_graceful_stops(requests, graceful_stops, disturbances)
     yield from check_limits(arrivals, limits, disturbances)
+    yield from check_leaving_servers(requests, arrivals, leaving, disturbances)
+    yield from check_rests(requests, arrivals, disturbances)
     yield from check_recovery(requests, recovery_s)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -50,7 +50,8 @@
 
     `target` modulo the number of possible targets chooses one. `mode` is used
     by faults of links only, `limit` by servers that name one: a server, or all
-    of its service (`service_limit`).
+    of its service (`service_limit`), and `rest` by those that name a time to
+    come back.
     """
 
     start_s: float
@@ -59,6 +60,7 @@
     duration_s: float
     mode: relay.RelayMode = relay.RelayMode.OPEN
     limit: str = ''
+    rest: str = ''
 
 
 def _draw_fault(rng: random.Random, at_s: float) -> ScheduledFault:
@@ -99,6 +101,23 @@
         at_s += rng.expovariate(1 / MAX_DURATION_S)
 
 
+def _draw_statements(seed: int, seconds: float) -> Iterable[ScheduledFault]:
+    rng = random.Random(f'statements {seed}')
+    at_s = rng.uniform(0.5, 2.5)
+    end_s = seconds * (1 - QUIET_RATIO) - MAX_DURATION_S
+    while at_s < end_s:
+        kind = rng.choice(('server_leaving', 'server_rest'))
+        rest = rng.choice(('0.8', '1.5', '3')) if kind == 'server_rest' else ''
+        yield ScheduledFault(
+            at_s,
+            kind,
+            rng.randrange(1000),
+            rng.uniform(0.5, MAX_DURATION_S),
+            rest=rest,
+        )
+        at_s += rng.expovariate(1 / MAX_DURATION_S)
+
+
 def _draw_others(seed: int, seconds: float) -> Iterable[ScheduledFault]:
     rng = random.Random(seed)
     at_s = 0.5
@@ -115,5 +134,6 @@
     yield from heapq.merge(
         _draw_others(seed, seconds),
         _draw_limits(seed, seconds),
+        _draw_statements(seed, seconds),
         key=lambda fault: fault.start_s,
     )
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -134,6 +134,7 @@
         self.graceful_stops: list[checks.Interval] = []
         self.disturbances: list[checks.Interval] = []
         self.limits: list[checks.NamedLimit] = []
+        self.leaving: list[checks.Interval] = []
         self.applied_faults = 0
         self._active_targets: set[str] = set()
         self._lock = threading.Lock()
@@ -201,10 +202,12 @@
                 target = names[instance]
             case 'store_link' | 'caller_link':
                 target = f'{fault.kind}{instance}'
-            case 'server_link' | 'server_errors' | 'server_slow' | 'drain':
-                target = f'server{server}'
             case 'server_limit' | 'service_limit':
                 target = f'limit{fault.target % 2}'
+            case _ if fault.kind.startswith('server_') or (
+                fault.kind == 'drain'
+            ):
+                target = f'server{server}'
             case _:
                 target = fault.kind
         with self._lock:
@@ -279,6 +282,12 @@
                 backend.service_s = normal_s
             case 'server_limit' | 'service_limit':
                 self._name_limits(fault)
+            case 'server_leaving':
+                self._leave(backend, fault.duration_s)
+            case 'server_rest':
+                backend.rest = fault.rest
+                time.sleep(fault.duration_s)
+                backend.rest = ''
             case 'drain':
                 self._drain(backend, fault.duration_s)
             case 'evacuate':
@@ -318,6 +327,21 @@
                 checks.NamedLimit(server.name, limit_per_s, since_s, until_s)
             )
 
+    def _leave(
+        self, server: machines.StandInServer, duration_s: float
+    ) -> None:
+        """Let a server say that it leaves, and then start anew."""
+        server.is_leaving = True
+        since_s = time.monotonic()
+        time.sleep(checks.LEAVING_LIMIT_S + duration_s)
+        self.leaving.append(
+            checks.Interval(server.name, since_s, time.monotonic())
+        )
+        server.is_leaving = False
+        server.born += 1
+        key = f'servers/{server.name}'
+        self.environment.store.put(key, server.make_entry())
+
     def _drain(
         self, server: machines.StandInServer, duration_s: float
     ) -> None:
@@ -389,8 +413,9 @@
             tuple(self.drained),
             tuple(self.graceful_stops),
             tuple(self.disturbances),
-            {s.name: tuple(s.arrivals_s) for s in self.environment.servers},
+            {s.name: tuple(s.arrivals) for s in self.environment.servers},
             tuple(self.limits),
+            tuple(self.leaving),
             recovery_s,
         )
         return ScenarioReport(
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -212,11 +212,17 @@
         if target not in (None, server.name):
             self.send_whole_response(421, b'', echo)
             return
-        server.arrivals_s.append(time.monotonic())
-        if not server.start_request(
+        refusal = {'X-Not-Executed': '1'}
+        rest = server.rest
+        server.arrivals.append(
+            Arrival(request_id, time.monotonic(), float(rest or 0))
+        )
+        if rest:
+            refusal['Retry-After'] = rest
+        if rest or not server.start_request(
             request_id, self.headers, self.command, self.path
         ):
-            self.send_whole_response(503, b'', echo | {'X-Not-Executed': '1'})
+            self.send_whole_response(503, b'', echo | refusal)
             return
         try:
             time.sleep(server.service_s)
@@ -230,6 +236,17 @@
     do_GET = do_POST = handle_request
 
 
+class Arrival(NamedTuple):
+    """A request that reached a server, which may have turned it away.
+
+    `rest_s` is then the time to come back that it named.
+    """
+
+    request_id: str
+    at_s: float
+    rest_s: float = 0.0
+
+
 class ExecutedRequest(NamedTuple):
     """A request that a server ran; names of headers are in lower case."""
 
@@ -245,8 +262,10 @@
     """A backend server that appends the requests it runs to `executed`.
 
     It runs at most `slots` requests at a time, each for `service_s`. While
-    `limit` is set, all answers name it. `arrivals_s` are the times at which
-    requests arrived, whether they ran or not.
+    `limit` is set, all answers name it, and while `is_leaving`, all say so.
+    While `rest` is set, all requests are turned away, with it as the time to
+    come back. `arrivals` are all requests that arrived, whether they ran or
+    not. `born` tells its processes apart.
     """
 
     def __init__(
@@ -265,7 +284,10 @@
         self.service_s = service_s
         self.status = 200
         self.limit = ''
-        self.arrivals_s: list[float] = []
+        self.is_leaving = False
+        self.rest = ''
+        self.born = 1
+        self.arrivals: list[Arrival] = []
         self._executed = executed
         self._running = 0
         self._lock = threading.Lock()
@@ -295,9 +317,17 @@
         )
         return True
 
+    @property
+    def arrivals_s(self) -> list[float]:
+        """Return the times of all arrivals."""
+        return [arrival.at_s for arrival in self.arrivals]
+
     def make_statements(self) -> dict[str, str]:
         """Return the headers by which all answers describe the server."""
-        return {'Server-Limit': self.limit} if self.limit else {}
+        statements = {'Server-Limit': self.limit} if self.limit else {}
+        if self.is_leaving:
+            statements['Server-Leaving'] = '1'
+        return statements
 
     def finish_request(self) -> None:
         """Free the request's slot."""
@@ -309,7 +339,7 @@
         return json.dumps(
             {
                 'address': self.address,
-                'born': 1,
+                'born': self.born,
                 'info': {
                     'service': self.service,
                     'version': 'v1',
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -46,6 +46,7 @@
         self.read_elapsed = read_elapsed
         self.keys = {KEY: 'c1'}
         self.confirmed = True
+        self.avoided = set()
         self.routes = routes.RouteTable()
         self.shutdown_plan = None
 
@@ -58,6 +59,9 @@
     def find_customer(self, key):
         return self.keys.get(key)
 
+    def is_avoided(self, server):
+        return server in self.avoided
+
 
 class FakeAdmission:
     """Admission control that grants every request and records reports."""
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -12,6 +12,8 @@
 from cranberryscale import messages
 from cranberryscale.process import metrics
 from cranberryscale.process import quotas
+from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.request import actions
 from cranberryscale.request import core_admission
 
@@ -351,3 +353,57 @@
         b=[messages.ServerReply(code='pool_busy', retry_after_s=0.3)],
     )
     assert admission.ask_permit(ASK_PERMIT, 'r').server == 'a'
+
+
+SAID = server_statements.ServerStatement(server_limits.LimitStatement(2.0))
+
+
+def report(admission, statement):
+    """Report an answer of the server i1 to a request of this instance."""
+    admission.report_permit(
+        actions.ReportPermit(
+            'x', 'i1', 'h 7 0 1 a', 'ok', SECOND, statement=statement
+        )
+    )
+
+
+def test_server_that_wants_rest_is_excluded_in_requests_to_the_holder():
+    """A permit for it would have to be returned."""
+    reply = messages.ServerReply(1, 'other')
+    core = test_core.make_core()
+    change = test_published.make_change(
+        'servers/i2', 9, test_published.make_server()
+    )
+    core.apply_store_update((change,), 9, False, False, START)
+    driver, admission = make_admission(core, AskServer=reply)
+    report(admission, SAID._replace(rest_s=3.0))
+    admission.ask_permit(ASK_PERMIT, 'r')
+    assert driver.calls[0].excluded == ('i1',)
+    assert driver.sent[0].statement.rest_s == 3.0
+
+
+def test_instance_tells_holders_the_limits_that_it_knows():
+    """A new holder could not know them otherwise."""
+    driver, admission = make_admission(AskServer=messages.ServerReply(1, 'i1'))
+    report(admission, SAID)
+    granted = admission.ask_permit(ASK_PERMIT, 'r')
+    assert driver.calls[0].limits == (('i1', 2.0, 0.0),)
+    assert granted.start_until == START + server_limits.PERMIT_VALIDITY
+
+
+def test_limited_server_is_not_chosen_locally():
+    """All instances may do so at once."""
+    error = errors.make_error('peer_unreachable')
+    driver, admission = make_admission(AskServer=error)
+    report(admission, SAID)
+    denied = admission.ask_permit(ASK_PERMIT, 'r')
+    assert (denied.code, denied.retry_after) == ('pool_limited', SECOND)
+
+
+def test_denial_names_the_time_until_the_first_server_takes_requests():
+    """No holder has to be asked when all servers want rest."""
+    driver, admission = make_admission(AskServer=messages.ServerReply(1, 'i1'))
+    report(admission, SAID._replace(rest_s=3.0))
+    denied = admission.ask_permit(ASK_PERMIT, 'r')
+    assert (denied.code, denied.retry_after) == ('pool_resting', 3 * SECOND)
+    assert driver.calls == []
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -218,6 +218,15 @@
     assert set(script.list_reports()) == {'unused'}
 
 
+def test_permit_is_not_used_after_its_server_asked_for_no_requests():
+    """The server answered another request during the wait for the permit."""
+    script = ScriptedRequest(OK)
+    script.before_reply['AskPermit'] = lambda: script.context.avoided.add('b1')
+    assert script.run().server == 'b2'
+    assert script.count(actions.ForwardRequest) == 1
+    assert script.list_reports() == ['unused', 'ok']
+
+
 def test_expired_permit_and_token_are_requested_again():
     """A process that was paused must not use an expired token or permit."""
     script = ScriptedRequest(OK, once_key='k')
--- a/tests/test_limit_bounds.py
+++ b/tests/test_limit_bounds.py
@@ -18,6 +18,7 @@
 from cranberryscale import messages
 from cranberryscale.process import roster
 from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 
 
@@ -218,7 +219,7 @@
         core = self.cores[entry]
         holder = core.find_shard_holder(SHARD, self.now)
         if not self.can_reach(entry, holder):
-            excluded = core.limits.list_rates()
+            excluded = core.statements.limits.list_rates()
             server = core.fallback.choose_server(
                 core.current_configuration, 'x', 'a', excluded, self.now
             )
@@ -229,10 +230,12 @@
             request_id=f'{number}/0',
             may_wait=False,
             is_idempotent=True,
-            limits=core.limits.list_limits(SHARD.has_server, self.now),
+            limits=core.statements.limits.list_limits(
+                SHARD.has_server, self.now
+            ),
         )
         reply = self.cores[holder].handle_message(entry, message, self.now)
-        core.limits.merge(reply.limits, self.now)
+        core.statements.limits.merge(reply.limits, self.now)
         if reply.server:
             self._arrive(entry, holder, reply.permit_id)
         elif reply.code:
@@ -251,11 +254,12 @@
             if entry not in self.cores or entry in self.frozen:
                 continue
             is_named = at >= START
-            statement = server_limits.LimitStatement(
+            limit = server_limits.LimitStatement(
                 self.limit_per_s if is_named else None
             )
+            statement = server_statements.ServerStatement(limit)
             core = self.cores[entry]
-            core.limits.record(LIMITED, statement, at - LATENCY, at)
+            core.statements.record_own(LIMITED, statement, at - LATENCY, at)
             if is_named:
                 self.told_at.setdefault(entry, at)
             if holder is not None and self.can_reach(entry, holder):
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -10,6 +10,7 @@
 from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.version import replica
 from cranberryscale.version import view
@@ -125,7 +126,8 @@
     limit = server_limits.ServerLimit('s1', None, 0.5)
     limited = message._replace(limits=(limit,))
     assert messages.decode(messages.encode(limited)) == limited
-    finished = messages.FinishRequest(
-        shard, 1, 'ok', 0.1, server_limits.LimitStatement(2.5)
+    statement = server_statements.ServerStatement(
+        server_limits.LimitStatement(2.5), True, 0.5
     )
+    finished = messages.FinishRequest(shard, 1, 'ok', 0.1, statement)
     assert messages.decode(messages.encode(finished)) == finished
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -8,7 +8,7 @@
 
 
 ROOT = pathlib.Path(__file__).parent.parent
-PROMISES = 12
+PROMISES = 14
 FAULTS = 10
 
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -11,6 +11,7 @@
 from cranberryscale.process import fleet_buckets
 from cranberryscale.process import retry_budgets
 from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.version import configuration
 
 
@@ -60,8 +61,8 @@
 def test_odd_limits_have_a_stated_meaning(values, expected):
     """Guards against exceptions and against limits that nobody named."""
     pairs = tuple(('Server-Limit', value) for value in values)
-    found = header_names.BACKEND_HEADERS.list_limits(pairs)
-    assert server_limits.read_statement(found) == expected
+    found = header_names.BACKEND_HEADERS.read_statement(200, pairs)
+    assert found.limit == expected
 
 
 def test_limit_stands_until_a_later_request_is_answered_without_one():
@@ -141,16 +142,17 @@
 
     def __init__(self, limits, slots=2):
         published = test_dispatch.make_configuration(len(limits), slots)
-        self.table = server_limits.LimitTable()
-        self.table.load_servers(published.servers, START)
+        statements = server_statements.StatementTable()
+        statements.load_servers(published.servers, START)
+        self.table = statements.limits
         self.ratio = 1.0
         budget = retry_budgets.RetryBudget(0.2, 60, 10 * SECOND)
         self.pool = dispatch.ServerPool(
             'x',
             budget,
-            limits=server_limits.ShardLimits(
-                self.table,
-                lambda now: fleet_buckets.FleetPosition('', 0, 1, self.ratio),
+            statements=statements,
+            find_limit_position=lambda now: fleet_buckets.FleetPosition(
+                '', 0, 1, self.ratio
             ),
         )
         self.pool.load_servers(published)
@@ -253,7 +255,7 @@
     now = START + 1.1 * SECOND
     permit = limited.ask(2, now)
     assert isinstance(permit, dispatch_requests.DispatchPermit)
-    ended = server_limits.LimitStatement(None)
+    ended = server_statements.ServerStatement(NONE_NAMED)
     limited.pool.finish_permit(permit.permit_id, 'ok', 0 * SECOND, now, ended)
     granted = [limited.ask(number, now) for number in (3, 4)]
     assert all(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,7 @@
         'disturbances': (),
         'arrivals': {},
         'limits': (),
+        'leaving': (),
         'recovery_s': 1000.0,
     }
     violations = checks.check_all(requests, executed, **(values | fields))
@@ -155,7 +156,12 @@
 )
 def test_requests_over_a_limit_are_found(count, since_s, disturbed, is_found):
     """The bound holds from 3 s on, unless links to servers delay requests."""
-    arrivals = {'s': [100.0 + 3.9 * n / count for n in range(count)]}
+    arrivals = {
+        's': [
+            machines.Arrival(f'r{n}', 100.0 + 3.9 * n / count)
+            for n in range(count)
+        ]
+    }
     violations = find_violations(
         (),
         (),
@@ -166,6 +172,61 @@
     assert ('limits of servers' in violations) is is_found
 
 
+@pytest.mark.parametrize(
+    ('sent_s', 'instance', 'disturbed', 'is_found'),
+    [
+        (102.2, 0, 'i1', True),
+        (102.0, 0, 'i1', False),
+        (102.2, 2, 'i1', False),
+        (102.2, 0, 'i0', False),
+    ],
+)
+def test_late_request_to_a_leaving_server_is_found(
+    sent_s, instance, disturbed, is_found
+):
+    """The instance is bound two seconds after it passed on the answer."""
+    late = make_request(
+        request_id='r2',
+        sent_s=sent_s,
+        ended_s=sent_s + 0.1,
+        instance=instance,
+        status=503,
+        headers={},
+    )
+    violations = find_violations(
+        (make_request(), late),
+        (),
+        arrivals={'s': [machines.Arrival('r2', sent_s + 0.01)]},
+        leaving=(checks.Interval('s', 99.0, 110.0),),
+        disturbances=(checks.Interval(disturbed, 101.0, 101.5),),
+    )
+    assert ('leaving answers' in violations) is is_found
+
+
+@pytest.mark.parametrize(
+    ('times_s', 'disturbed', 'is_found'),
+    [
+        ((100.6, 100.7, 101.9), 'i1', True),
+        ((100.4, 100.7, 101.9), 'i1', False),
+        ((100.6, 100.7, 102.1), 'i1', False),
+        ((100.6, 100.7, 101.9), 'i0', False),
+    ],
+)
+def test_requests_inside_the_time_to_rest_are_found(
+    times_s, disturbed, is_found
+):
+    """Two are allowed between half a second and the end of the time."""
+    arrivals = [machines.Arrival('r1', 100.0, 2.0)]
+    arrivals += [machines.Arrival('r1', at_s) for at_s in times_s]
+    violations = find_violations(
+        (make_request(),),
+        (),
+        arrivals={'s': arrivals},
+        disturbances=(checks.Interval(disturbed, 100.1, 100.2),),
+    )
+    assert ('rests of servers' in violations) is is_found
+
+
 def test_request_that_fails_after_recovery_is_found():
     violations = find_violations(
         (make_request(status=502),), (make_execution(),), recovery_s=99.0
@@ -191,8 +252,12 @@
 def test_same_seed_draws_same_faults():
     assert [*faults.draw_faults(7, 20)] == [*faults.draw_faults(7, 20)]
     kinds = {f.kind for s in range(20) for f in faults.draw_faults(s, 30)}
-    limits = {'server_limit', 'service_limit'}
-    assert kinds == limits | set(faults.KIND_WEIGHTS)
+    statements = {'limit', 'leaving', 'rest'}
+    assert kinds == {
+        'service_limit',
+        *(f'server_{statement}' for statement in statements),
+        *faults.KIND_WEIGHTS,
+    }
 
 
 def test_relay_faults_end_with_mode_but_stale_connections_stay_silent():
