Log failed requests whose servers had not answered yet

Change: one exchange_dropped line for each such server, with the reason, the permit and thus its holder, the time left and whether the instance drains; no decision is changed.

--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -185,6 +185,23 @@
             **self._describe_configuration(),
         )
 
+    def log_dropped(
+        self,
+        request_id: str,
+        reason: str,
+        exchange: proxied_requests.DroppedExchange,
+    ) -> None:
+        """Log that a request failed whose server had not answered yet."""
+        logs.log_event(
+            'exchange_dropped',
+            request_id=request_id,
+            reason=reason,
+            server=exchange.server,
+            permit=exchange.permit_id,
+            time_left_ms=round(exchange.time_left.total_seconds() * 1000),
+            draining=self.is_draining,
+        )
+
     def log_fault(self, request_id: str, kind: str, where: str) -> None:
         """Log an unexpected exception without its message.
 
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -7,6 +7,7 @@
 import hashlib
 import re
 import traceback
+from typing import NamedTuple
 
 from cranberryscale.connection import backends
 from cranberryscale.connection import caller_requests
@@ -17,10 +18,11 @@
 from cranberryscale.request import actions
 from cranberryscale.request import flow
 from cranberryscale.request import headers
+from cranberryscale.request import request_state
 from cranberryscale.request import routes
 
 
-__all__ = ['ProxiedRequest']
+__all__ = ['DroppedExchange', 'ProxiedRequest']
 
 # Longest idle time of a connection on which a non-idempotent request is sent.
 # A connection that was idle for longer may no longer reach the server.
@@ -41,6 +43,20 @@
     return hashlib.sha256(found[0].encode('latin-1')).hexdigest()
 
 
+def _is_ended_here(error: errors.FleetError) -> bool:
+    """Return whether the server had not ended the exchange."""
+    is_server_fault = error.code in request_state.OUTCOME_BY_CODE
+    return error.code == 'backend_timeout' or not is_server_fault
+
+
+class DroppedExchange(NamedTuple):
+    """Exchange that was closed before its server had answered."""
+
+    server: str
+    permit_id: str
+    time_left: datetime.timedelta
+
+
 class ProxiedRequest:
     """Proxied request; iterating over it yields the response body."""
 
@@ -58,6 +74,8 @@
         self._forward_action: actions.ForwardRequest | None = None
         self._response: backends.BackendResponse | None = None
         self._pending: backends.PendingResponse | None = None
+        self._pending_action: actions.ForwardRequest | None = None
+        self._dropped: list[DroppedExchange] = []
         self._refusal: actions.RefuseRequest | None = None
         self._is_ended = False
         self.is_counted = False
@@ -218,10 +236,13 @@
             response = receive()
             if isinstance(response, backends.PendingResponse):
                 self._pending = response
+                self._pending_action = self._forward_action
                 return actions.FirstByteTimedOut(self._body.can_resend)
             response.prefetch_body()
             self._check_signature(response)
         except backends.ForwardFailed as failure:
+            if failure.is_sent and _is_ended_here(failure.error):
+                self._record_dropped(self._forward_action)
             return actions.AttemptFailed(
                 failure.error, failure.is_sent, self._body.can_resend
             )
@@ -233,6 +254,21 @@
         if self._pending is not None:
             self._pending.cancel()
             self._pending = None
+            self._record_dropped(self._pending_action)
+
+    def _record_dropped(self, action: actions.ForwardRequest) -> None:
+        now = self._gateway.clock.read_elapsed()
+        time_left = action.deadline - now
+        if time_left > datetime.timedelta(0):
+            self._dropped.append(
+                DroppedExchange(
+                    action.server.name, action.permit_id, time_left
+                )
+            )
+
+    def _log_dropped(self, reason: str) -> None:
+        for exchange in self._dropped:
+            self._gateway.log_dropped(self.request_id, reason, exchange)
 
     def _check_signature(self, response: backends.BackendResponse) -> None:
         """Raise ForwardFailed for a success that the server did not make."""
@@ -271,6 +307,7 @@
         """Respond with a typed error."""
         self._is_ended = True
         self._cancel_pending()
+        self._log_dropped(refusal.error.code)
         if self._response is not None:
             self._response.cancel()
         error_response = error_responses.make_error_response(
@@ -290,6 +327,8 @@
     def _begin_delivery(self) -> 'ProxiedRequest':
         self._cancel_pending()
         response = self._response
+        if response.status >= request_state.SERVER_ERROR:
+            self._log_dropped(f'status_{response.status}')
         response_headers = headers.filter_response_headers(
             response.pairs,
             self.request_id,
--- a/cranberryscale/request/request_state.py
+++ b/cranberryscale/request/request_state.py
@@ -8,7 +8,12 @@
 from cranberryscale.version import configuration
 
 
-__all__ = ['PERMIT_EXPIRED', 'OUTCOME_BY_CODE', 'RequestState']
+__all__ = [
+    'OUTCOME_BY_CODE',
+    'PERMIT_EXPIRED',
+    'SERVER_ERROR',
+    'RequestState',
+]
 
 # Upper bound of attempts including refused connections. Attempts that may have
 # run are further bounded by the route's max_attempts.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,6 +14,8 @@
 
 from cranberryscale import errors
 from cranberryscale.request import actions
+from cranberryscale.request import flow
+from cranberryscale import traces
 
 SECOND = datetime.timedelta(seconds=1)
 KEY = harness.KEY.encode()
@@ -491,6 +493,61 @@
     assert 'kind=ZeroDivisionError' in text
 
 
+def serve_nothing(server, sock, number):
+    """Read requests without a response."""
+    while server.read_head(sock):
+        pass
+
+
+@pytest.mark.parametrize('is_draining', [False, True])
+def test_dropped_exchange_is_logged_with_its_permit(
+    caplog, monkeypatch, is_draining
+):
+    """The end alone does not tell that a server was still at work."""
+
+    def decide_refusal(request, context):
+        now = context.read_elapsed()
+        server = context.get_configuration().servers['b1']
+        yield actions.ForwardRequest(
+            server,
+            'holder 1',
+            now + SECOND,
+            now + 2 * SECOND,
+            now + SECOND / 20,
+            1000,
+            can_resume=True,
+        )
+        error = errors.make_error('backend_timeout', 'b1')
+        yield actions.RefuseRequest(error, errors.UNKNOWN)
+        return actions.RequestOutcome('backend_timeout', errors.UNKNOWN, 504)
+
+    caplog.set_level('INFO')
+    monkeypatch.setattr(flow, 'decide_request', decide_refusal)
+    with harness.GatewayStack(serve_nothing) as proxy:
+        if is_draining:
+            proxy.gateway.drain(harness.plan_shutdown(SECOND))
+        assert parse(proxy.send_raw(GET))[0] == 504
+    (text,) = [
+        record.getMessage()
+        for record in caplog.records
+        if 'exchange_dropped' in record.getMessage()
+    ]
+    fields = traces.parse_line(text, '').fields
+    assert fields['reason'] == 'backend_timeout'
+    assert (fields['server'], fields['permit']) == ('b1', 'holder 1')
+    assert 1500 < int(fields['time_left_ms']) < 2000
+    assert fields['draining'] == str(is_draining)
+
+
+def test_answered_exchange_is_not_logged_as_dropped(caplog):
+    """Only servers that had not answered count."""
+    caplog.set_level('INFO')
+    with harness.GatewayStack(harness.make_serve_once(reset=True)) as proxy:
+        assert parse(proxy.send_raw(GET))[0] in (502, 503)
+    assert 'event=request ' in caplog.text
+    assert 'exchange_dropped' not in caplog.text
+
+
 def test_drain_refuses_new_requests_and_finishes_running_ones():
     """A graceful shutdown must not cut off or refuse callers.
 
