--- a/standins/machines.py
+++ b/standins/machines.py
@@ -226,6 +226,9 @@
             return
         try:
             time.sleep(server.service_s)
+            if server.is_dying:
+                self.close_connection = True
+                return
             status = server.status
             content = f'{server.name} {request_id} '.encode() + body
             seal = {'X-Upstream-Seal': f'{server.name}.{request_id}'}
@@ -264,8 +267,9 @@
     It runs at most `slots` requests at a time, each for `service_s`. While
     `limit` is set, all answers name it, and while `is_leaving`, all say so.
     While `rest` is set, all requests are turned away, with it as the time to
-    come back. `arrivals` are all requests that arrived, whether they ran or
-    not. `born` tells its processes apart.
+    come back. While `is_dying`, it closes connections in place of a response.
+    `arrivals` are all requests that arrived, whether they ran or not. `born`
+    tells its processes apart.
     """
 
     def __init__(
@@ -285,6 +289,7 @@
         self.status = 200
         self.limit = ''
         self.is_leaving = False
+        self.is_dying = False
         self.rest = ''
         self.born = 1
         self.arrivals: list[Arrival] = []
