--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -64,6 +64,39 @@
     )
 
 
+def serve_head_in_parts(server, sock, number):
+    """Respond with a head whose second part takes 0.3 s."""
+    head = server.read_head(sock)
+    response = harness.copy_request_id(head, HELLO)
+    sock.sendall(response[:9])
+    time.sleep(0.3)
+    sock.sendall(response[9:])
+
+
+@pytest.mark.parametrize('can_resume', [False, True])
+def test_answer_that_has_begun_is_read_to_its_end(can_resume):
+    """The time for the first byte must not end a head that arrives slowly."""
+    server = harness.FakeServer(serve_head_in_parts)
+    now = harness.CLOCK.read_elapsed()
+    pairs = (('Host', 'h'), ('X-Request-Id', 'id'))
+    head = http_heads.RequestHead(
+        'GET', '/x', pairs, http_framing.Framing(0, False), 'id'
+    )
+    limits = backends.ExchangeLimits(
+        now + SECOND,
+        now + 2 * SECOND,
+        now + SECOND / 10,
+        -1,
+        can_resume=can_resume,
+    )
+    response = make_client().forward(
+        server.address, head, http_framing.EmptyBody(), limits
+    )
+    assert b''.join(response.iter_body()) == b'hello'
+    response.finish()
+    server.close()
+
+
 def fetch(client, address, **options):
     response = forward(client, address, **options)
     data = b''.join(response.iter_body())
