Keep an exchange open until its server or another one has answered

Cause: a running exchange was given up on a promise: on a permit for a second server, which then came late, was for a server that was gone, shed, refused, died or was mute; or, without a holder, because half of the time had passed. When instances stop, holders change and all of that gets likelier. Change: the open exchanges of a request are state of its decision. A further attempt starts beside a silent exchange; the first answer of any of them is delivered and the others are cancelled. In I/O, OpenExchanges waits for several sockets and for the caller at once. A silent server is reported at once (ReportOverdue) while its slot stays taken until the exchange ends. Found beside it and mended here, since the events are the same: a head that had begun was given up at the time for its first byte; a route that forbids repeats, or names another service, while a permit was waited for; a reserved permit that was not returned; an answer that arrived while a permit was waited for was thrown away; an exception in a call to a holder ended a request that was at work. Three mutations that take parts of it out are added.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -45,20 +45,16 @@
 class ExchangeLimits(NamedTuple):
     """Limits of one exchange; deadlines are elapsed times.
 
-    Sending must start before `start_until`. The first byte of the response
-    must arrive by `first_byte_until`, the last one by `deadline`. `caller` is
-    the file descriptor of the caller's socket or -1; the exchange ends when
-    the caller disconnects. A connection is reused only if it was idle for
-    less than `idle_limit`. With `can_resume` the exchange stays open when no
-    byte has arrived by `first_byte_until`.
+    Sending must start before `start_until`. The last byte of the response
+    must arrive by `deadline`. `caller` is the file descriptor of the caller's
+    socket or -1; the exchange ends when the caller disconnects. A connection
+    is reused only if it was idle for less than `idle_limit`.
     """
 
     start_until: datetime.timedelta
     deadline: datetime.timedelta
-    first_byte_until: datetime.timedelta
     caller: int = -1
     idle_limit: datetime.timedelta | None = None
-    can_resume: bool = False
 
 
 class ForwardFailed(Exception):  # noqa: N818
@@ -282,31 +278,16 @@
         finally:
             body.stop_watching()
 
-    def run(
-        self, body: http_framing.EmptyBody
-    ) -> 'BackendResponse | PendingResponse':
-        """Send the request; return the response, or raise ForwardFailed."""
+    def send(self, body: http_framing.EmptyBody) -> None:
+        """Send the request, or raise ForwardFailed."""
         with self.translate_errors():
             self._send_head()
             self._send_body_until_response(body)
-        try:
-            return self.wait(self._limits.first_byte_until)
-        except deadline_socket.DeadlinePassed:
-            return PendingResponse(self)
-
-    def wait(self, until: datetime.timedelta) -> BackendResponse:
-        """Return the response, or raise ForwardFailed.
 
-        Raises DeadlinePassed and keeps the exchange open if no byte has
-        arrived and waiting can be resumed.
-        """
-        is_last = not self._limits.can_resume or until >= self._limits.deadline
-        self.socket.set_deadline(until)
-        if not (is_last or self.socket.wait_readable()):
-            raise deadline_socket.DeadlinePassed(until)
+    def receive(self) -> BackendResponse:
+        """Return the response, or raise ForwardFailed."""
         with self.translate_errors():
             head = http_heads.read_response_head(self.socket.stream)
-            self.socket.set_deadline(self._limits.deadline)
             response = BackendResponse(self, head)
             self._check_echo(head)
             return response
@@ -322,14 +303,26 @@
 
 
 class PendingResponse:
-    """Open exchange with a server that has not responded so far."""
+    """Open exchange whose request was sent.
+
+    `fileno` becomes readable when the server responds or disconnects.
+    """
 
     def __init__(self, exchange: _Exchange):
         self._exchange = exchange
+        self.fileno = exchange.socket.fileno
 
-    def resume(self) -> BackendResponse:
-        """Return the response, or raise ForwardFailed at the deadline."""
-        return self._exchange.wait(self._exchange.deadline)
+    @property
+    def deadline(self) -> datetime.timedelta:
+        """Return the elapsed time at which the exchange ends."""
+        return self._exchange.deadline
+
+    def receive(self) -> BackendResponse:
+        """Return the response once its head arrived, or raise ForwardFailed.
+
+        Waits until the deadline of the exchange at most.
+        """
+        return self._exchange.receive()
 
     def cancel(self) -> None:
         """Close the connection, which cancels the request."""
@@ -379,25 +372,22 @@
                 )
             return self._pools[address]
 
-    def forward(
+    def send(
         self,
         address: str,
         head: http_heads.RequestHead,
         body: http_framing.EmptyBody,
         limits: ExchangeLimits,
-    ) -> BackendResponse | PendingResponse:
-        """Return the response once its head arrived, or raise ForwardFailed.
-
-        With `can_resume`, returns a pending response if the server sends
-        nothing until `first_byte_until`.
-        """
+    ) -> PendingResponse:
+        """Send a request; return its open exchange, or raise ForwardFailed."""
         try:
             exchange = _Exchange(
                 self._find_pool(address), head, limits, self._allows_unframed
             )
         except errors.FleetError as error:
             raise ForwardFailed(error, False) from error
-        return exchange.run(body)
+        exchange.send(body)
+        return PendingResponse(exchange)
 
     def retain(self, addresses: frozenset[str]) -> None:
         """Close the idle connections to servers at other addresses."""
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -462,6 +462,7 @@
     """A report to a shard's holder on the end of a request with a permit.
 
     `statement` is what the server's answer says of it, None without answer.
+    With the outcome dispatch_requests.OVERDUE the request goes on.
     """
 
     shard: shards.Shard
--- a/cranberryscale/node_admission.py
+++ b/cranberryscale/node_admission.py
@@ -1,5 +1,6 @@
 """Access of the request path to a node."""
 
+from collections.abc import Callable
 import datetime
 import threading
 
@@ -88,7 +89,10 @@
         return self._run_timed('tokens', plan)
 
     def ask_permit(
-        self, action: actions.AskPermit, request_id: str
+        self,
+        action: actions.AskPermit,
+        request_id: str,
+        is_answered: Callable[[], bool] = lambda: False,
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         """Acquire a permit, waiting in the pool's queue if necessary."""
         plan = self._node.plan_permit(
@@ -103,6 +107,9 @@
         self._metrics.record('step_seconds', elapsed, step=step)
         return result
 
+    def report_overdue(self, action: actions.ReportOverdue) -> None:
+        """Do nothing: holders learn of silence when the request ends."""
+
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Release a permit; a worker thread sends the report."""
         with self._driver.lock:
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -62,6 +62,7 @@
     kind: datetime.timedelta
     deadline: datetime.timedelta
     is_repeat: bool
+    is_overdue: bool = False
 
 
 class _QueuedRequest:
@@ -342,10 +343,15 @@
     ) -> None:
         """Free the slot of a permit and record how its request ended.
 
-        `outcome` is "ok", "unused", "cancelled", "shed", "refused" (no
-        connection) or one of health.FAILURE_OUTCOMES; `statement` is what the
-        answer says of its server.
+        A request with the outcome dispatch_requests.OVERDUE goes on, and its
+        server's silence is recorded once. Otherwise `outcome` is "ok",
+        "unused", "cancelled", "shed", "refused" (no connection) or one of
+        health.FAILURE_OUTCOMES; `statement` is what the answer says of its
+        server.
         """
+        if outcome == dispatch_requests.OVERDUE:
+            self._record_overdue(permit_id, now)
+            return
         running = self._running.pop(permit_id, None)
         if running is None:
             return
@@ -369,6 +375,15 @@
                 server.health.record_rest(statement.rest_s * SECOND, now)
         self.advance(now)
 
+    def _record_overdue(self, permit_id: int, now: datetime.timedelta) -> None:
+        running = self._running.get(permit_id)
+        if running is None or running.is_overdue:
+            return
+        self._running[permit_id] = running._replace(is_overdue=True)
+        server = self._ranker.tracked.get(running.server)
+        if server is not None:
+            server.health.record_failure('silent', now)
+
     def _record_outcome(
         self,
         server: tracked_servers.TrackedServer,
@@ -389,6 +404,8 @@
                 server.health.record_connect_failure(running.sender, now)
             case 'shed':
                 server.health.record_shed(had_free_slots, now)
+            case 'silent' if running.is_overdue:
+                pass
             case _ if outcome in health.FAILURE_OUTCOMES:
                 server.health.record_failure(outcome, now)
         if running.is_repeat and outcome in ('unused', 'refused'):
--- a/cranberryscale/process/dispatch_requests.py
+++ b/cranberryscale/process/dispatch_requests.py
@@ -9,10 +9,13 @@
     'DispatchPermit',
     'DispatchRequest',
     'DispatchResult',
+    'OVERDUE',
     'QueuePlace',
 ]
 
 ZERO = datetime.timedelta(0)
+# Outcome of a request that goes on at a server which is unusually silent.
+OVERDUE = 'overdue'
 
 
 class DispatchRequest(NamedTuple):
--- a/cranberryscale/process/fallback.py
+++ b/cranberryscale/process/fallback.py
@@ -45,6 +45,10 @@
         """Record that a request starts at a server."""
         self._running[server] += 1
 
+    def record_overdue(self, server: str, now: datetime.timedelta) -> None:
+        """Record that a running request is unusually long without answer."""
+        self._unreachable_at[server] = now
+
     def record_end(
         self, server: str, outcome: str, now: datetime.timedelta
     ) -> None:
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -31,6 +31,7 @@
     'ParsedRequest',
     'PermitGranted',
     'RefuseRequest',
+    'ReportOverdue',
     'ReportPermit',
     'RequestOutcome',
     'ResponseReceived',
@@ -117,8 +118,9 @@
 class ForwardRequest(NamedTuple):
     """Action: send the request to a server, starting before `start_until`.
 
-    With `can_resume` the exchange stays open when no byte of the response
-    has arrived by `first_byte_until`.
+    Exchanges of earlier attempts that have not ended stay open. The event is
+    the first one of any open exchange, or FirstByteTimedOut if none comes by
+    `first_byte_until`. `attempt` is the number of the attempt, from 1.
     """
 
     server: configuration.BackendServer
@@ -129,11 +131,17 @@
     body_limit_bytes: int
     customer: str = ''
     is_repeatable: bool = False
-    can_resume: bool = False
+    attempt: int = 1
 
 
 class KeepWaiting(NamedTuple):
-    """Action: keep waiting on the open exchange that timed out."""
+    """Action: wait for the first event of any open exchange.
+
+    The event is FirstByteTimedOut if none comes by the elapsed time `until`;
+    without it, exchanges end at the deadline.
+    """
+
+    until: datetime.timedelta | None = None
 
 
 class DeliverResponse(NamedTuple):
@@ -155,6 +163,17 @@
     statement: server_statements.ServerStatement | None = None
 
 
+class ReportOverdue(NamedTuple):
+    """Action: report that a server is silent for longer than usual.
+
+    The request with the permit is still waited for.
+    """
+
+    service: str
+    server: str
+    permit_id: str
+
+
 class RefuseRequest(NamedTuple):
     """Action: answer with an error.
 
@@ -171,6 +190,7 @@
     | ForwardRequest
     | KeepWaiting
     | DeliverResponse
+    | ReportOverdue
     | ReportPermit
     | RefuseRequest
 )
@@ -212,7 +232,7 @@
     `not_run` is set if the response states that the request did not run
     (X-Not-Run), `can_resend` if the request's body can be sent again, `cold`
     if the response states a cold start. `statement` is what it says of its
-    server.
+    server, `attempt` the number of the attempt, None for the latest.
     """
 
     status: int
@@ -220,21 +240,24 @@
     can_resend: bool = True
     cold: bool = False
     statement: server_statements.ServerStatement | None = None
+    attempt: int | None = None
 
 
 class AttemptFailed(NamedTuple):
-    """Event: the attempt produced no usable response.
+    """Event: an attempt produced no usable response.
 
     `is_sent` is False only if certainly no byte of the request was sent.
+    `attempt` is the number of the attempt, None for the latest.
     """
 
     error: errors.FleetError
     is_sent: bool
     can_resend: bool = True
+    attempt: int | None = None
 
 
 class FirstByteTimedOut(NamedTuple):
-    """Event: no byte arrived in time, and the exchange is still open."""
+    """Event: no byte arrived in time; the exchanges are still open."""
 
     can_resend: bool = True
 
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -5,6 +5,7 @@
 last known state and makes no second attempts.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import datetime
 from typing import NamedTuple
@@ -15,8 +16,10 @@
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale import messages
+from cranberryscale.process import dispatch_requests
 from cranberryscale.process import metrics
 from cranberryscale.process import server_limits
+from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.process import shutdown
 from cranberryscale.request import actions
@@ -262,14 +265,22 @@
     # Backend servers
 
     def ask_permit(
-        self, action: actions.AskPermit, request_id: str
+        self,
+        action: actions.AskPermit,
+        request_id: str,
+        is_answered: Callable[[], bool] = lambda: False,
     ) -> actions.PermitGranted | actions.AdmissionDenied:
-        """Return a permit, after waiting in a pool's queue if necessary."""
+        """Return a permit, after waiting in a pool's queue if necessary.
+
+        The wait ends when `is_answered` returns True.
+        """
         started_at = self._clock.read_elapsed()
         rest = self._find_common_rest(action.service, started_at)
         if rest:
             return actions.AdmissionDenied('pool_resting', rest)
-        result = self._query_shards(action, request_id, started_at)
+        result = self._query_shards(
+            action, request_id, started_at, is_answered
+        )
         waited = self._clock.read_elapsed() - started_at
         self._metrics.record('step_seconds', waited, step='permit')
         return result
@@ -297,6 +308,7 @@
         action: actions.AskPermit,
         request_id: str,
         started_at: datetime.timedelta,
+        is_answered: Callable[[], bool],
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         with self._driver.lock:
             shards_to_ask = self._core.list_shards(action.service, request_id)
@@ -325,13 +337,13 @@
                 True,
                 number > 0,
             )
-            result = self._wait_in_queue(query)
-            if isinstance(result, actions.PermitGranted):
+            result = self._wait_in_queue(query, is_answered)
+            if isinstance(result, actions.PermitGranted) or is_answered():
                 return result
         return result
 
     def _wait_in_queue(
-        self, query: _ServerQuery
+        self, query: _ServerQuery, is_answered: Callable[[], bool]
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         while True:
             shard_reply = self._query_shard_holder(query)
@@ -340,6 +352,8 @@
                 return self._choose_locally(query.action, query.request_id)
             if shard_reply.reply.server or shard_reply.reply.code:
                 return self._make_event(query, shard_reply)
+            if is_answered():
+                return actions.AdmissionDenied('pool_busy')
 
     def _query_shard_holder(self, query: _ServerQuery) -> _ShardReply | None:
         """Return the reply of the shard's holder, or None without one."""
@@ -481,6 +495,19 @@
             permit_id, server, until, first_byte_timeout
         )
 
+    def report_overdue(self, action: actions.ReportOverdue) -> None:
+        """Report a silent server; the report is sent in the background."""
+        with self._driver.lock:
+            self._core.fallback.record_overdue(
+                action.server, self._clock.read_elapsed()
+            )
+        self._send_report(
+            action.service,
+            action.permit_id,
+            dispatch_requests.OVERDUE,
+            datetime.timedelta(0),
+        )
+
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Return a permit; the report is sent in the background."""
         now = self._clock.read_elapsed()
@@ -489,17 +516,34 @@
             self._core.statements.record_own(
                 action.server, action.statement, now - action.latency, now
             )
-        if action.permit_id == LOCAL_HOLDER:
+        self._send_report(
+            action.service,
+            action.permit_id,
+            action.outcome,
+            action.latency,
+            action.statement,
+        )
+
+    def _send_report(
+        self,
+        service: str,
+        permit_id: str,
+        outcome: str,
+        latency: datetime.timedelta,
+        statement: server_statements.ServerStatement | None = None,
+    ) -> None:
+        """Send a report to the holder that granted the permit."""
+        if permit_id == LOCAL_HOLDER:
             return
-        holder, number, index, count, domain = action.permit_id.split(' ', 4)
+        holder, number, index, count, domain = permit_id.split(' ', 4)
         self._driver.send(
             holder,
             messages.FinishRequest(
-                shards.Shard(action.service, domain, int(index), int(count)),
+                shards.Shard(service, domain, int(index), int(count)),
                 int(number),
-                action.outcome,
-                action.latency.total_seconds(),
-                action.statement,
+                outcome,
+                latency.total_seconds(),
+                statement,
             ),
         )
 
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -34,9 +34,19 @@
         """Return a token of the customer's rate budget, or the denial."""
 
     def ask_permit(
-        self, action: actions.AskPermit, request_id: str
+        self,
+        action: actions.AskPermit,
+        request_id: str,
+        is_answered: Callable[[], bool] = lambda: False,
     ) -> actions.PermitGranted | actions.AdmissionDenied:
-        """Return a permit, after waiting in the pool's queue if necessary."""
+        """Return a permit, after waiting in the pool's queue if necessary.
+
+        The wait may end early once `is_answered` returns True: an exchange of
+        the request that is still open has an event.
+        """
+
+    def report_overdue(self, action: actions.ReportOverdue) -> None:
+        """Report a server that is silent for long; must not block."""
 
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Return a permit; must not block."""
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -11,9 +11,11 @@
 
 from cranberryscale.connection import backends
 from cranberryscale.connection import caller_requests
+from cranberryscale.connection import deadline_socket
 from cranberryscale.connection import error_responses
 from cranberryscale.connection import http_framing
 from cranberryscale.connection import http_heads
+from cranberryscale.connection import open_exchanges
 from cranberryscale import errors
 from cranberryscale.request import actions
 from cranberryscale.request import flow
@@ -71,10 +73,13 @@
         self._start_response = start_response
         self._body = http_framing.ReplayBody(caller_request.rfile)
         self._steps = None
-        self._forward_action: actions.ForwardRequest | None = None
+        # Attempts that are not reported yet, by server.
+        self._unreported: dict[str, actions.ForwardRequest] = {}
+        self._exchanges = open_exchanges.OpenExchanges(
+            gateway.clock, caller_request.conn.socket.fileno()
+        )
         self._response: backends.BackendResponse | None = None
-        self._pending: backends.PendingResponse | None = None
-        self._pending_action: actions.ForwardRequest | None = None
+        self._deadline = datetime.timedelta(0)
         self._dropped: list[DroppedExchange] = []
         self._refusal: actions.RefuseRequest | None = None
         self._is_ended = False
@@ -158,22 +163,55 @@
         admission = self._gateway.admission
         match action:
             case actions.AskTokens():
-                return admission.ask_tokens(action, self.request_id)
+                return self._ask(
+                    lambda: admission.ask_tokens(action, self.request_id)
+                )
             case actions.AskPermit():
-                return admission.ask_permit(action, self.request_id)
+                return self._ask(
+                    lambda: admission.ask_permit(
+                        action, self.request_id, self._exchanges.is_ready
+                    )
+                )
             case actions.ForwardRequest():
-                self._forward_action = action
-                self._cancel_pending()
                 return self._send(action)
-            case actions.KeepWaiting():
-                return self._receive(self._pending.resume)
+            case actions.KeepWaiting(until=until):
+                return self._receive(until)
+            case actions.ReportOverdue():
+                admission.report_overdue(action)
             case actions.ReportPermit():
-                self._forward_action = None
+                self._end_attempt(action.server)
                 admission.report_permit(action)
             case actions.RefuseRequest():
                 self._refusal = action
         return None
 
+    def _ask(self, ask: Callable[[], actions.Event]) -> actions.Event:
+        """Return the reply; an unexpected exception ends no open exchange."""
+        try:
+            return ask()
+        except errors.FleetError as error:
+            return actions.AdmissionDenied(error.code, error.retry_after)
+        except Exception as error:
+            if not self._exchanges:
+                raise
+            self._log_fault(error)
+            return actions.AdmissionDenied(errors.FleetError().code)
+
+    def _end_attempt(self, server: str) -> None:
+        """Forget a reported attempt; close its exchange if it is open."""
+        forward = self._unreported.get(server)
+        if forward is not None:
+            self._cancel_exchange(forward)
+            del self._unreported[server]
+
+    def _cancel_exchange(self, forward: actions.ForwardRequest) -> None:
+        if self._exchanges.cancel(forward.attempt):
+            self._record_dropped(forward)
+
+    def _cancel_exchanges(self) -> None:
+        for forward in self._unreported.values():
+            self._cancel_exchange(forward)
+
     def _make_request_head(
         self, action: actions.ForwardRequest
     ) -> http_heads.RequestHead:
@@ -204,65 +242,77 @@
         )
 
     def _send(self, action: actions.ForwardRequest) -> actions.Event:
-        self._caller_request.conn.wrapped_socket.set_deadline(action.deadline)
+        """Send the request; return the first event of any open exchange."""
+        self._unreported[action.server.name] = action
+        # A changed configuration may have shortened the route's timeout.
+        self._deadline = max(self._deadline, action.deadline)
+        self._caller_request.conn.wrapped_socket.set_deadline(self._deadline)
         self._body.limit_bytes = action.body_limit_bytes
         self._body.rewind()
         limits = backends.ExchangeLimits(
             action.start_until,
             action.deadline,
-            action.first_byte_until,
             self._caller_request.conn.socket.fileno(),
             None if action.is_repeatable else RUN_ONCE_IDLE_LIMIT,
-            action.can_resume,
         )
-        return self._receive(
-            lambda: self._gateway.backends.forward(
+        try:
+            exchange = self._gateway.backends.send(
                 action.server.address,
                 self._make_request_head(action),
                 self._body,
                 limits,
             )
-        )
+        except (backends.ForwardFailed, errors.FleetError) as error:
+            return self._make_failure(error, action.attempt)
+        self._exchanges.add(action.attempt, exchange)
+        return self._receive(action.first_byte_until)
 
-    def _receive(
-        self,
-        receive: Callable[
-            [], backends.BackendResponse | backends.PendingResponse
-        ],
-    ) -> actions.Event:
-        """Return the event that an exchange led to."""
-        self._pending = None
+    def _receive(self, until: datetime.timedelta | None) -> actions.Event:
+        """Return the first event of any open exchange."""
+        try:
+            attempt = self._exchanges.wait(until)
+        except deadline_socket.OtherReady as error:
+            caller_gone = errors.make_error(
+                'caller_gone', type(error).__name__
+            )
+            return actions.AttemptFailed(caller_gone, True)
+        if attempt is None:
+            return actions.FirstByteTimedOut(self._body.can_resend)
         try:
-            response = receive()
-            if isinstance(response, backends.PendingResponse):
-                self._pending = response
-                self._pending_action = self._forward_action
-                return actions.FirstByteTimedOut(self._body.can_resend)
+            response = self._exchanges.remove(attempt).receive()
             response.prefetch_body()
             self._check_signature(response)
-        except backends.ForwardFailed as failure:
-            if failure.is_sent and _is_ended_here(failure.error):
-                self._record_dropped(self._forward_action)
-            return actions.AttemptFailed(
-                failure.error, failure.is_sent, self._body.can_resend
-            )
-        except errors.FleetError as error:
-            return actions.AttemptFailed(error, False, self._body.can_resend)
-        return self._accept_response(response)
-
-    def _cancel_pending(self) -> None:
-        if self._pending is not None:
-            self._pending.cancel()
-            self._pending = None
-            self._record_dropped(self._pending_action)
-
-    def _record_dropped(self, action: actions.ForwardRequest) -> None:
-        now = self._gateway.clock.read_elapsed()
-        time_left = action.deadline - now
+        except (backends.ForwardFailed, errors.FleetError) as error:
+            return self._make_failure(error, attempt)
+        return self._accept_response(response, attempt)
+
+    def _make_failure(
+        self, error: backends.ForwardFailed | errors.FleetError, attempt: int
+    ) -> actions.AttemptFailed:
+        can_resend = self._body.can_resend
+        match error:
+            case backends.ForwardFailed():
+                if error.is_sent and _is_ended_here(error.error):
+                    self._record_dropped(self._find_forward(attempt))
+                return actions.AttemptFailed(
+                    error.error, error.is_sent, can_resend, attempt
+                )
+            case _:
+                return actions.AttemptFailed(error, False, can_resend, attempt)
+
+    def _find_forward(self, attempt: int) -> actions.ForwardRequest:
+        return next(
+            forward
+            for forward in self._unreported.values()
+            if forward.attempt == attempt
+        )
+
+    def _record_dropped(self, forward: actions.ForwardRequest) -> None:
+        time_left = forward.deadline - self._gateway.clock.read_elapsed()
         if time_left > datetime.timedelta(0):
             self._dropped.append(
                 DroppedExchange(
-                    action.server.name, action.permit_id, time_left
+                    forward.server.name, forward.permit_id, time_left
                 )
             )
 
@@ -283,7 +333,7 @@
             raise backends.ForwardFailed(error, True)
 
     def _accept_response(
-        self, response: backends.BackendResponse
+        self, response: backends.BackendResponse, attempt: int
     ) -> actions.ResponseReceived:
         header_names = self._gateway.header_names
         not_run = header_names.is_not_run(response.status, response.pairs)
@@ -299,6 +349,7 @@
             self._body.can_resend,
             header_names.is_cold_start(response.pairs),
             header_names.read_statement(response.status, response.pairs),
+            attempt,
         )
 
     def _refuse(
@@ -306,7 +357,7 @@
     ) -> list[bytes]:
         """Respond with a typed error."""
         self._is_ended = True
-        self._cancel_pending()
+        self._cancel_exchanges()
         self._log_dropped(refusal.error.code)
         if self._response is not None:
             self._response.cancel()
@@ -325,7 +376,7 @@
         return [] if self.method == 'HEAD' else [error_response.body]
 
     def _begin_delivery(self) -> 'ProxiedRequest':
-        self._cancel_pending()
+        self._cancel_exchanges()
         response = self._response
         if response.status >= request_state.SERVER_ERROR:
             self._log_dropped(f'status_{response.status}')
@@ -380,15 +431,15 @@
 
     def fail(self, error: Exception) -> list[bytes]:
         """Respond to an unexpected exception; release what is in use."""
-        is_sent = self._forward_action is not None
+        is_sent = bool(self._unreported)
         if self._response is not None:
             self._response.cancel()
-        if is_sent:
+        for forward in self._unreported.values():
             self._gateway.admission.report_permit(
                 actions.ReportPermit(
-                    self._forward_action.server.service,
-                    self._forward_action.server.name,
-                    self._forward_action.permit_id,
+                    forward.server.service,
+                    forward.server.name,
+                    forward.permit_id,
                     'cancelled',
                     datetime.timedelta(0),
                 )
--- a/cranberryscale/request/request_state.py
+++ b/cranberryscale/request/request_state.py
@@ -1,6 +1,8 @@
 """State of one request, and the decisions that follow from it alone."""
 
+from collections.abc import Iterator
 import datetime
+from typing import NamedTuple
 import zlib
 
 from cranberryscale import errors
@@ -10,9 +12,11 @@
 
 __all__ = [
     'OUTCOME_BY_CODE',
+    'OpenExchange',
     'PERMIT_EXPIRED',
-    'SERVER_ERROR',
     'RequestState',
+    'ReservedPermit',
+    'SERVER_ERROR',
 ]
 
 # Upper bound of attempts including refused connections. Attempts that may have
@@ -33,6 +37,27 @@
 }
 
 
+class ReservedPermit(NamedTuple):
+    """A permit, and the service for which it was granted."""
+
+    service: str
+    permit: actions.PermitGranted
+
+
+class OpenExchange(NamedTuple):
+    """An attempt whose result is not known; times are elapsed times.
+
+    A server that has sent nothing by `first_byte_until` is overdue.
+    """
+
+    attempt: int
+    service: str
+    permit: actions.PermitGranted
+    started_at: datetime.timedelta
+    first_byte_until: datetime.timedelta
+    is_overdue: bool = False
+
+
 class RequestState:
     """Mutable state of one request while it is decided and forwarded."""
 
@@ -45,8 +70,10 @@
         self.customer = ''
         self.server = ''
         self.attempts = 0
-        # Number of attempts that a server may have run.
-        self.possible_runs = 0
+        # Exchanges that have not ended, by the number of their attempt.
+        self.exchanges: dict[int, OpenExchange] = {}
+        # Number of ended attempts that a server may have run.
+        self.ended_runs = 0
         self.has_reached_server = False
         self.server_limit: float | None = None
         self.permits_asked = 0
@@ -60,7 +87,7 @@
         # Response that is kept while a further attempt may replace it.
         self.held_response: actions.ResponseReceived | None = None
         # Permit for the attempt that replaces an unresponsive server.
-        self.reserved_permit: actions.PermitGranted | None = None
+        self.reserved_permit: ReservedPermit | None = None
 
     def authorize(self) -> None:
         """Check route and API key by the configuration in force now."""
@@ -93,6 +120,16 @@
         ):
             raise errors.make_error('shutting_down')
 
+    def check_repeat(self) -> None:
+        """Raise PoolUnavailable if a request may not be sent once more.
+
+        The configuration may have changed since it was sent.
+        """
+        if self.possible_runs and not (
+            self.is_repeatable and self.has_attempts_left
+        ):
+            raise errors.make_error('pool_unavailable', self.service)
+
     @property
     def service(self) -> str:
         """Return the service that runs the request.
@@ -122,6 +159,11 @@
             return True
         return self.context.routes.is_most_urgent(current, self.route)
 
+    @property
+    def possible_runs(self) -> int:
+        """Return the number of attempts that a server may run or have run."""
+        return self.ended_runs + len(self.exchanges)
+
     @property
     def has_attempts_left(self) -> bool:
         """Return whether another attempt is allowed."""
@@ -172,24 +214,101 @@
         is_in_time = self.context.read_elapsed() < permit.start_until
         return server if is_in_time else None
 
+    def open_exchange(self, reserved: ReservedPermit) -> OpenExchange:
+        """Record that the next attempt starts with this permit."""
+        permit = reserved.permit
+        first_byte_until = self.find_first_byte_deadline(
+            permit.first_byte_timeout
+        )
+        self.attempts += 1
+        self.excluded += (permit.server,)
+        self.server = permit.server
+        exchange = OpenExchange(
+            self.attempts,
+            reserved.service,
+            permit,
+            self.context.read_elapsed(),
+            first_byte_until,
+        )
+        self.exchanges[self.attempts] = exchange
+        return exchange
+
+    def close_exchange(self, attempt: int | None) -> OpenExchange:
+        """Remove and return the exchange of an attempt, None for the latest.
+
+        The outcome of the request then names its server.
+        """
+        exchange = self.exchanges.pop(attempt or max(self.exchanges))
+        self.server = exchange.permit.server
+        return exchange
+
+    def close_exchanges(self) -> Iterator[OpenExchange]:
+        """Remove all open exchanges and yield them."""
+        while self.exchanges:
+            yield self.exchanges.popitem()[1]
+
+    def mark_overdue(self) -> OpenExchange:
+        """Mark and return the exchange whose first byte was due first."""
+        exchange = min(
+            self._list_timely_exchanges(), key=lambda e: e.first_byte_until
+        )
+        self.exchanges[exchange.attempt] = exchange._replace(is_overdue=True)
+        self.has_reached_server = True
+        return exchange
+
+    def _list_timely_exchanges(self) -> tuple[OpenExchange, ...]:
+        return tuple(e for e in self.exchanges.values() if not e.is_overdue)
+
+    @property
+    def first_byte_until(self) -> datetime.timedelta | None:
+        """Return when the next server is overdue, None if all are."""
+        return min(
+            (e.first_byte_until for e in self._list_timely_exchanges()),
+            default=None,
+        )
+
+    def spend_token(self) -> None:
+        """Drop the token of an attempt that may run, unless it covers all."""
+        if not self.covers_repeats:
+            self.tokens_valid_until = None
+
     def record_attempt(
         self, event: actions.ResponseReceived | actions.AttemptFailed
     ) -> None:
-        """Record whether an attempt reached a server and may have run."""
+        """Record whether an ended attempt reached a server and may have run.
+
+        The attempt's exchange is closed already.
+        """
         match event:
             case actions.ResponseReceived(not_run=not_run, statement=said):
                 self.has_reached_server = True
-                self.possible_runs += not not_run
+                self.ended_runs += not not_run
                 limit = said.limit if said else None
                 self.server_limit = limit.rate_per_s if limit else None
             case actions.AttemptFailed(is_sent=True):
                 self.has_reached_server = True
-                self.possible_runs += 1
+                self.ended_runs += 1
+
+    def can_add_attempt(self, can_resend: bool) -> bool:
+        """Return whether to send the request again beside an open exchange.
+
+        Spends the retry budget.
+        """
+        return (
+            self.is_repeatable
+            and self.has_valid_tokens
+            and self._can_send_again(can_resend)
+        )
 
     def decide_retry(
         self, event: actions.ResponseReceived | actions.AttemptFailed
     ) -> bool:
-        """Return whether to send the request again; spend the retry budget."""
+        """Return whether to send the request again after an attempt ended.
+
+        Spends the retry budget.
+        """
+        if self._list_timely_exchanges():
+            return False
         match event:
             case actions.ResponseReceived(not_run=not_run, status=status):
                 is_allowed = not_run or (
@@ -204,9 +323,11 @@
                 is_allowed = (is_server_fault or is_expired) and (
                     not is_sent or self.is_repeatable
                 )
+        return is_allowed and self._can_send_again(event.can_resend)
+
+    def _can_send_again(self, can_resend: bool) -> bool:
         return (
-            is_allowed
-            and event.can_resend
+            can_resend
             and self.has_attempts_left
             and self.context.read_elapsed() < self.deadline
             and self.context.routes.spend_retry(self.route)
@@ -215,7 +336,7 @@
     def find_first_byte_deadline(
         self, first_byte_timeout: datetime.timedelta | None = None
     ) -> datetime.timedelta:
-        """Return when to give up on a server that has sent nothing.
+        """Return when a server that has sent nothing is overdue.
 
         Half of the remaining time is reserved for another attempt where one
         is allowed, or more if the server is unusually slow after
@@ -224,22 +345,29 @@
         is_last = self.possible_runs + 1 >= self.route.max_attempts
         if is_last or not (self.is_repeatable and self.has_attempts_left):
             return self.deadline
-        half = self.deadline - self.remaining / 2
+        now = self.context.read_elapsed()
+        half = (now + self.deadline) / 2
         if first_byte_timeout is None:
             return half
-        return min(half, self.context.read_elapsed() + first_byte_timeout)
+        return min(half, now + first_byte_timeout)
 
     def classify_failure(self, event: actions.AttemptFailed) -> str:
         """Return the outcome to report on the server for a failure."""
         if event.error.code not in OUTCOME_BY_CODE:
             return 'cancelled' if event.is_sent else 'unused'
-        limit = self.request.received + self.route.timeout
-        if event.error.code == 'backend_timeout' and self.deadline < limit:
-            # The caller's deadline is shorter than the route's timeout, so
-            # the timeout is no evidence against the server.
-            return 'cancelled'
+        if event.error.code == 'backend_timeout':
+            return self.classify_timeout()
         return OUTCOME_BY_CODE[event.error.code]
 
+    def classify_timeout(self) -> str:
+        """Return the outcome to report on a server that sent nothing.
+
+        If the caller's deadline is shorter than the route's timeout, that is
+        no evidence against the server.
+        """
+        limit = self.request.received + self.route.timeout
+        return 'cancelled' if self.deadline < limit else 'silent'
+
     def make_outcome(
         self, code: str, ran: str, status: int = 0
     ) -> actions.RequestOutcome:
--- a/cranberryscale_bench/report_mutants.py
+++ b/cranberryscale_bench/report_mutants.py
@@ -101,11 +101,36 @@
     mutants.Mutation(
         'shutdown-not-checked-again',
         'cranberryscale/request/flow.py',
-        '            state.check_shutdown()\n            remaining',
-        '            remaining',
+        '            state.check_shutdown()\n            state.check_repeat',
+        '            state.check_repeat',
         ('shutdown',),
         'the shutdown is checked again after the wait for a permit',
     ),
+    mutants.Mutation(
+        'request-given-up-without-a-permit',
+        'cranberryscale/request/flow.py',
+        '    while state.exchanges:\n',
+        '    while False:\n',
+        ('given_up_requests',),
+        'open exchanges are waited for before the instance answers',
+    ),
+    mutants.Mutation(
+        'request-given-up-for-a-second-server',
+        'cranberryscale/request/proxied_requests.py',
+        '        self._unreported[action.server.name] = action\n',
+        '        self._cancel_exchanges()\n'
+        '        self._unreported[action.server.name] = action\n',
+        ('gateway',),
+        'the first exchange stays open beside a second attempt',
+    ),
+    mutants.Mutation(
+        'repeat-under-a-changed-route',
+        'cranberryscale/request/flow.py',
+        '            state.check_repeat()\n',
+        '',
+        ('flow',),
+        'a route may forbid repeats while a permit is waited for',
+    ),
     mutants.Mutation(
         'quota-part-rounded-up',
         'cranberryscale/process/fleet_buckets.py',
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -69,13 +69,14 @@
     def __init__(self, decision_context):
         self.context = decision_context
         self.reports = []
+        self.overdue = []
         self.finished = []
         self.returned = []
 
     def ask_tokens(self, action, request_id):
         return actions.TokensGranted(self.context.read_elapsed() + SECOND)
 
-    def ask_permit(self, action, request_id):
+    def ask_permit(self, action, request_id, is_answered=bool):
         left = [name for name in ('b1', 'b2') if name not in action.excluded]
         if not left:
             return actions.AdmissionDenied('no_backend_server', SECOND)
@@ -83,6 +84,9 @@
         start_until = self.context.read_elapsed() + SECOND
         return actions.PermitGranted('p1', server, start_until)
 
+    def report_overdue(self, action):
+        self.overdue.append(action)
+
     def report_permit(self, action):
         self.reports.append(action.outcome)
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -16,6 +16,7 @@
 from cranberryscale.connection import connection_pool
 from cranberryscale.connection import http_framing
 from cranberryscale.connection import http_heads
+from cranberryscale.connection import open_exchanges
 from cranberryscale import errors
 
 SECOND = datetime.timedelta(seconds=1)
@@ -38,7 +39,7 @@
     return backends.BackendClient(harness.CLOCK, SECOND / 2, idle, connections)
 
 
-def forward(
+def send(
     client,
     address,
     method='GET',
@@ -56,42 +57,31 @@
         method, '/x', pairs, body_framing, request_id
     )
     until = now + seconds * SECOND
-    limits = backends.ExchangeLimits(
-        now + start * SECOND, until, until, caller
-    )
-    return client.forward(
-        address, head, body or http_framing.EmptyBody(), limits
-    )
+    limits = backends.ExchangeLimits(now + start * SECOND, until, caller)
+    return client.send(address, head, body or http_framing.EmptyBody(), limits)
 
 
-def serve_head_in_parts(server, sock, number):
-    """Respond with a head whose second part takes 0.3 s."""
-    head = server.read_head(sock)
-    response = harness.copy_request_id(head, HELLO)
-    sock.sendall(response[:9])
-    time.sleep(0.3)
-    sock.sendall(response[9:])
+def forward(client, address, *args, **options):
+    return send(client, address, *args, **options).receive()
 
 
-@pytest.mark.parametrize('can_resume', [False, True])
-def test_answer_that_has_begun_is_read_to_its_end(can_resume):
+@pytest.mark.parametrize(
+    'start', [HELLO[:9], b'HTTP/1.1 102 Processing\r\n\r\n']
+)
+def test_answer_that_has_begun_is_read_to_its_end(start):
     """The time for the first byte must not end a head that arrives slowly."""
-    server = harness.FakeServer(serve_head_in_parts)
-    now = harness.CLOCK.read_elapsed()
-    pairs = (('Host', 'h'), ('X-Request-Id', 'id'))
-    head = http_heads.RequestHead(
-        'GET', '/x', pairs, http_framing.Framing(0, False), 'id'
-    )
-    limits = backends.ExchangeLimits(
-        now + SECOND,
-        now + 2 * SECOND,
-        now + SECOND / 10,
-        -1,
-        can_resume=can_resume,
-    )
-    response = make_client().forward(
-        server.address, head, http_framing.EmptyBody(), limits
-    )
+
+    def serve(server, sock, number):
+        response = harness.copy_request_id(server.read_head(sock), HELLO)
+        sock.sendall(start)
+        time.sleep(0.3)
+        sock.sendall(response.removeprefix(start))
+
+    server = harness.FakeServer(serve)
+    exchanges = open_exchanges.OpenExchanges(harness.CLOCK)
+    exchanges.add(1, send(make_client(), server.address, seconds=2))
+    assert exchanges.wait(harness.CLOCK.read_elapsed() + SECOND / 10) == 1
+    response = exchanges.remove(1).receive()
     assert b''.join(response.iter_body()) == b'hello'
     response.finish()
     server.close()
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -50,6 +50,8 @@
                 return actions.PermitGranted('p', left[0], now + SECOND)
             case actions.ForwardRequest():
                 return self.events.pop(0)
+            case actions.KeepWaiting():
+                return actions.FirstByteTimedOut()
             case actions.DeliverResponse():
                 return actions.DeliveryEnded()
 
@@ -410,8 +412,10 @@
     forwards = [
         a for a in script.performed if isinstance(a, actions.ForwardRequest)
     ]
-    assert [f.can_resume for f in forwards] == [True, False]
+    assert [f.attempt for f in forwards] == [1, 2]
+    assert forwards[0].first_byte_until < forwards[0].deadline
     assert forwards[1].first_byte_until == forwards[1].deadline
+    assert script.count(actions.ReportOverdue) == 1
 
     script = ScriptedRequest(actions.FirstByteTimedOut(), max_attempts=2)
     script.replies['KeepWaiting'] = [OK]
@@ -422,6 +426,79 @@
     assert script.list_reports() == ['ok']
 
 
+def test_response_of_a_replaced_server_is_delivered():
+    """The first server may answer although a second attempt has started."""
+    for second in (OK._replace(attempt=1), SHED, failed('backend_broken', 1)):
+        script = ScriptedRequest(
+            actions.FirstByteTimedOut(), second, max_attempts=2
+        )
+        script.replies['KeepWaiting'] = [
+            actions.FirstByteTimedOut(),
+            OK._replace(attempt=1),
+        ]
+        permit = actions.PermitGranted('q', 'b2', START + SECOND)
+        outcome = run_with_first_byte_timeout(
+            script, permit, actions.AdmissionDenied('repeats_spent')
+        )
+        assert (outcome.code, outcome.server) == ('ok', 'b1')
+        assert outcome.attempts == 2
+        assert len(script.list_reports()) == 2
+        assert script.list_reports()[-1] == 'ok'
+
+
+def test_response_during_the_wait_for_a_permit_saves_the_repeat():
+    """The repeat would only add load, and could fail."""
+    script = ScriptedRequest(actions.FirstByteTimedOut(), max_attempts=2)
+    script.replies['KeepWaiting'] = [OK]
+    permit = actions.PermitGranted('q', 'b2', START + SECOND)
+    outcome = run_with_first_byte_timeout(script, permit)
+    assert (outcome.code, outcome.server, outcome.attempts) == ('ok', 'b1', 1)
+    assert script.list_reports() == ['unused', 'ok']
+
+
+def forbid_repeats(script):
+    (route,) = script.context.current.routes[:1]
+    route = route._replace(idempotent=False)
+    replace_current(script, routes=(route,))
+
+
+def move_route(script):
+    (route,) = script.context.current.routes[:1]
+    replace_current(script, routes=(route._replace(service='s2'),))
+
+
+@pytest.mark.parametrize(
+    'change', [forbid_repeats, withdraw_key, remove_route, move_route]
+)
+def test_change_of_the_configuration_leaves_the_exchange_open(change):
+    """The repeat is not sent; the first server's answer is delivered."""
+    script = ScriptedRequest(actions.FirstByteTimedOut(), max_attempts=2)
+    permits = [
+        actions.PermitGranted(
+            'p', 'b1', START + SECOND, datetime.timedelta(milliseconds=300)
+        ),
+        actions.PermitGranted('q', 'b2', START + SECOND),
+        actions.AdmissionDenied('pool_busy'),
+        actions.AdmissionDenied('pool_busy'),
+    ]
+    script.replies['AskPermit'] = permits
+
+    def change_route():
+        if len(permits) == 3:
+            change(script)
+
+    script.before_reply['AskPermit'] = change_route
+    script.replies['KeepWaiting'] = [OK]
+    outcome = script.run()
+    assert (outcome.code, outcome.server, outcome.attempts) == ('ok', 'b1', 1)
+    reports = [
+        (a.service, a.permit_id, a.outcome)
+        for a in script.performed
+        if isinstance(a, actions.ReportPermit)
+    ]
+    assert reports == [('s1', 'q', 'unused'), ('s1', 'p', 'ok')]
+
+
 def test_the_last_attempt_waits_until_the_deadline():
     """Giving up early would fail requests that only need more time."""
     script = ScriptedRequest(OK, max_attempts=1)
@@ -430,7 +507,6 @@
         a for a in script.performed if isinstance(a, actions.ForwardRequest)
     ]
     assert forward.first_byte_until == forward.deadline
-    assert not forward.can_resume
 
 
 def test_non_idempotent_request_waits_until_the_deadline():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -515,7 +515,6 @@
             now + 2 * SECOND,
             now + SECOND / 20,
             1000,
-            can_resume=True,
         )
         error = errors.make_error('backend_timeout', 'b1')
         yield actions.RefuseRequest(error, errors.UNKNOWN)
@@ -709,10 +708,10 @@
     with harness.GatewayStack(serve) as proxy:
         original = proxy.admission.ask_permit
 
-        def ask_permit(action, request_id):
+        def ask_permit(action, request_id, is_answered):
             if action.is_repeat and not has_second:
                 return actions.AdmissionDenied('repeats_spent')
-            permit = original(action, request_id)
+            permit = original(action, request_id, is_answered)
             timeout = datetime.timedelta(milliseconds=100)
             return permit._replace(first_byte_timeout=timeout)
 
--- a/tests/test_given_up_requests.py
+++ b/tests/test_given_up_requests.py
@@ -94,14 +94,13 @@
 
 @dataclasses.dataclass
 class Exchange:
-    """Exchange with a server, closed at `closed_at` or still open."""
+    """Exchange with a server; open until it has a result."""
 
     attempt: int
     server: Server
     started_at: datetime.timedelta
     deadline: datetime.timedelta
     has_result: bool = False
-    closed_at: datetime.timedelta | None = None
 
     @property
     def ends_at(self):
@@ -122,12 +121,9 @@
         return self.server.work not in (Work.SHEDS, Work.REFUSES)
 
     def is_given_up(self, now):
-        """Return whether it was closed while the server was at work."""
-        closed_at = now if self.closed_at is None else self.closed_at
+        """Return whether the request ends now while the server is at work."""
         return (
-            self.would_answer
-            and not self.has_result
-            and closed_at < self.deadline
+            self.would_answer and not self.has_result and now < self.deadline
         )
 
 
@@ -138,9 +134,6 @@
     an answer of the instance's own, or by a kept answer.
     """
 
-    # Whether several exchanges may be open at a time.
-    has_attempts = 'attempt' in actions.ResponseReceived._fields
-
     def __init__(self, scenario):
         super().__init__(
             method=scenario.method,
@@ -211,8 +204,8 @@
                 return self._ask_holder(action)
             case actions.ForwardRequest():
                 return self._forward(action)
-            case actions.KeepWaiting():
-                return self._wait()
+            case actions.KeepWaiting(until=until):
+                return self._wait(until)
             case actions.DeliverResponse():
                 if not self._is_answer(self._last_event):
                     self._record_given_up()
@@ -263,45 +256,27 @@
 
     def _forward(self, action):
         now = self.clock.read_elapsed()
-        if not self.has_attempts:
-            self._close_all()
+        assert action.attempt == len(self.exchanges) + 1
         exchange = Exchange(
-            len(self.exchanges) + 1,
+            action.attempt,
             self.scenario.servers[SERVERS.index(action.server.name)],
             now,
             action.deadline,
         )
         self.exchanges.append(exchange)
-        timeout_at = action.first_byte_until
-        if timeout_at >= action.deadline:
-            return self._wait()
-        event = self._wait(timeout_at)
-        if event is not None:
-            return event
-        if getattr(action, 'can_resume', True):
-            return self._make_event(actions.FirstByteTimedOut, exchange)
-        exchange.closed_at = self.clock.read_elapsed()
-        return self._make_failure(exchange, 'backend_timeout', True)
+        return self._wait(action.first_byte_until)
 
     # Exchanges
 
     def _list_open(self):
-        return [
-            exchange
-            for exchange in self.exchanges
-            if exchange.closed_at is None and not exchange.has_result
-        ]
-
-    def _close_all(self):
-        for exchange in self._list_open():
-            exchange.closed_at = self.clock.read_elapsed()
+        return [e for e in self.exchanges if not e.has_result]
 
     def _wait(self, until=None):
-        """Return the first event of any exchange, None if it is too late."""
+        """Return the first event of any exchange."""
         exchange = min(self._list_open(), key=lambda each: each.ends_at)
         if until is not None and until < exchange.ends_at:
             self.sleep_until(until)
-            return None
+            return actions.FirstByteTimedOut()
         self.sleep_until(exchange.ends_at)
         exchange.has_result = True
         return self._make_result(exchange)
@@ -332,10 +307,7 @@
         )
 
     def _make_event(self, kind, exchange, *values):
-        event = kind(*values)
-        if self.has_attempts:
-            return event._replace(attempt=exchange.attempt)
-        return event
+        return kind(*values)._replace(attempt=exchange.attempt)
 
 
 def sample_millis(*numbers):
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -67,8 +67,9 @@
     client = backends.BackendClient(
         harness.CLOCK, harness.SECOND, allows_unframed=True
     )
-    limits = backends.ExchangeLimits(until, until, until)
-    return client.forward(address, head, http_framing.EmptyBody(), limits)
+    limits = backends.ExchangeLimits(until, until)
+    body = http_framing.EmptyBody()
+    return client.send(address, head, body, limits).receive()
 
 
 @pytest.mark.parametrize('kind', ENDLESS_HEADS)
