Skip a copy of an earlier response before the one that is due

A request that must not run twice cannot be repeated. Cause: any response with a foreign id ended the exchange as crossed, on the assumption that nothing else follows. Change: a connection remembers the methods of its requests beside their ids. Ids that the connection never carried still count as crossed.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -34,6 +34,8 @@
 
 
 PREFETCH_BYTES = 65536
+# Responses to earlier requests that are skipped before the one that is due.
+MAX_SURPLUS_RESPONSES = 8
 # Subtracted from the server's keep-alive timeout, which starts when the server
 # sends the response and may expire a little early.
 KEEP_ALIVE_MARGIN = datetime.timedelta(seconds=1)
@@ -182,7 +184,10 @@
         self.is_echoed = False
         self._is_body_sent = False
         self._connection = pool.acquire(
-            limits.start_until, limits.idle_limit, head.request_id
+            limits.start_until,
+            limits.idle_limit,
+            head.request_id,
+            head.method,
         )
         self.socket: deadline_socket.DeadlineSocket = self._connection.sock
         self.socket.start_exchange(limits.deadline)
@@ -287,11 +292,41 @@
     def receive(self) -> BackendResponse:
         """Return the response, or raise ForwardFailed."""
         with self.translate_errors():
-            head = http_heads.read_response_head(self.socket.stream)
+            head = self._read_head()
             response = BackendResponse(self, head)
             self._check_echo(head)
             return response
 
+    def _read_head(self) -> http_heads.ResponseHead:
+        """Return the head of the response, after copies of earlier ones.
+
+        A faulty server may send the response to an earlier request of this
+        connection once more, while it is at work on the present one.
+        """
+        for _ in range(MAX_SURPLUS_RESPONSES):
+            head = http_heads.read_response_head(self.socket.stream)
+            method = self._find_earlier_method(head)
+            if method is None or not self._skip_body(head, method):
+                break
+        return head
+
+    def _find_earlier_method(
+        self, head: http_heads.ResponseHead
+    ) -> str | None:
+        """Return the method of the earlier request that a response is for."""
+        echoes = http_framing.find_header_values(head.pairs, 'x-request-id')
+        if len(echoes) != 1 or echoes[0] == self.head.request_id:
+            return None
+        return self._connection.request_methods.get(echoes[0])
+
+    def _skip_body(self, head: http_heads.ResponseHead, method: str) -> bool:
+        """Read and discard a body; return False if it is too long."""
+        body = http_heads.open_response_body(self.socket.stream, head, method)
+        size = 0
+        while size <= PREFETCH_BYTES and (data := body.read_some()):
+            size += len(data)
+        return size <= PREFETCH_BYTES
+
     def _check_echo(self, head: http_heads.ResponseHead) -> None:
         echoes = http_framing.find_header_values(head.pairs, 'x-request-id')
         for echoed in echoes:
--- a/cranberryscale/connection/connection_pool.py
+++ b/cranberryscale/connection/connection_pool.py
@@ -43,14 +43,14 @@
     clock: clocks.Clock
     idle_limit: datetime.timedelta
     idle_since: datetime.timedelta | None = None
-    request_ids: set[str]
+    request_methods: dict[str, str]
 
     def connect(self) -> None:
         super().connect()
         self.idle_since = None
-        # Ids of the requests sent on this connection. A late copy of a
-        # response is recognized by its id, so an id is used only once.
-        self.request_ids = set()
+        # Methods of the requests sent on this connection, by id. A late copy
+        # of a response is recognized by its id, so an id is used only once.
+        self.request_methods = {}
         self.sock = deadline_socket.DeadlineSocket(self.sock, self.clock)
 
     def can_carry(self, request_id: str) -> bool:
@@ -58,8 +58,8 @@
         if self.sock is None:
             return True
         return (
-            request_id not in self.request_ids
-            and len(self.request_ids) < MAX_REQUESTS
+            request_id not in self.request_methods
+            and len(self.request_methods) < MAX_REQUESTS
         )
 
     @property
@@ -100,6 +100,7 @@
         until: datetime.timedelta,
         idle_limit: datetime.timedelta | None = None,
         request_id: str = '',
+        method: str = 'GET',
     ) -> BackendConnection:
         """Return an open connection, or raise BackendRefused.
 
@@ -136,7 +137,7 @@
             raise errors.make_error(
                 'backend_refused', type(error).__name__
             ) from error
-        connection.request_ids.add(request_id)
+        connection.request_methods[request_id] = method
         return connection
 
     def release(self, connection: BackendConnection) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -287,6 +287,30 @@
     server.close()
 
 
+@pytest.mark.parametrize('method', ['GET', 'HEAD'])
+def test_copy_of_an_earlier_response_ends_no_later_request(method):
+    """The server is at work on the request, which may not run twice."""
+
+    def serve(server, sock, number):
+        first = server.read_head(sock)
+        answer = harness.copy_request_id(first, HELLO)
+        answer = answer if method == 'GET' else answer[: -len(b'hello')]
+        sock.sendall(answer)
+        second = server.read_head(sock)
+        sock.sendall(answer)
+        time.sleep(0.2)
+        answer = harness.copy_request_id(second, HELLO)
+        sock.sendall(answer.replace(b'hello', b'later'))
+        server.read_head(sock)
+
+    server = harness.FakeServer(serve)
+    client = make_client()
+    fetch(client, server.address, method=method)
+    assert fetch(client, server.address, method='POST') == b'later'
+    assert server.connections == 1
+    server.close()
+
+
 @pytest.mark.parametrize('size', [5, 200_000])
 def test_wrong_body_is_detected_by_its_digest(size):
     """A caller must not receive a corrupted response as complete."""
