Refund repeats that leave a holder's queue without a server

Callers saw: no second attempt, although the budget of repeats was used for requests that got none. Cause: a repeat that is queued spends the budget on arrival. One that is then denied, abandoned or never collected reached no server and kept it spent; with open exchanges, a repeat is abandoned whenever the first server answers meanwhile. Change: a repeat that leaves the queue, or whose permit is not collected, is refunded, as unused permits are. The sum of repeats that reach servers stays within the same bound. Result: of 50 such repeats, one a second, with a budget of ten in 10 s, the queue refused them after ten before; none is refused now (both ways of leaving, decision).

--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -437,8 +437,8 @@
         """Remove a queued request that can no longer be served here."""
         request = queued.request
         if now - queued.polled_at > POLL_TIMEOUT:
-            # The instance stopped polling, so it is gone.
-            del self._queued[request.request_id]
+            # The instance stopped polling: it is gone, or needs no server.
+            self._remove_queued(request)
         elif (
             queued.deadline - now
             < self._latencies.estimate_latency(request.target) / 2
@@ -459,9 +459,17 @@
         request: dispatch_requests.DispatchRequest,
         denial: dispatch_requests.DispatchDenial,
     ) -> None:
-        del self._queued[request.request_id]
+        self._remove_queued(request)
         self._denied[request.request_id] = denial
 
+    def _remove_queued(
+        self, request: dispatch_requests.DispatchRequest
+    ) -> None:
+        """Remove a request that got no server; refund its repeat."""
+        del self._queued[request.request_id]
+        if request.is_repeat:
+            self._retry_budget.refund()
+
     @property
     def has_results(self) -> bool:
         """Return whether results of queued requests wait for a poll."""
@@ -491,8 +499,12 @@
 
     def _release(self, permit_id: int, has_started: bool) -> None:
         running = self._running.pop(permit_id, None)
-        if running is not None and running.server in self._ranker.tracked:
-            server = self._ranker.tracked[running.server]
+        if running is None:
+            return
+        if running.is_repeat and not has_started:
+            self._retry_budget.refund()
+        server = self._ranker.tracked.get(running.server)
+        if server is not None:
             server.finish_request(permit_id, has_started)
 
     def _find_queue_order(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -696,3 +696,43 @@
     )
     simulation.finish()
     assert simulation.find_ratio('shed') <= 0.2 / 2
+
+
+def test_silent_server_is_reported_once_and_keeps_its_slot():
+    """Its request goes on, and counts as one failure when it ends silent."""
+    pool = make_pool(make_configuration(1, slots=1))
+    permit = pool.request_permit(make_request(1), START)
+    for at in (START + SECOND / 10, START + SECOND / 5):
+        pool.finish_permit(permit.permit_id, 'overdue', 0 * MS, at)
+    assert pool.running_count == 1
+    other = make_request(2, may_wait=False)
+    waiting = pool.request_permit(other, START + SECOND / 5)
+    assert not isinstance(waiting, dispatch_requests.DispatchPermit)
+    now = START + SECOND / 5
+    pool.finish_permit(permit.permit_id, 'silent', SECOND, now)
+    assert pool.running_count == 0
+    assert pool.describe_health('s0', now) == 'sound'
+    permit = pool.request_permit(make_request(3), now)
+    pool.finish_permit(permit.permit_id, 'overdue', 0 * MS, now)
+    assert pool.describe_health('s0', now) == 'suspect'
+
+
+@pytest.mark.parametrize('is_granted', [False, True])
+def test_repeat_that_is_not_collected_costs_no_budget(is_granted):
+    """The first server may answer while the repeat waits for another one."""
+    budget = retry_budgets.RetryBudget(0.0, 10, 10 * SECOND)
+    pool = dispatch.ServerPool('x', budget)
+    pool.load_servers(make_configuration(1, slots=1))
+    now = START
+    for number in range(50):
+        busy = pool.request_permit(make_request(number), now)
+        assert isinstance(busy, dispatch_requests.DispatchPermit)
+        repeat = make_request(-1 - number, is_repeat=True)
+        place = pool.request_permit(repeat, now)
+        assert isinstance(place, dispatch_requests.QueuePlace)
+        if is_granted:
+            pool.finish_permit(busy.permit_id, 'ok', WORK, now + WORK)
+        now += SECOND
+        pool.advance(now)
+        if not is_granted:
+            pool.finish_permit(busy.permit_id, 'ok', WORK, now)
