Let calls on a replaced peer channel finish

What callers saw: a call with a limit of 2 s that the holder answers after 0.4 s failed after 0.16 s with PeerUnreachable, so its instance took the holder for unresponsive and decided requests alone.

Cause: after two timeouts in a row PeerClient replaced the channel and closed the previous one at once, which cancels every call on it, also those with longer limits that were about to be answered.

Change: a channel counts its calls. One that is replaced takes no new calls and is closed at the end of its last call, so it lasts no longer than the limits of its calls and there are never more channels than calls and addresses. Timeouts are counted for each channel, so those on the replaced one do not replace the next one as well.

--- a/cranberryscale/connection/peers.py
+++ b/cranberryscale/connection/peers.py
@@ -49,27 +49,54 @@
 
 
 class _Channel:
+    """gRPC channel to an address that counts its calls in progress."""
+
     def __init__(self, address: str):
-        self.address = address
-        self.timeouts = 0
-        self._open()
+        self._channel = grpc.insecure_channel(address, _OPTIONS)
+        self._call = self._channel.unary_unary(f'/{SERVICE}/{METHOD}')
+        self._lock = threading.Lock()
+        self._running = 0
+        self._timeouts = 0
+        self._is_replaced = False
 
-    def _open(self) -> None:
-        self._channel = grpc.insecure_channel(self.address, _OPTIONS)
-        self.call = self._channel.unary_unary(f'/{SERVICE}/{METHOD}')
+    def acquire(self) -> bool:
+        """Count a call; return False if the channel was replaced."""
+        with self._lock:
+            if self._is_replaced:
+                return False
+            self._running += 1
+            return True
 
-    def reset_timeouts(self) -> None:
-        self.timeouts = 0
+    def release(self) -> None:
+        """End a call that was counted by `acquire`."""
+        with self._lock:
+            self._running -= 1
+            is_unused = self._is_replaced and not self._running
+        if is_unused:
+            self._channel.close()
+
+    def call(self, data: bytes, timeout: datetime.timedelta) -> bytes:
+        """Return the reply, or raise grpc.RpcError."""
+        reply_data = self._call(data, timeout=timeout.total_seconds())
+        self._timeouts = 0
+        return reply_data
+
+    def record_timeout(self) -> bool:
+        """Return True if the channel should be replaced."""
+        with self._lock:
+            self._timeouts += 1
+            return self._timeouts >= TIMEOUTS_BEFORE_RECONNECT
 
-    def record_timeout(self) -> None:
-        self.timeouts += 1
-        if self.timeouts >= TIMEOUTS_BEFORE_RECONNECT:
-            self.timeouts = 0
-            old = self._channel
-            self._open()
-            old.close()
+    def close_after_calls(self) -> None:
+        """Refuse new calls; close once those in progress have ended."""
+        with self._lock:
+            is_unused = not (self._is_replaced or self._running)
+            self._is_replaced = True
+        if is_unused:
+            self._channel.close()
 
     def close(self) -> None:
+        """Close at once; calls in progress end with errors."""
         self._channel.close()
 
 
@@ -94,17 +121,19 @@
         A Failure reply is raised as the error that it names.
         """
         counter, data = self._signer.pack(target, messages.encode(message))
-        channel = self._find_channel(address)
+        channel = self._acquire_channel(address)
         try:
-            reply_data = channel.call(data, timeout=timeout.total_seconds())
+            reply_data = channel.call(data, timeout)
         except grpc.RpcError as error:
-            if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
-                channel.record_timeout()
+            is_timeout = error.code() == grpc.StatusCode.DEADLINE_EXCEEDED
+            if is_timeout and channel.record_timeout():
+                self._replace_channel(address, channel)
             raise errors.make_error('peer_unreachable', target) from error
         except ValueError as error:
-            # Another thread has replaced and closed the channel.
+            # Another thread has closed the channel.
             raise errors.make_error('peer_unreachable', target) from error
-        channel.reset_timeouts()
+        finally:
+            channel.release()
         body = self._signer.unpack_reply(reply_data, target, counter)
         reply = messages.decode(body)
         self._count(message, len(data))
@@ -116,14 +145,28 @@
         if isinstance(message, messages.CONTROL_CALLS):
             self.control_bytes += size + CALL_OVERHEAD_BYTES
 
-    def _find_channel(self, address: str) -> _Channel:
-        channel = self._channels.get(address)
-        if channel is None:
-            with self._lock:
-                channel = self._channels.get(address)
-                if channel is None:
-                    channel = self._channels[address] = _Channel(address)
-        return channel
+    def _acquire_channel(self, address: str) -> _Channel:
+        while True:
+            channel = self._channels.get(address)
+            if channel is None:
+                with self._lock:
+                    channel = self._channels.get(address)
+                    if channel is None:
+                        channel = self._channels[address] = _Channel(address)
+            if channel.acquire():
+                return channel
+
+    def _replace_channel(self, address: str, channel: _Channel) -> None:
+        """Use a new channel for new calls unless that is already so.
+
+        Calls in progress may still be answered on the previous one. It lasts
+        no longer than their timeouts.
+        """
+        with self._lock:
+            if self._channels.get(address) is not channel:
+                return
+            self._channels[address] = _Channel(address)
+        channel.close_after_calls()
 
     @property
     def addresses(self) -> frozenset[str]:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,7 +1,9 @@
 """Tests of calls between instances, with malformed and hostile input."""
 
+from concurrent import futures
 import datetime
 import socket
+import threading
 
 import grpc
 import pytest
@@ -116,3 +118,124 @@
         client.call('b', address, messages.FetchView(), WAIT)
     assert caught.value.code == 'peer_unreachable'
     client.close()
+
+
+class SlowPeer:
+    """Server named b whose replies to FetchView wait for `proceed`."""
+
+    def __init__(self):
+        self.started = threading.Semaphore(0)
+        self.proceed = threading.Event()
+        self._server = peers.PeerServer(
+            peer_frames.Signer('b', 1, SECRET), self._handle_message
+        )
+        self.address = f'127.0.0.1:{find_port()}'
+        self._server.start(self.address)
+
+    def _handle_message(self, frame, message):
+        if isinstance(message, messages.FetchView):
+            self.started.release()
+            self.proceed.wait(5)
+        return messages.Done()
+
+    def close(self):
+        self.proceed.set()
+        self._server.stop(datetime.timedelta(0))
+
+
+@pytest.fixture
+def slow_peer():
+    server = SlowPeer()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def opened_channels(monkeypatch):
+    """gRPC channels in the order of opening, with whether they are open."""
+    is_open = []
+    open_channel = grpc.insecure_channel
+
+    def open_recorded(address, options):
+        channel = open_channel(address, options)
+        close, number = channel.close, len(is_open)
+        is_open.append(True)
+
+        def close_recorded():
+            is_open[number] = False
+            close()
+
+        channel.close = close_recorded
+        return channel
+
+    monkeypatch.setattr(grpc, 'insecure_channel', open_recorded)
+    return is_open
+
+
+def time_out(client, address, count=peers.TIMEOUTS_BEFORE_RECONNECT):
+    """Make calls that end with a timeout."""
+    for _ in range(count):
+        with pytest.raises(errors.PeerError):
+            client.call('b', address, messages.FetchView(), WAIT / 20)
+
+
+def test_timeouts_do_not_end_other_calls(slow_peer, opened_channels):
+    """Replacing a channel used to cancel all of its calls.
+
+    Holders whose replies took longer than the limits of some callers were
+    taken for unresponsive by all of them.
+    """
+    client = peers.PeerClient(peer_frames.Signer('a', 1, SECRET))
+    with futures.ThreadPoolExecutor(1) as executor:
+        patient = executor.submit(
+            client.call, 'b', slow_peer.address, messages.FetchView(), WAIT
+        )
+        assert slow_peer.started.acquire(timeout=1)
+        time_out(client, slow_peer.address)
+        assert opened_channels == [True, True]
+        assert not patient.done()
+        slow_peer.proceed.set()
+        assert patient.result() == messages.Done()
+    assert opened_channels == [False, True]
+    client.close()
+    assert opened_channels == [False, False]
+
+
+def test_replaced_channels_end_with_their_calls(slow_peer, opened_channels):
+    """An address that stays silent must not hold more and more channels."""
+    client = peers.PeerClient(peer_frames.Signer('a', 1, SECRET))
+    time_out(client, slow_peer.address, 3 * peers.TIMEOUTS_BEFORE_RECONNECT)
+    assert opened_channels == [False, False, False, True]
+    client.close()
+
+
+def test_timeouts_of_calls_on_a_replaced_channel_do_not_count(
+    slow_peer, opened_channels
+):
+    """They say nothing about the channel that replaced it."""
+    client = peers.PeerClient(peer_frames.Signer('a', 1, SECRET))
+    with futures.ThreadPoolExecutor(4) as executor:
+        calls = [
+            executor.submit(
+                client.call,
+                'b',
+                slow_peer.address,
+                messages.FetchView(),
+                limit,
+            )
+            for limit in (WAIT / 10, WAIT / 10, WAIT / 4, WAIT / 4)
+        ]
+        assert all(isinstance(c.exception(), errors.PeerError) for c in calls)
+    assert opened_channels == [False, True]
+    client.close()
+
+
+def test_closing_the_client_ends_its_calls(slow_peer):
+    client = peers.PeerClient(peer_frames.Signer('a', 1, SECRET))
+    with futures.ThreadPoolExecutor(1) as executor:
+        call = executor.submit(
+            client.call, 'b', slow_peer.address, messages.FetchView(), WAIT
+        )
+        assert slow_peer.started.acquire(timeout=1)
+        client.close()
+        assert isinstance(call.exception(WAIT.seconds / 2), errors.PeerError)
