Stop the callers' listener while its requests run

What operators saw: a stop whose requests outlast it ended with AttributeError ('_SocketReader' object has no attribute 'closed') in CallerServer.stop, so the daemon closed neither its page servers nor its connections to other instances.

Cause: cheroot's pool waits for its threads, then shuts down the reading side of the connections still in use, for which it reads an attribute that our reader lacks. With the attribute the requests would end: a proxied request takes the end of its connection's input for a caller that has left.

Change: the pool of the callers' server puts the ends of its threads behind what is queued and waits up to the shutdown timeout, without touching any connection. Requests that last longer go on until the process ends.

Result: test_stop_of_the_listener_leaves_its_running_requests_alone failed with that AttributeError and passes: stop returns after the timeout, and the request that runs and the one that waits for its thread both get their 200.

--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -129,6 +129,24 @@
         return self._queue.get()
 
 
+class _CallerThreadPool(_ThreadPool):
+    """Threads that finish the requests of callers even after `stop`."""
+
+    def stop(self, timeout: float = 5) -> None:
+        """End the threads after what is queued; wait up to `timeout` seconds.
+
+        cheroot would shut down the reading side of connections in use, which
+        looks like callers that have disconnected.
+        """
+        for _ in self._threads:
+            self._queue.put(threadpool._SHUTDOWNREQUEST)
+        clock = self.server.clock
+        until = clock.read_elapsed() + datetime.timedelta(seconds=timeout)
+        for thread in self._clear_threads():
+            time_left = until - clock.read_elapsed()
+            thread.join(max(0.0, time_left.total_seconds()))
+
+
 class CallerConnection(cheroot_server.HTTPConnection):
     """Connection of a caller."""
 
@@ -229,7 +247,7 @@
         )
         self.max_request_header_size = limits.header_bytes
         self.gateway = CallerGateway
-        self.requests = _ThreadPool(
+        self.requests = _CallerThreadPool(
             self, limits.threads, limits.queued_connections
         )
         self.clock = clock
@@ -245,7 +263,8 @@
     def stop(self) -> None:
         """Stop accepting, serve what was accepted, then close.
 
-        The application must already refuse new requests.
+        The application must already refuse new requests. Requests that last
+        longer than the shutdown timeout go on.
         """
         if not self.ready:
             return
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -184,3 +184,38 @@
     head, _, body = data.partition(b'\r\n\r\n')
     assert b'Connection: close' in head
     assert len(body) == ANSWER_BYTES
+
+
+def serve_after(delay_s):
+    """Return a serve function that responds to each request after a delay."""
+
+    def serve(server, sock, number):
+        while head := server.read_head(sock):
+            time.sleep(delay_s)
+            answer = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello'
+            sock.sendall(harness.copy_request_id(head, answer))
+
+    return serve
+
+
+def test_stop_of_the_listener_leaves_its_running_requests_alone():
+    """Stopping used to raise AttributeError while a request was running.
+
+    The daemon then closed neither its other listeners nor its connections to
+    other instances. Disconnecting the callers, as cheroot does, would end
+    their requests.
+    """
+    with harness.GatewayStack(
+        serve_after(1.3), threads=1, timeout=10 * harness.SECOND
+    ) as stack:
+        waiting = [stack.connect() for _ in range(2)]
+        for sock in waiting:
+            sock.sendall(REQUEST)
+            time.sleep(0.1)
+        started = time.monotonic()
+        stack.listener.stop()
+        # Of which shutdown_s is 1.0, the last requests and handshakes 0.12.
+        assert 1 < time.monotonic() - started < 1.5
+        answers = [harness.read_all(sock) for sock in waiting]
+    assert [answer[:12] for answer in answers] == [b'HTTP/1.1 200'] * 2
+    assert [answer[-5:] for answer in answers] == [b'hello'] * 2
