Drain the instance when one of its listeners fails

What callers saw: a fault of any listener, also of the health page, ended all requests in progress with a closed connection.

Cause: the daemon reacted to the fault with the event that ends serve(), not with a shutdown: nothing was announced, no request was waited for, and the timer that ends the process in time was not set.

Change: a fault calls shut_down, as SIGTERM does. The requests in progress end normally, and other instances stop listing this one.

Result: test_fault_of_a_listener_drains_the_instance lets the callers' or the health listener of a real process fail as cheroot reports exceptions of its threads. Before, the four callers got status 0 and the log has no line "leaving"; now each gets 200, and the process ends by itself. Tests of shutdown, entry and stops pass.

--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -247,7 +247,7 @@
             http_servers.CallerServer(
                 self.instance_settings, self.clock, self.gateway
             ),
-            self._stopping.set,
+            self.shut_down,
         )
         for address, app in (
             (addresses.health, endpoints),
@@ -258,7 +258,7 @@
                 http_servers.PageServer(
                     address, app, PAGE_THREADS, STOP_TIMEOUT
                 ),
-                self._stopping.set,
+                self.shut_down,
             )
 
     def _render_metrics(self) -> bytes:
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -410,9 +410,12 @@
 class Instance:
     """One instance as a process, with addresses on loopback.
 
-    Its settings file and log are in `folder`.
+    Its settings file and log are in `folder`. `program` holds the arguments
+    of the interpreter.
     """
 
+    program = ('-m', 'cranberryscale.platform.program')
+
     def __init__(self, number: int, folder: pathlib.Path, store_address: str):
         self.label = f'i{number:02}'
         self.domain = DOMAINS[number % len(DOMAINS)]
@@ -453,7 +456,7 @@
     def _spawn(self, environment: dict[str, str]) -> None:
         with self.log_path.open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', 'cranberryscale.platform.program'],
+                [sys.executable, *self.program],
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,6 +1,7 @@
 """Guard planned stops against requests that outlast the process."""
 
 from concurrent import futures
+import contextlib
 import datetime
 import itertools
 import signal
@@ -147,3 +148,69 @@
     refused = [r for r in requests if r.status == 503]
     assert not executed.intersection(r.request_id for r in refused)
     assert max(r.since_signal_s for r in refused) > TOLERATED_S
+
+
+# A program one of whose HTTP servers fails on SIGUSR1, as cheroot reports the
+# exceptions of its threads.
+_FAILING_PROGRAM = """
+import os
+import pathlib
+import signal
+import threading
+
+from cranberryscale import core_daemon
+from cranberryscale.connection import http_servers
+from cranberryscale.platform import program
+
+servers = []
+make_thread = http_servers.ServerThread
+
+
+def record_server(server, on_fault):
+    servers.append(server)
+    return make_thread(server, on_fault)
+
+
+def fail():
+    servers[{number}].interrupt = OSError('test')
+
+
+http_servers.ServerThread = record_server
+signal.signal(
+    signal.SIGUSR1, lambda *_: threading.Thread(target=fail).start()
+)
+program.main()
+"""
+
+
+@pytest.mark.parametrize('number', [0, 1], ids=['callers', 'health'])
+def test_fault_of_a_listener_drains_the_instance(tmp_path, number):
+    """A fault of any listener used to end all requests in progress."""
+    with contextlib.ExitStack() as stack:
+        fleet = machines.FleetEnvironment(tmp_path, instances=2)
+        instance = fleet.instances[1]
+        instance.program = ('-c', _FAILING_PROGRAM.format(number=number))
+        stack.enter_context(fleet)
+        callers = stack.enter_context(futures.ThreadPoolExecutor(8))
+        for server in fleet.servers:
+            server.service_s = 1.5
+        sent = [
+            callers.submit(
+                machines.send_request,
+                instance.addresses['callers'],
+                '/book/1',
+                f'{request:016x}',
+                KEY,
+                'POST',
+                deadline_ms=4000,
+            )
+            for request in range(4)
+        ]
+        fleet.wait_for(lambda: len(fleet.executed) == len(sent))
+        instance.send_signal(signal.SIGUSR1)
+        statuses = [future.result()[0] for future in sent]
+        assert statuses == [200] * len(sent)
+        assert instance.wait() == 0
+    events = instance.log_path.read_text()
+    assert 'event=listener_lost' in events
+    assert 'event=leaving' in events
