Check the length of responses without a body

What callers saw: 500 "internal" for a HEAD request answered with "Content-Length: x" or a GET answered with 304 and "Content-Length: 5, 5". What operators saw: each such request counted as running for ever, so every later stop lasted until its end (drain_incomplete).

Cause: the check of the length was skipped for responses without a body, though their length is passed on. cheroot's int() then raised in start_response. The handler of unexpected exceptions called start_response a second time, which raises as well, so the request was never finished.

Change: these lengths are checked like all others; an unusable one is backend_broken. The handler of unexpected exceptions also ends the count of running requests if it fails itself.

--- a/cranberryscale/connection/http_heads.py
+++ b/cranberryscale/connection/http_heads.py
@@ -126,6 +126,12 @@
     raise errors.make_error(_BROKEN, 'status line of the answer')
 
 
+def _parse_length(lengths: set[str]) -> int:
+    if len(lengths) != 1 or not _LENGTH.fullmatch(min(lengths)):
+        raise errors.make_error(_BROKEN, 'no single length of the answer')
+    return int(min(lengths))
+
+
 def open_response_body(
     stream: Any,
     head: ResponseHead,
@@ -140,7 +146,12 @@
         http_framing.find_header_values(head.pairs, 'content-length')
     )
     codings = http_framing.find_header_values(head.pairs, 'transfer-encoding')
-    if method == 'HEAD' or head.status in (204, 304):
+    if head.status == 204:
+        return http_framing.EmptyBody()
+    if method == 'HEAD' or head.status == 304:
+        # The length is that of the body which was left out.
+        if lengths:
+            _parse_length(lengths)
         return http_framing.EmptyBody()
     if codings:
         if lengths or [c.lower() for c in codings] != ['chunked']:
@@ -152,8 +163,6 @@
         return http_framing.UnframedBody(stream, http_framing.SERVER_CODES)
     # Without a length a broken connection looks like the end of the body, so
     # a truncated response could not be detected.
-    if len(lengths) != 1 or not _LENGTH.fullmatch(min(lengths)):
-        raise errors.make_error(_BROKEN, 'no single length of the answer')
     return http_framing.LengthBody(
-        stream, int(min(lengths)), http_framing.SERVER_CODES
+        stream, _parse_length(lengths), http_framing.SERVER_CODES
     )
--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -93,7 +93,11 @@
             return request.start()
         except Exception as error:
             # Every exception must end as an error response and a log event.
-            return request.fail(error)
+            try:
+                return request.fail(error)
+            finally:
+                # A stop would wait for a request that could not be refused.
+                self._update_running_count(request, False)
 
     @property
     def running(self) -> int:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -165,6 +165,40 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    'method,status', [('HEAD', b'200 OK'), ('GET', b'304 Not Modified')]
+)
+@pytest.mark.parametrize(
+    'lengths,code',
+    [
+        ((b'x',), 'backend_broken'),
+        ((b'-1',), 'backend_broken'),
+        ((b'5, 5',), 'backend_broken'),
+        ((b'5', b'6'), 'backend_broken'),
+        ((b'1' * 5000,), 'backend_broken'),
+        ((), None),
+        ((b'5',), None),
+        ((b'5', b'5'), None),
+    ],
+)
+def test_length_of_a_response_without_body_is_checked(
+    method, status, lengths, code
+):
+    """Such a length used to fail in the HTTP server for callers."""
+    headers = b''.join(b'Content-Length: %b\r\n' % n for n in lengths)
+    server = harness.FakeServer(
+        harness.make_serve_once(b'HTTP/1.1 %b\r\n%b\r\n' % (status, headers))
+    )
+    if code is None:
+        assert fetch(make_client(), server.address, method=method) == b''
+    else:
+        with pytest.raises(backends.ForwardFailed) as caught:
+            fetch(make_client(), server.address, method=method)
+        assert caught.value.error.code == code
+        assert caught.value.is_sent
+    server.close()
+
+
 def test_refused_connection_is_certainly_not_sent():
     """Any request may be sent again if it was certainly not sent."""
     with socket.create_server(('127.0.0.1', 0)) as free:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 import harness
 import pytest
 
+from cranberryscale.connection import http_servers
 from cranberryscale import errors
 from cranberryscale.request import actions
 
@@ -491,6 +492,45 @@
     assert 'kind=ZeroDivisionError' in text
 
 
+@pytest.mark.parametrize(
+    'request_line,head',
+    [
+        (b'HEAD /r/x HTTP/1.1', b'HTTP/1.1 200 OK\r\nContent-Length: x'),
+        (GET, b'HTTP/1.1 304 N\r\nContent-Length: 5, 5'),
+    ],
+)
+def test_unusable_length_of_a_response_without_body_is_a_typed_error(
+    request_line, head
+):
+    """Such requests used to count as running for ever.
+
+    Every later stop then lasted until its end.
+    """
+    serve = harness.make_serve_once(head + b'\r\n\r\n')
+    with harness.GatewayStack(serve) as proxy:
+        data = proxy.send_raw(request_line)
+        assert data.startswith(b'HTTP/1.1 502 ')
+        assert proxy.gateway.wait_idle(SECOND)
+        assert [o.code for o in proxy.outcomes] == ['backend_broken']
+        assert proxy.admission.reports == ['error', 'error']
+
+
+def test_request_whose_refusal_fails_is_not_counted_as_running(monkeypatch):
+    """A stop would wait for it until its end."""
+
+    def fail(*_):
+        raise ValueError
+
+    with harness.GatewayStack(harness.serve_hello) as proxy:
+        with monkeypatch.context() as patch:
+            patch.setattr(http_servers.CallerGateway, 'start_response', fail)
+            status, details = parse(proxy.send_raw(GET))
+        assert (status, details['code']) == (500, 'internal')
+        assert proxy.gateway.running == 0
+        assert b'hello' in proxy.send_raw(GET)
+        assert proxy.gateway.wait_idle(SECOND)
+
+
 def test_drain_refuses_new_requests_and_finishes_running_ones():
     """A graceful shutdown must not cut off or refuse callers.
 
