Report permits as unused when no connection is free

What callers saw: 503 backend_refused from an instance that uses all of its connections to a server, though the server refused nothing. The instance also reported a failed connection; two instances that do so count as a failure of the server, which is then left aside for 4 s.

Cause: the pool of connections raised the same error for "all connections in use", which the instance decides by itself, as for a connection that the server refuses.

Change: it raises the error of a permit that could not be used. The permit is returned as unused, which is no evidence, and another server is tried as before. Without another one the caller gets 503 pool_unavailable, "not run", which advises another instance.

That a server is no longer left aside for 4 s follows from the holder's code and was not played.

--- a/cranberryscale/connection/connection_pool.py
+++ b/cranberryscale/connection/connection_pool.py
@@ -101,7 +101,10 @@
         idle_limit: datetime.timedelta | None = None,
         request_id: str = '',
     ) -> BackendConnection:
-        """Return an open connection, or raise BackendRefused.
+        """Return an open connection, or raise a FleetError.
+
+        It is PoolUnavailable if all connections are in use and BackendRefused
+        if connecting failed or the pool is closed.
 
         Connecting is bounded by the pool's timeout and by the elapsed time
         `until`. A pooled connection is reused if it was idle for less than
@@ -110,8 +113,9 @@
         try:
             connection = self._get_conn(timeout=ACQUIRE_TIMEOUT_S)
         except urllib3.exceptions.EmptyPoolError as error:
+            # Like an expired permit, this says nothing about the server.
             raise errors.make_error(
-                'backend_refused', 'all connections in use'
+                'pool_unavailable', 'all connections in use'
             ) from error
         except urllib3.exceptions.ClosedPoolError as error:
             raise errors.make_error(
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -17,6 +17,7 @@
 from cranberryscale.connection import http_framing
 from cranberryscale.connection import http_heads
 from cranberryscale import errors
+from cranberryscale.request import request_state
 
 SECOND = datetime.timedelta(seconds=1)
 # An id is used once on a connection.
@@ -377,6 +378,8 @@
     with pytest.raises(backends.ForwardFailed) as caught:
         forward(client, server.address)
     assert not caught.value.is_sent
+    # It says nothing about the server.
+    assert caught.value.error.code == request_state.PERMIT_EXPIRED
     open_responses[0].cancel()
     open_responses[0].cancel()
     assert fetch(client, server.address) == b'hello'
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -375,6 +375,30 @@
         assert not proxy.server.received
 
 
+@pytest.mark.parametrize('method', [b'GET', b'POST'])
+def test_lack_of_connections_is_not_reported_on_the_server(method):
+    """It used to be reported as a refused connection.
+
+    Two instances that reported one made the pool leave the server aside.
+    """
+    body = b'\r\nContent-Length: 0'
+    with harness.GatewayStack(serve_silence, threads=5) as proxy:
+        with contextlib.ExitStack() as stack:
+            # As many as the pool has connections to the address.
+            for _ in range(4):
+                sock = stack.enter_context(proxy.connect())
+                sock.sendall(POST + body + b'\r\n\r\n')
+            assert wait_for(lambda: proxy.server.connections == 4)
+            status, details = parse(
+                proxy.send_raw(method + b' /r/x HTTP/1.1' + body)
+            )
+            assert (status, details['code']) == (503, 'pool_unavailable')
+            assert details['ran'] == errors.NOT_RUN
+            assert proxy.admission.reports == ['unused', 'unused']
+        assert proxy.gateway.wait_idle(3 * SECOND)
+        assert proxy.server.connections == 4
+
+
 def test_crossed_response_is_discarded():
     """The response may contain the data of another customer."""
     crossed = HELLO.replace(b'C', b'X-Request-Id: other\r\nC', 1)
