--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 import harness
 import pytest
 
+from cranberryscale.connection import http_servers
 from cranberryscale import errors
 from cranberryscale.request import actions
 from cranberryscale.request import flow
@@ -376,6 +377,30 @@
         assert not proxy.server.received
 
 
+@pytest.mark.parametrize('method', [b'GET', b'POST'])
+def test_lack_of_connections_is_not_reported_on_the_server(method):
+    """It used to be reported as a refused connection.
+
+    Two instances that reported one made the pool leave the server aside.
+    """
+    body = b'\r\nContent-Length: 0'
+    with harness.GatewayStack(serve_silence, threads=5) as proxy:
+        with contextlib.ExitStack() as stack:
+            # As many as the pool has connections to the address.
+            for _ in range(4):
+                sock = stack.enter_context(proxy.connect())
+                sock.sendall(POST + body + b'\r\n\r\n')
+            assert wait_for(lambda: proxy.server.connections == 4)
+            status, details = parse(
+                proxy.send_raw(method + b' /r/x HTTP/1.1' + body)
+            )
+            assert (status, details['code']) == (503, 'pool_unavailable')
+            assert details['ran'] == errors.NOT_RUN
+            assert proxy.admission.reports == ['unused', 'unused']
+        assert proxy.gateway.wait_idle(3 * SECOND)
+        assert proxy.server.connections == 4
+
+
 def test_crossed_response_is_discarded():
     """The response may contain the data of another customer."""
     crossed = HELLO.replace(b'C', b'X-Request-Id: other\r\nC', 1)
@@ -547,6 +572,45 @@
     assert 'exchange_dropped' not in caplog.text
 
 
+@pytest.mark.parametrize(
+    'request_line,head',
+    [
+        (b'HEAD /r/x HTTP/1.1', b'HTTP/1.1 200 OK\r\nContent-Length: x'),
+        (GET, b'HTTP/1.1 304 N\r\nContent-Length: 5, 5'),
+    ],
+)
+def test_unusable_length_of_a_response_without_body_is_a_typed_error(
+    request_line, head
+):
+    """Such requests used to count as running for ever.
+
+    Every later stop then lasted until its end.
+    """
+    serve = harness.make_serve_once(head + b'\r\n\r\n')
+    with harness.GatewayStack(serve) as proxy:
+        data = proxy.send_raw(request_line)
+        assert data.startswith(b'HTTP/1.1 502 ')
+        assert proxy.gateway.wait_idle(SECOND)
+        assert [o.code for o in proxy.outcomes] == ['backend_broken']
+        assert proxy.admission.reports == ['error', 'error']
+
+
+def test_request_whose_refusal_fails_is_not_counted_as_running(monkeypatch):
+    """A stop would wait for it until its end."""
+
+    def fail(*_):
+        raise ValueError
+
+    with harness.GatewayStack(harness.serve_hello) as proxy:
+        with monkeypatch.context() as patch:
+            patch.setattr(http_servers.CallerGateway, 'start_response', fail)
+            status, details = parse(proxy.send_raw(GET))
+        assert (status, details['code']) == (500, 'internal')
+        assert proxy.gateway.running == 0
+        assert b'hello' in proxy.send_raw(GET)
+        assert proxy.gateway.wait_idle(SECOND)
+
+
 def test_drain_refuses_new_requests_and_finishes_running_ones():
     """A graceful shutdown must not cut off or refuse callers.
 
