Know a process that was started while a signal came

Cause: a signal handler that raises in the main thread while it starts the thread that starts an instance made ThreadPoolExecutor forget that thread, so nobody waited for it and the process could run without a record. Seen once as a failure of test_signal_during_the_start_of_an_instance_loses_no_process on a busy machine (load 33 on 8 processors). Change: start() waits for the end of the attempt to start, for 5 s at most. The test plays a signal before the process exists nine times besides.

--- a/standins/machines.py
+++ b/standins/machines.py
@@ -39,6 +39,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+SPAWN_TIMEOUT_S = 5.0
 DOMAINS = ('a', 'b', 'c')
 HOST = 'h.example'
 LISTENERS = ('callers', 'health', 'peers', 'directory', 'operators')
@@ -447,18 +448,28 @@
         }
         # A signal handler that raises runs in the main thread. If it
         # interrupted Popen, the process would run without being known here.
+        # The executor does not wait for a thread during whose start it raised.
+        spawned = threading.Event()
         with futures.ThreadPoolExecutor(1) as executor:
-            executor.submit(self._spawn, environment).result()
-
-    def _spawn(self, environment: dict[str, str]) -> None:
-        with self.log_path.open('ab') as log:
-            self.process = subprocess.Popen(
-                [sys.executable, '-m', 'cranberryscale.platform.program'],
-                stdout=log,
-                stderr=log,
-                cwd=ROOT,
-                env=environment,
-            )
+            try:
+                executor.submit(self._spawn, environment, spawned).result()
+            finally:
+                spawned.wait(SPAWN_TIMEOUT_S)
+
+    def _spawn(
+        self, environment: dict[str, str], spawned: threading.Event
+    ) -> None:
+        try:
+            with self.log_path.open('ab') as log:
+                self.process = subprocess.Popen(
+                    [sys.executable, '-m', 'cranberryscale.platform.program'],
+                    stdout=log,
+                    stderr=log,
+                    cwd=ROOT,
+                    env=environment,
+                )
+        finally:
+            spawned.set()
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is still running."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -293,18 +293,29 @@
     assert report.served > report.requests / 2
 
 
-def test_signal_during_the_start_of_an_instance_loses_no_process(
-    tmp_path, monkeypatch
-):
-    """A handler that raised inside Popen left a process without a record."""
+class InterruptedPopen(subprocess.Popen):
+    """Popen that raises a signal before or after its process has started."""
 
-    class InterruptedPopen(subprocess.Popen):
-        def __init__(self, *args, **options):
-            super().__init__(*args, **options)
+    is_early = False
+
+    def __init__(self, *args, **options):
+        if self.is_early:
+            signal.raise_signal(signal.SIGUSR1)
+        super().__init__(*args, **options)
+        if not self.is_early:
             signal.raise_signal(signal.SIGUSR1)
-            time.sleep(0.2)
+        time.sleep(0.2)
 
+
+# The thread that starts the process may or may not be known to the main thread
+# when an early signal comes.
+@pytest.mark.parametrize('is_early', [False] + [True] * 9)
+def test_signal_during_the_start_of_an_instance_loses_no_process(
+    is_early, tmp_path, monkeypatch
+):
+    """A handler that raised inside Popen left a process without a record."""
     instance = machines.Instance(0, tmp_path, '127.0.0.1:1')
+    monkeypatch.setattr(InterruptedPopen, 'is_early', is_early)
     monkeypatch.setattr(subprocess, 'Popen', InterruptedPopen)
     previous = signal.signal(signal.SIGUSR1, lambda *_: sys.exit(1))
     try:
