Find requests that are given up while a server is at work

Cause: the soak looked for connections that a graceful stop cuts. Change: stand-in servers record when work begins, when its answer is due and how it ends; they stop working when the connection is closed, as servers do. A check compares this with how each request ended. The plan of faults "handovers" has servers that take more than half of the callers' time beside series of stops, kills, SIGHUP, configurations, mute and ending servers, and servers that refuse or break off what another one runs.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 from standins import machines
@@ -11,6 +12,7 @@
 
 __all__ = [
     'Interval',
+    'LinkFault',
     'NamedLimit',
     'ObservedRequest',
     'Violation',
@@ -34,10 +36,21 @@
 REST_REQUESTS = 2
 # That is required of an instance only after this time without a fault.
 SETTLING_S = 3.0
+# A server has to be waited for if it answers so long before the deadline.
+ANSWER_MARGIN_S = 0.1
+# From SIGTERM to the end of a process. In its last part, requests may be given
+# up that were sent no later than this after the signal.
+GRACE_S = 6.0
+GRACE_END_RATIO = 1 / 6
+LATE_FOR_STOP_S = 3.0
 
 
 class ObservedRequest(NamedTuple):
-    """A request as its caller saw it; status 0 is no complete response."""
+    """A request as its caller saw it; status 0 is no complete response.
+
+    `time_s` is the time that the caller's deadline and the route allow.
+    `has_left` tells whether the caller closed its connection before that.
+    """
 
     request_id: str
     instance: int
@@ -49,6 +62,13 @@
     status: int
     headers: dict[str, str]
     body: bytes
+    time_s: float = math.inf
+    has_left: bool = False
+
+    @property
+    def is_answered_by_server(self) -> bool:
+        """Return whether the response is one of a server."""
+        return self.status != 0 and 'x-upstream-seal' in self.headers
 
 
 class Interval(NamedTuple):
@@ -71,6 +91,18 @@
     until_s: float
 
 
+class LinkFault(NamedTuple):
+    """A fault of a server or its link, by which answers come later.
+
+    `delay_s` is by how much, infinite if answers are lost.
+    """
+
+    server: str
+    since_s: float
+    until_s: float
+    delay_s: float = math.inf
+
+
 # The requests that reached each server.
 Arrivals = Mapping[str, Sequence[machines.Arrival]]
 
@@ -210,6 +242,7 @@
             if (
                 f'i{request.instance}' == interval.subject
                 and request.status == 0
+                and not request.has_left
                 and interval.since_s <= request.sent_s
                 and request.ended_s <= interval.until_s
                 and _is_undisturbed(
@@ -233,6 +266,98 @@
     )
 
 
+def _find_answer_time(
+    work: machines.Work, link_faults: Iterable[LinkFault]
+) -> float:
+    """Return when the answer would have come, infinite if it never would."""
+    if work.end == 'died':
+        return math.inf
+    return work.due_s + sum(
+        fault.delay_s
+        for fault in link_faults
+        if fault.server == work.server
+        and fault.since_s <= work.due_s
+        and work.began_s <= fault.until_s
+    )
+
+
+def _find_abandonment(
+    request: ObservedRequest, work: machines.Work
+) -> float | None:
+    """Return when the instance gave up work, or None if it waited for it."""
+    if work.end == 'dropped':
+        return min(work.ended_s, request.ended_s)
+    return request.ended_s if request.ended_s < work.ended_s else None
+
+
+def _is_end_of_stop(
+    request: ObservedRequest, at_s: float, stops: Iterable[Interval]
+) -> bool:
+    return any(
+        stop.subject == f'i{request.instance}'
+        and request.sent_s <= stop.since_s + LATE_FOR_STOP_S
+        and stop.since_s + GRACE_S * (1 - GRACE_END_RATIO) <= at_s
+        and at_s <= stop.since_s + GRACE_S + 1
+        for stop in stops
+    )
+
+
+def _describe_loss(
+    request: ObservedRequest, work: machines.Work, at_s: float
+) -> str:
+    sent_s = request.sent_s
+    return (
+        f'{request.request_id} i{request.instance} {request.status}'
+        f' at {request.ended_s - sent_s:.2f},'
+        f' {work.server} {work.end} at {at_s - sent_s:.2f},'
+        f' due {work.due_s - sent_s:.2f} of {request.time_s:.2f} s'
+    )
+
+
+def check_lost_work(
+    requests: Iterable[ObservedRequest],
+    works: Iterable[machines.Work],
+    link_faults: Sequence[LinkFault],
+    graceful_stops: Sequence[Interval],
+    interruptions: Sequence[Interval],
+) -> Iterable[Violation]:
+    """Yield requests without an answer that a server would have given.
+
+    Work counts if its answer would have come in the time of the request and
+    the instance gave it up before, by a response of its own, by none or by
+    closing the connection to the server. `interruptions` are the intervals
+    in which instances were killed, paused or cut off from their callers.
+    """
+    by_request = collections.defaultdict(list)
+    for work in works:
+        by_request[work.request_id].append(work)
+    for request in requests:
+        if (
+            request.is_answered_by_server
+            or request.has_left
+            or _was_disturbed(
+                interruptions,
+                f'i{request.instance}',
+                request.sent_s,
+                request.ended_s,
+            )
+        ):
+            continue
+        until_s = request.sent_s + request.time_s - ANSWER_MARGIN_S
+        for work in by_request[request.request_id]:
+            at_s = _find_abandonment(request, work)
+            if (
+                at_s is not None
+                and work.began_s < at_s < until_s
+                and _find_answer_time(work, link_faults) < until_s
+                and not _is_end_of_stop(request, at_s, graceful_stops)
+            ):
+                yield Violation(
+                    'work not lost', _describe_loss(request, work, at_s)
+                )
+                break
+
+
 def check_leaving_servers(
     requests: Iterable[ObservedRequest],
     arrivals: Arrivals,
@@ -347,13 +472,17 @@
     limits: tuple[NamedLimit, ...],
     leaving: tuple[Interval, ...],
     recovery_s: float,
+    works: tuple[machines.Work, ...] = (),
+    link_faults: tuple[LinkFault, ...] = (),
+    interruptions: tuple[Interval, ...] = (),
 ) -> Iterable[Violation]:
     """Yield all violations of promises in one run.
 
     All times are on the monotonic clock. `left` are the intervals in which a
     server was drained, `leaving` those in which it said only in answers that
     it leaves; `arrivals` are the requests that reached each server;
-    `recovery_s` is when all requests must be served again.
+    `recovery_s` is when all requests must be served again; `works` is what
+    servers did, `interruptions` are kills, pauses and cuts from callers.
     """
     yield from check_at_most_once(requests, executed)
     yield from check_refused_not_run(requests, executed)
@@ -362,6 +491,9 @@
     yield from check_withdrawn_keys(requests, withdrawn, disturbances)
     yield from check_drained_servers(executed, left, disturbances)
     yield from check_graceful_stops(requests, graceful_stops, disturbances)
+    yield from check_lost_work(
+        requests, works, link_faults, graceful_stops, interruptions
+    )
     yield from check_limits(arrivals, limits, disturbances)
     yield from check_leaving_servers(requests, arrivals, leaving, disturbances)
     yield from check_rests(requests, arrivals, disturbances)
--- a/soak/commands.py
+++ b/soak/commands.py
@@ -7,6 +7,7 @@
 import tempfile
 from typing import NoReturn
 
+from soak import faults
 from soak import scenario
 
 
@@ -24,6 +25,7 @@
     parser.add_argument('--seconds', type=float, default=15.0)
     parser.add_argument('--instances', type=int, default=4)
     parser.add_argument('--rate', type=float, default=30.0)
+    parser.add_argument('--plan', choices=faults.PLANS, default='mixed')
     parser.add_argument(
         '--logs', type=pathlib.Path, help='folder for the logs'
     )
@@ -54,6 +56,7 @@
             options.seconds,
             options.instances,
             rate_per_s=options.rate,
+            plan=options.plan,
         )
         print(
             f'seed {seed}: {report.requests} requests, {report.served} served,'
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 from soak import relay
 
 
-__all__ = ['Kind', 'ScheduledFault', 'draw_faults']
+__all__ = ['PLANS', 'Kind', 'ScheduledFault', 'draw_faults']
 
 # Modes that stay for the duration of a fault; the others act at once.
 LASTING_MODES = (
@@ -44,14 +44,45 @@
 }
 Kind = str
 
+# Faults of the plan "handovers", in which requests, grants and processes pass
+# from one to another while servers are slow.
+HANDOVER_WEIGHTS = {
+    'stop': 3.0,
+    'kill': 2.0,
+    'pause': 1.0,
+    'hang_up': 1.5,
+    'reconfigure': 1.5,
+    'store_link': 1.0,
+    'server_link': 1.5,
+    'server_mute': 2.0,
+    'server_ends': 1.5,
+    'repeats_shed': 1.5,
+    'repeats_reset': 1.5,
+    'drain': 1.0,
+    'evacuate': 0.5,
+}
+# Kinds that strike several instances or servers one after the other.
+SERIES_LENGTHS = {
+    'stop': (1, 2, 3),
+    'kill': (1, 2, 3),
+    'hang_up': (1, 4),
+    'server_mute': (1, 2),
+    'server_ends': (1, 3),
+}
+MAX_SERIES_INTERVAL_S = 1.2
+# Longer than half of the time of most requests, and shorter than all of it.
+SLOW_ANSWERS_S = (0.85, 1.2)
+MAX_SLOW_TIME_S = 6.0
+QUICK_TIME_S = 1.5
+
 
 class ScheduledFault(NamedTuple):
     """A fault that starts `start_s` after the start of the run.
 
     `target` modulo the number of possible targets chooses one. `mode` is used
     by faults of links only, `limit` by servers that name one: a server, or all
-    of its service (`service_limit`), and `rest` by those that name a time to
-    come back.
+    of its service (`service_limit`), `rest` by those that name a time to come
+    back, and `answer_s` by those that take so long for an answer.
     """
 
     start_s: float
@@ -61,6 +92,7 @@
     mode: relay.RelayMode = relay.RelayMode.OPEN
     limit: str = ''
     rest: str = ''
+    answer_s: float = 0.0
 
 
 def _draw_fault(rng: random.Random, at_s: float) -> ScheduledFault:
@@ -129,11 +161,77 @@
             at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
 
 
-def draw_faults(seed: int, seconds: float) -> Iterable[ScheduledFault]:
-    """Yield the faults of a run in the order of their starts."""
-    yield from heapq.merge(
+def _draw_mixed(seed: int, seconds: float) -> Iterable[ScheduledFault]:
+    return heapq.merge(
         _draw_others(seed, seconds),
         _draw_limits(seed, seconds),
         _draw_statements(seed, seconds),
         key=lambda fault: fault.start_s,
     )
+
+
+def _draw_slow_servers(
+    rng: random.Random, end_s: float
+) -> Iterable[ScheduledFault]:
+    at_s = rng.uniform(0.2, 0.8)
+    while at_s < end_s:
+        duration_s = rng.uniform(MAX_SLOW_TIME_S / 2, MAX_SLOW_TIME_S)
+        yield ScheduledFault(
+            at_s,
+            rng.choice(('server_slow_answers', 'service_slow_answers')),
+            rng.randrange(1000),
+            min(duration_s, end_s + MAX_DURATION_S - at_s),
+            answer_s=rng.uniform(*SLOW_ANSWERS_S),
+        )
+        at_s += rng.expovariate(1 / QUICK_TIME_S)
+
+
+def _draw_handover(
+    rng: random.Random, at_s: float
+) -> Iterable[ScheduledFault]:
+    weights = HANDOVER_WEIGHTS
+    (kind,) = rng.choices(list(weights), list(weights.values()))
+    first = rng.randrange(1000)
+    for number in range(rng.choice(SERIES_LENGTHS.get(kind, (1,)))):
+        fault = ScheduledFault(
+            at_s, kind, first + number, rng.uniform(0.5, MAX_DURATION_S)
+        )
+        if kind.endswith('_link'):
+            mode = rng.choice((relay.RelayMode.SILENT, *INSTANT_MODES))
+            fault = fault._replace(mode=mode)
+            if mode in INSTANT_MODES:
+                fault = fault._replace(duration_s=0.0)
+        yield fault
+        at_s += rng.uniform(0.0, MAX_SERIES_INTERVAL_S)
+
+
+def _draw_handover_series(
+    rng: random.Random, end_s: float
+) -> Iterable[ScheduledFault]:
+    at_s = rng.uniform(1.0, 2.0)
+    while at_s < end_s:
+        yield from _draw_handover(rng, at_s)
+        if rng.random() > 0.25:
+            at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
+
+
+def _draw_handovers(seed: int, seconds: float) -> Iterable[ScheduledFault]:
+    end_s = seconds * (1 - QUIET_RATIO) - MAX_DURATION_S
+    slow = _draw_slow_servers(random.Random(f'slow servers {seed}'), end_s)
+    series = _draw_handover_series(random.Random(f'handovers {seed}'), end_s)
+    yield from sorted((*slow, *series), key=lambda fault: fault.start_s)
+
+
+PLANS = {'mixed': _draw_mixed, 'handovers': _draw_handovers}
+
+
+def draw_faults(
+    seed: int, seconds: float, plan: str = 'mixed'
+) -> Iterable[ScheduledFault]:
+    """Yield the faults of a run in the order of their starts.
+
+    The plan "mixed" has faults of all kinds; "handovers" has slow servers and
+    series of faults by which their requests pass to other servers, and holders
+    and processes are replaced.
+    """
+    yield from PLANS[plan](seed, seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,8 @@
 A check that finds nothing wrong in a wrong history would hide every fault.
 """
 
+from concurrent import futures
+import math
 import pathlib
 import signal
 import subprocess
@@ -28,6 +30,7 @@
 )
 SHORT_SEED = 2
 SHORT_S = 10.0
+HANDOVER_SEED = 5
 
 
 def make_request(**fields):
@@ -143,6 +146,10 @@
     assert 'graceful stops' in find_violations(
         (request,), (make_execution(),), graceful_stops=stops
     )
+    request = request._replace(has_left=True)
+    assert 'graceful stops' not in find_violations(
+        (request,), (make_execution(),), graceful_stops=stops
+    )
 
 
 @pytest.mark.parametrize(
@@ -227,6 +234,183 @@
     assert ('rests of servers' in violations) is is_found
 
 
+def make_work(**fields):
+    values = {
+        'server': 's',
+        'request_id': 'r1',
+        'began_s': 100.01,
+        'due_s': 101.0,
+        'ended_s': 100.75,
+        'end': 'dropped',
+    }
+    return machines.Work(**(values | fields))
+
+
+def find_lost_work(request_fields, *works, **fields):
+    """Check a request that its instance answered with 504 after 0.8 s."""
+    values = {'status': 504, 'headers': {}, 'body': b'', 'time_s': 1.5}
+    request = make_request(**(values | {'ended_s': 100.8} | request_fields))
+    works = works or (make_work(),)
+    violations = find_violations((request,), (), works=works, **fields)
+    return 'work not lost' in violations
+
+
+@pytest.mark.parametrize('status', [0, 502, 503, 504])
+@pytest.mark.parametrize(
+    'work',
+    [
+        {},
+        # The server noticed nothing until it had answered.
+        {'ended_s': 101.0, 'end': 'answered'},
+        {'ended_s': math.inf, 'end': 'open'},
+    ],
+)
+def test_failure_while_a_server_is_at_work_is_found(status, work):
+    assert find_lost_work({'status': status}, make_work(**work))
+
+
+def test_work_given_up_for_a_server_that_does_not_answer_is_found():
+    """The instance's own response comes at the deadline only."""
+    second = make_work(
+        server='s2',
+        began_s=100.7,
+        due_s=math.inf,
+        ended_s=101.5,
+    )
+    assert find_lost_work({'ended_s': 101.5}, make_work(), second)
+
+
+def test_answer_of_another_server_replaces_work():
+    answered = {'headers': {'x-upstream-seal': 's2.r1'}}
+    assert not find_lost_work(answered | {'status': 200})
+    assert not find_lost_work(answered | {'status': 500})
+
+
+@pytest.mark.parametrize(
+    'work',
+    [
+        # The answer comes no more than the margin before the deadline.
+        {'due_s': 101.41},
+        {'due_s': math.inf},
+        {'end': 'died'},
+        # It was given up so shortly before the deadline.
+        {'ended_s': 101.41},
+        # The server had answered.
+        {'due_s': 100.5, 'ended_s': 100.5, 'end': 'answered'},
+        {'request_id': 'r2'},
+    ],
+)
+def test_work_without_an_answer_in_time_is_not_lost(work):
+    request = {} if work.get('end') else {'ended_s': 101.45}
+    assert not find_lost_work(request, make_work(**work))
+
+
+def test_route_may_allow_less_time_than_the_caller():
+    assert find_lost_work({'time_s': 1.11})
+    assert not find_lost_work({'time_s': 1.09})
+
+
+@pytest.mark.parametrize(
+    ('fault', 'is_found'),
+    [
+        (checks.LinkFault('s', 100.5, 100.5), False),
+        (checks.LinkFault('s', 99.0, 100.02), False),
+        (checks.LinkFault('s', 100.9, 103.0), False),
+        (checks.LinkFault('s', 99.0, 100.0), True),
+        (checks.LinkFault('s', 101.1, 102.0), True),
+        (checks.LinkFault('s2', 100.5, 100.5), True),
+        (checks.LinkFault('s', 100.5, 101.5, delay_s=0.3), True),
+        (checks.LinkFault('s', 100.5, 101.5, delay_s=0.5), False),
+    ],
+)
+def test_work_is_not_lost_by_faults_of_its_own_server(fault, is_found):
+    assert find_lost_work({}, link_faults=(fault,)) is is_found
+
+
+@pytest.mark.parametrize(
+    ('subject', 'since_s', 'until_s', 'is_found'),
+    [
+        ('i0', 100.7, 102.0, False),
+        ('i0', 99.0, 100.1, False),
+        ('i0', 99.0, 99.9, True),
+        ('i0', 100.9, 102.0, True),
+        ('i1', 100.7, 102.0, True),
+    ],
+)
+def test_instance_that_was_struck_may_lose_work(
+    subject, since_s, until_s, is_found
+):
+    """The fault must overlap the time of the request."""
+    interruption = checks.Interval(subject, since_s, until_s)
+    found = find_lost_work({}, interruptions=(interruption,))
+    assert found is is_found
+
+
+@pytest.mark.parametrize(
+    ('subject', 'signaled_s', 'is_found'),
+    [
+        # Given up 4.99 and 5.01 s after the signal, of 6 s.
+        ('i0', 95.76, True),
+        ('i0', 95.74, False),
+        ('i0', 93.7, True),
+        ('i1', 95.74, True),
+    ],
+)
+def test_work_may_be_lost_in_the_last_sixth_of_a_stop(
+    subject, signaled_s, is_found
+):
+    """Only for requests that were sent in the first 3 s of the stop."""
+    stop = checks.Interval(subject, signaled_s, 110.0)
+    for sent_s, is_late in ((98.0, False), (99.0, True)):
+        request = {'sent_s': sent_s, 'ended_s': 100.8, 'time_s': 5.0}
+        found = find_lost_work(request, graceful_stops=(stop,))
+        assert found is (is_found or is_late)
+
+
+def test_work_for_a_caller_that_left_is_not_lost():
+    assert not find_lost_work({'status': 0, 'has_left': True})
+
+
+def test_stand_in_server_records_its_work():
+    executed = []
+    server = machines.StandInServer('s', 'x', 'a', executed, service_s=0.3)
+    other = machines.StandInServer('s2', 'x', 'a', executed)
+    send = machines.send_request
+    try:
+        assert send(server.address, '/', 'r1')[0] == 200
+        assert send(server.address, '/', 'r2', patience_s=0.1)[0] == 0
+        server.is_mute = True
+        with futures.ThreadPoolExecutor() as executor:
+            pending = executor.submit(send, server.address, '/', 'r3')
+            while len(executed) < 3:
+                time.sleep(0.01)
+            assert server.work[-1][3:] == (math.inf, math.inf, 'open')
+            server.end()
+            assert pending.result()[0] == 0
+        assert send(server.address, '/', 'r4')[0] == 0
+        server.is_mute = False
+        server.restart()
+        assert send(server.address, '/', 'r5')[0] == 200
+        other.repeats = 'shed'
+        assert send(other.address, '/', 'r5')[0] == 503
+        other.repeats = 'reset'
+        assert send(other.address, '/', 'r5')[0] == 0
+        assert send(other.address, '/', 'r6')[0] == 200
+    finally:
+        server.close()
+        other.close()
+    assert [(w.request_id, w.end) for w in server.work] == [
+        ('r1', 'answered'),
+        ('r2', 'dropped'),
+        ('r3', 'died'),
+        ('r5', 'answered'),
+    ]
+    dropped = server.work[1]
+    assert dropped.ended_s < dropped.due_s
+    assert dropped.due_s == pytest.approx(dropped.began_s + 0.3)
+    assert [run.request_id for run in executed if run.server == 's2'] == ['r6']
+
+
 def test_request_that_fails_after_recovery_is_found():
     violations = find_violations(
         (make_request(status=502),), (make_execution(),), recovery_s=99.0
@@ -260,6 +444,20 @@
     }
 
 
+def test_handovers_come_in_series_while_servers_are_slow():
+    drawn = [
+        [*faults.draw_faults(seed, 30, 'handovers')] for seed in range(20)
+    ]
+    assert drawn[7] == [*faults.draw_faults(7, 30, 'handovers')]
+    slow = {'server_slow_answers', 'service_slow_answers'}
+    kinds = {fault.kind for faults_drawn in drawn for fault in faults_drawn}
+    assert kinds == {*slow, *faults.HANDOVER_WEIGHTS}
+    for faults_drawn in drawn:
+        starts = [fault.start_s for fault in faults_drawn]
+        assert starts == sorted(starts)
+        assert slow & {fault.kind for fault in faults_drawn}
+
+
 def test_relay_faults_end_with_mode_but_stale_connections_stay_silent():
     """A connection opened before STALE must stay silent, without a reset.
 
@@ -293,6 +491,14 @@
     assert report.served > report.requests / 2
 
 
+def test_no_work_is_lost_in_handovers(tmp_path):
+    """Slow servers answer in time while holders and processes change."""
+    report = scenario.run_scenario(tmp_path, HANDOVER_SEED, plan='handovers')
+    assert report.violations == ()
+    assert report.faults > 0
+    assert report.served > report.requests / 2
+
+
 class InterruptedPopen(subprocess.Popen):
     """Popen that raises a signal before or after its process has started."""
 
