Find requests that end more servers than the fleet may lose

Cause: a request that ends the servers that run it reaches further servers with each attempt of its caller at another instance; no check saw it. Check: after three servers have ended under one request, it may reach servers three times more.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -94,6 +94,35 @@
             )
         )
 
+    def send_attempt(self, number: int, path: str, request_id: str) -> None:
+        """Send one attempt of a certain request to an instance."""
+        customer, key = 't2', environment.KEYS['t2'][0]
+        sent_s = time.monotonic()
+        response = machines.send_request(
+            self._environment.caller_relays[number].address,
+            path,
+            request_id,
+            key,
+            'POST',
+            b'data',
+            environment.DEADLINE_MS,
+        )
+        self.requests.append(
+            checks.ObservedRequest(
+                request_id,
+                number,
+                customer,
+                key,
+                True,
+                sent_s,
+                time.monotonic(),
+                *response,
+                min(
+                    environment.DEADLINE_MS / 1000, environment.ROUTE_TIMEOUT_S
+                ),
+            )
+        )
+
     def make_id(self) -> str:
         """Return a request id that was not used before."""
         return f'{next(self._ids):016x}'
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -43,6 +43,10 @@
 GRACE_S = 6.0
 GRACE_END_RATIO = 1 / 6
 LATE_FOR_STOP_S = 3.0
+# After so many servers have ended under a request, it may be sent to servers
+# only so many times more.
+ENDED_SERVERS = 3
+FURTHER_SENDS = 3
 
 
 class ObservedRequest(NamedTuple):
@@ -420,6 +424,38 @@
                 yield Violation('rests of servers', f'{server} i{instance}')
 
 
+def check_deadly_requests(
+    deadly: Iterable[frozenset[str]],
+    arrivals: Arrivals,
+    works: Sequence[machines.Work],
+) -> Iterable[Violation]:
+    """Yield requests sent too often after servers had ended under them.
+
+    `deadly` are the ids of all attempts of each request under which servers
+    end.
+    """
+    for request_ids in deadly:
+        ended_at = sorted(
+            work.ended_s
+            for work in works
+            if work.request_id in request_ids and work.end == 'died'
+        )
+        if len(ended_at) < ENDED_SERVERS:
+            continue
+        known_s = ended_at[ENDED_SERVERS - 1]
+        sends = sum(
+            arrival.request_id in request_ids and arrival.at_s > known_s
+            for arrived in arrivals.values()
+            for arrival in arrived
+        )
+        if sends > FURTHER_SENDS:
+            yield Violation(
+                'few ends under a request',
+                f'{min(request_ids)}: sent {sends} times more,'
+                f' {len(ended_at)} ended in {len(request_ids)} attempts',
+            )
+
+
 def check_limits(
     arrivals: Arrivals,
     limits: Iterable[NamedLimit],
@@ -475,6 +511,7 @@
     works: tuple[machines.Work, ...] = (),
     link_faults: tuple[LinkFault, ...] = (),
     interruptions: tuple[Interval, ...] = (),
+    deadly: tuple[frozenset[str], ...] = (),
 ) -> Iterable[Violation]:
     """Yield all violations of promises in one run.
 
@@ -482,7 +519,8 @@
     server was drained, `leaving` those in which it said only in answers that
     it leaves; `arrivals` are the requests that reached each server;
     `recovery_s` is when all requests must be served again; `works` is what
-    servers did, `interruptions` are kills, pauses and cuts from callers.
+    servers did, `interruptions` are kills, pauses and cuts from callers, and
+    `deadly` the ids of the attempts of each request that ends servers.
     """
     yield from check_at_most_once(requests, executed)
     yield from check_refused_not_run(requests, executed)
@@ -494,6 +532,7 @@
     yield from check_lost_work(
         requests, works, link_faults, graceful_stops, interruptions
     )
+    yield from check_deadly_requests(deadly, arrivals, works)
     yield from check_limits(arrivals, limits, disturbances)
     yield from check_leaving_servers(requests, arrivals, leaving, disturbances)
     yield from check_rests(requests, arrivals, disturbances)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -48,6 +48,7 @@
         keeps_connections=True,
         more_routes=(LIST_ROUTE,),
     ),
+    'deadly': Load(('/read/a', '/list/a'), more_routes=(LIST_ROUTE,)),
 }
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Draws the schedule of faults of a run from a seed."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import heapq
 import random
 from typing import NamedTuple
@@ -70,6 +71,15 @@
     'server_ends': (1, 3),
 }
 MAX_SERIES_INTERVAL_S = 1.2
+# Faults of the plan "deadly" besides requests that end servers.
+DEADLY_WEIGHTS = {
+    'stop': 2.0,
+    'kill': 1.0,
+    'pause': 1.0,
+    'reconfigure': 1.0,
+    'store_link': 1.0,
+}
+DEADLY_INTERVAL_S = 2.5
 # Longer than half of the time of most requests, and shorter than all of it.
 SLOW_ANSWERS_S = (0.85, 1.2)
 MAX_SLOW_TIME_S = 6.0
@@ -187,9 +197,8 @@
 
 
 def _draw_handover(
-    rng: random.Random, at_s: float
+    rng: random.Random, at_s: float, weights: Mapping[Kind, float]
 ) -> Iterable[ScheduledFault]:
-    weights = HANDOVER_WEIGHTS
     (kind,) = rng.choices(list(weights), list(weights.values()))
     first = rng.randrange(1000)
     for number in range(rng.choice(SERIES_LENGTHS.get(kind, (1,)))):
@@ -206,11 +215,13 @@
 
 
 def _draw_handover_series(
-    rng: random.Random, end_s: float
+    rng: random.Random,
+    end_s: float,
+    weights: Mapping[Kind, float] = HANDOVER_WEIGHTS,
 ) -> Iterable[ScheduledFault]:
     at_s = rng.uniform(1.0, 2.0)
     while at_s < end_s:
-        yield from _draw_handover(rng, at_s)
+        yield from _draw_handover(rng, at_s, weights)
         if rng.random() > 0.25:
             at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
 
@@ -222,7 +233,32 @@
     yield from sorted((*slow, *series), key=lambda fault: fault.start_s)
 
 
-PLANS = {'mixed': _draw_mixed, 'handovers': _draw_handovers}
+def _draw_deadly_requests(
+    rng: random.Random, end_s: float
+) -> Iterable[ScheduledFault]:
+    at_s = rng.uniform(0.5, 1.5)
+    while at_s < end_s:
+        duration_s = rng.uniform(MAX_DURATION_S / 2, MAX_DURATION_S)
+        yield ScheduledFault(
+            at_s, 'deadly_request', rng.randrange(1000), duration_s
+        )
+        at_s += rng.expovariate(1 / DEADLY_INTERVAL_S)
+
+
+def _draw_deadly(seed: int, seconds: float) -> Iterable[ScheduledFault]:
+    end_s = seconds * (1 - QUIET_RATIO) - MAX_DURATION_S
+    deadly = _draw_deadly_requests(random.Random(f'deadly {seed}'), end_s)
+    others = _draw_handover_series(
+        random.Random(f'beside deadly {seed}'), end_s, DEADLY_WEIGHTS
+    )
+    yield from sorted((*deadly, *others), key=lambda fault: fault.start_s)
+
+
+PLANS = {
+    'mixed': _draw_mixed,
+    'handovers': _draw_handovers,
+    'deadly': _draw_deadly,
+}
 
 
 def draw_faults(
@@ -232,6 +268,7 @@
 
     The plan "mixed" has faults of all kinds; "handovers" has slow servers and
     series of faults by which their requests pass to other servers, and holders
-    and processes are replaced.
+    and processes are replaced; "deadly" has requests that end the servers that
+    run them, while instances come and go.
     """
     yield from PLANS[plan](seed, seconds)
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+from soak import callers
 from soak import checks
 from soak import environment
 from soak import faults
@@ -21,6 +22,9 @@
 SLOW_SERVICE_S = 0.4
 SERVICE_S = 0.03
 RESTART_S = 0.4
+# How often a caller sends a request that ends servers.
+DEADLY_ATTEMPTS = 12
+POLL_INTERVAL_S = 0.05
 
 
 class FaultInjector:
@@ -33,6 +37,7 @@
     def __init__(
         self,
         soak_environment: environment.SoakEnvironment,
+        fault_callers: callers.Callers,
     ):
         self.environment = soak_environment
         self.withdrawn: list[checks.Interval] = []
@@ -41,10 +46,12 @@
         self.disturbances: list[checks.Interval] = []
         self.interruptions: list[checks.Interval] = []
         self.link_faults: list[checks.LinkFault] = []
+        self.deadly: list[frozenset[str]] = []
         self.limits: list[checks.NamedLimit] = []
         self.leaving: list[checks.Interval] = []
         self.violations: list[checks.Violation] = []
         self.applied_faults = 0
+        self._callers = fault_callers
         self._active_targets: set[str] = set()
         self._lock = threading.Lock()
 
@@ -67,6 +74,8 @@
                 target = f'{fault.kind}{instance}'
             case 'server_limit' | 'service_limit':
                 target = f'limit{fault.target % 2}'
+            case 'deadly_request':
+                target = f'{fault.kind}{fault.target}'
             case _ if fault.kind.startswith('server_') or (
                 fault.kind == 'drain'
             ):
@@ -170,6 +179,8 @@
                 backend.end()
                 time.sleep(RESTART_S)
                 self._restart_server(backend)
+            case 'deadly_request':
+                self._send_deadly_request(fault)
             case 'repeats_shed' | 'repeats_reset':
                 self._strike_repeats(fault)
             case 'server_limit' | 'service_limit':
@@ -220,6 +231,60 @@
         key = f'servers/{server.name}'
         self.environment.store.put(key, server.make_entry())
 
+    def _send_deadly_request(self, fault: faults.ScheduledFault) -> None:
+        """Send a request that ends servers to one instance after another.
+
+        Each attempt has an id of its own. It begins after the one before has
+        ended, for some requests while that goes on.
+        """
+        parts = self.environment
+        prefix = '/read/' if fault.target % 2 else '/list/'
+        path = f'{prefix}deadly-{fault.target}'
+        request_ids = [self._callers.make_id() for _ in range(DEADLY_ATTEMPTS)]
+        self.deadly.append(frozenset(request_ids))
+        for server in parts.servers:
+            server.fatal_paths.add(path)
+        sender = threading.Thread(
+            target=self._send_deadly_attempts,
+            args=(fault, path, request_ids),
+        )
+        sender.start()
+        while sender.is_alive():
+            self._restart_ended_servers()
+            sender.join(POLL_INTERVAL_S)
+        time.sleep(RESTART_S)
+        self._restart_ended_servers()
+
+    def _send_deadly_attempts(
+        self,
+        fault: faults.ScheduledFault,
+        path: str,
+        request_ids: list[str],
+    ) -> None:
+        threads = []
+        for number, request_id in enumerate(request_ids, fault.target):
+            thread = threading.Thread(
+                target=self._callers.send_attempt,
+                args=(
+                    number % len(self.environment.instances),
+                    path,
+                    request_id,
+                ),
+            )
+            thread.start()
+            threads.append(thread)
+            if fault.target % 3:
+                thread.join()
+            time.sleep(fault.duration_s / DEADLY_ATTEMPTS)
+        for thread in threads:
+            thread.join()
+
+    def _restart_ended_servers(self) -> None:
+        now_s = time.monotonic()
+        for server in self.environment.servers:
+            if server.is_down and server.ended_s + RESTART_S <= now_s:
+                self._restart_server(server)
+
     def _slow_down(self, fault: faults.ScheduledFault, server: int) -> None:
         """Let a server, or all of a service, take long for answers."""
         servers = [self.environment.servers[server]]
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -46,7 +46,9 @@
         self._seconds = seconds
         self._plan = plan
         self._callers = callers.Callers(soak_environment, seed, rate)
-        self._injector = injection.FaultInjector(soak_environment)
+        self._injector = injection.FaultInjector(
+            soak_environment, self._callers
+        )
 
     def run(self) -> ScenarioReport:
         """Send requests while faults are injected, then check the promises."""
@@ -93,6 +95,7 @@
             tuple(w for s in self._environment.servers for w in s.work),
             tuple(injector.link_faults),
             tuple(injector.interruptions),
+            tuple(injector.deadly),
         )
         return ScenarioReport(
             self._seed,
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -253,6 +253,8 @@
             self.send_whole_response(503, b'', echo | refusal)
             return
         work = server.start_work(request_id)
+        if self.path in server.fatal_paths:
+            server.end()
         end = 'dropped'
         try:
             if not self._wait_until(work.due_s):
@@ -333,7 +335,7 @@
     come back. `arrivals` are all requests that arrived, whether they ran or
     not. `born` tells its processes apart. While `is_mute`, it works on
     requests without ever answering, and while `is_down`, it closes all
-    connections.
+    connections. A request for one of `fatal_paths` ends it as soon as it runs.
 
     `repeats` is what it does with requests that another server of `executed`
     began to run: "run", "shed" (refuse as not executed) or "reset" (close the
@@ -360,7 +362,9 @@
         self.rest = ''
         self.is_mute = False
         self.is_down = False
+        self.ended_s = 0.0
         self.repeats = 'run'
+        self.fatal_paths: set[str] = set()
         self.born = 1
         self.arrivals: list[Arrival] = []
         self.connections: set[socket.socket] = set()
@@ -432,6 +436,7 @@
         """End like a process: close all connections and drop all work."""
         with self._lock:
             self.is_down = True
+            self.ended_s = time.monotonic()
             for work in tuple(self._open_work):
                 self._end_work(work, 'died')
         for connection in tuple(self.connections):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -371,6 +371,48 @@
     assert not find_lost_work({'status': 0, 'has_left': True})
 
 
+@pytest.mark.parametrize(
+    ('ended', 'further_sends', 'is_found'),
+    [(3, 3, False), (3, 4, True), (2, 9, False), (5, 2, False), (5, 4, True)],
+)
+def test_request_sent_on_after_servers_ended_under_it_is_found(
+    ended, further_sends, is_found
+):
+    """Three further sends are allowed after the third end, of any attempt."""
+    works = [
+        make_work(request_id=f'r{n}', ended_s=100.0 + n / 10, end='died')
+        for n in range(ended)
+    ]
+    works.append(make_work(request_id='r1'))
+    last_s = 100.0 + min(ended - 1, 2) / 10
+    early = [machines.Arrival('r0', last_s)] * 5
+    late = [machines.Arrival('r6', last_s + 0.01)] * further_sends
+    other = [machines.Arrival('other', last_s + 0.01)] * 9
+    violations = find_violations(
+        (),
+        (),
+        arrivals={'s': early + other, 's2': late},
+        works=works,
+        deadly=(frozenset(f'r{n}' for n in range(9)), frozenset({'r7'})),
+    )
+    assert ('few ends under a request' in violations) is is_found
+
+
+def test_stand_in_server_ends_under_a_fatal_request():
+    server = machines.StandInServer('s', 'x', 'a', [])
+    server.fatal_paths.add('/deadly')
+    send = machines.send_request
+    try:
+        assert send(server.address, '/deadly', 'r1')[0] == 0
+        assert send(server.address, '/', 'r2')[0] == 0
+        server.restart()
+        assert send(server.address, '/', 'r3')[0] == 200
+    finally:
+        server.close()
+    ends = [(work.request_id, work.end) for work in server.work]
+    assert ends == [('r1', 'died'), ('r3', 'answered')]
+
+
 def test_stand_in_server_records_its_work():
     executed = []
     server = machines.StandInServer('s', 'x', 'a', executed, service_s=0.3)
@@ -458,6 +500,15 @@
         assert slow & {fault.kind for fault in faults_drawn}
 
 
+def test_deadly_requests_are_drawn_beside_other_faults():
+    drawn = [*faults.draw_faults(7, 30, 'deadly')]
+    assert drawn == [*faults.draw_faults(7, 30, 'deadly')]
+    kinds = {
+        f.kind for s in range(20) for f in faults.draw_faults(s, 30, 'deadly')
+    }
+    assert kinds == {'deadly_request', *faults.DEADLY_WEIGHTS}
+
+
 def test_relay_faults_end_with_mode_but_stale_connections_stay_silent():
     """A connection opened before STALE must stay silent, without a reset.
 
