Log the ends of servers under a request, and which requests are the same

Cause: logs could not tell whether the requests under which servers end are one request, since each attempt of a caller has an id of its own and paths are not logged; and backend_broken stood both for a connection that ends without an answer and for a broken answer. Change: the code backend_ended (outcome 'ended') for the former, a digest of the request that may be sent again in permit lines, and server_ended lines with the ends that the instance knows of.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -220,6 +220,8 @@
         is_sent = self.socket.sent_bytes > 0
         if not is_sent and code == 'backend_broken':
             code = 'backend_refused'
+        elif code == 'backend_broken' and not self.socket.received_bytes:
+            code = 'backend_ended'
         self.end(False)
         return ForwardFailed(
             errors.make_error(code, type(cause).__name__), is_sent
--- a/cranberryscale/connection/http_heads.py
+++ b/cranberryscale/connection/http_heads.py
@@ -112,11 +112,14 @@
 def read_response_head(stream: Any) -> ResponseHead:
     """Return the head of the final response; interim (1xx) ones are skipped.
 
-    Raises BackendBroken.
+    Raises BackendBroken, or BackendEnded if the connection ends before it.
     """
     reader = _HeadReader(stream)
     for _ in range(MAX_INTERIM_RESPONSES):
-        match = _STATUS_LINE.fullmatch(reader.readline())
+        line = reader.readline()
+        if not line:
+            raise errors.make_error('backend_ended')
+        match = _STATUS_LINE.fullmatch(line)
         if match is None or int(match[2]) == SWITCHING_PROTOCOLS:
             break
         pairs = _read_header_pairs(reader)
--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -22,6 +22,7 @@
 from cranberryscale.process import fleet_buckets
 from cranberryscale.process import quotas
 from cranberryscale.process import rendezvous
+from cranberryscale.process import request_crashes
 from cranberryscale.process import retry_budgets
 from cranberryscale.process import roster
 from cranberryscale.process import server_limits
@@ -89,6 +90,7 @@
         self.replica = replica.StoreReplica(decode)
         self.fallback = fallback.FallbackSelector(rng)
         self.statements = server_statements.StatementTable()
+        self.crashes = request_crashes.CrashTable()
         self._advanced_at = now
         # Until then a successor may have taken over what this instance holds.
         self._resumes_at = now
--- a/cranberryscale/errors.py
+++ b/cranberryscale/errors.py
@@ -267,6 +267,13 @@
         RETRY_SAFE,
         'the connection to the backend server broke',
     ),
+    (
+        'backend_ended',
+        _S.BAD_GATEWAY,
+        UNKNOWN,
+        RETRY_SAFE,
+        'the backend server closed the connection without an answer',
+    ),
     (
         'answer_truncated',
         _S.BAD_GATEWAY,
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -278,9 +278,10 @@
     """A report on the end of a request with a permit.
 
     `outcome` is "ok", "error" (status of 500 or more, or a broken connection),
-    "shed" (the server states that it did not run the request), "wrong" (no
-    valid digest or signature), "truncated", "crossed" (the answer to another
-    request), "silent" (no answer in time), "refused" (nothing could be sent),
+    "ended" (the connection ended without an answer), "shed" (the server
+    states that it did not run the request), "wrong" (no valid digest or
+    signature), "truncated", "crossed" (the answer to another request),
+    "silent" (no answer in time), "refused" (nothing could be sent),
     "cancelled" (not ended by the server, for example by the caller) or
     "unused" (never sent). `cold` is the server's own statement that it is in
     cold start.
--- a/cranberryscale/process/evidence.py
+++ b/cranberryscale/process/evidence.py
@@ -68,7 +68,7 @@
 RECENT_TIME_CONSTANT_S = 0.5
 
 _RARE_OUTCOMES = frozenset(('wrong', 'truncated', 'crossed', 'refused'))
-_FAILURE_OUTCOMES = frozenset(('error', 'silent')) | _RARE_OUTCOMES
+_FAILURE_OUTCOMES = frozenset(('error', 'ended', 'silent')) | _RARE_OUTCOMES
 
 
 class Baseline(NamedTuple):
--- a/cranberryscale/process/health.py
+++ b/cranberryscale/process/health.py
@@ -55,7 +55,7 @@
 
 # Outcomes of a request that count against the server.
 FAILURE_OUTCOMES = frozenset(
-    ('error', 'wrong', 'truncated', 'crossed', 'broken', 'silent')
+    ('error', 'ended', 'wrong', 'truncated', 'crossed', 'broken', 'silent')
 )
 
 
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -101,6 +101,7 @@
     `target` is the latency objective, counted from the arrival of the request
     `waited` ago. `probe_ok` allows a trial at an ejected server. `is_repeat`
     marks another attempt of a request that a server has already received.
+    `digest` is that of request_crashes, empty for requests that run once.
     """
 
     service: str
@@ -112,6 +113,7 @@
     waited: datetime.timedelta = datetime.timedelta(0)
     priority: int = 0
     is_repeat: bool = False
+    digest: bytes = b''
 
 
 class ForwardRequest(NamedTuple):
@@ -153,6 +155,7 @@
     latency: datetime.timedelta
     cold: bool = False
     statement: server_statements.ServerStatement | None = None
+    digest: bytes = b''
 
 
 class RefuseRequest(NamedTuple):
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -16,6 +16,7 @@
 from cranberryscale import logs
 from cranberryscale import messages
 from cranberryscale.process import metrics
+from cranberryscale.process import request_crashes
 from cranberryscale.process import server_limits
 from cranberryscale.process import shards
 from cranberryscale.process import shutdown
@@ -403,6 +404,7 @@
             code=reply.code,
             is_repeat=action.is_repeat,
             excluded=','.join(action.excluded),
+            digest=action.digest.hex(),
             **self._core.describe_configuration(self._clock.read_elapsed()),
         )
         if reply.code:
@@ -449,6 +451,7 @@
             service=action.service,
             holder=LOCAL_HOLDER,
             server=server,
+            digest=action.digest.hex(),
             **self._core.describe_configuration(self._clock.read_elapsed()),
         )
         if server is None and limited:
@@ -484,6 +487,8 @@
     def report_permit(self, action: actions.ReportPermit) -> None:
         """Return a permit; the report is sent in the background."""
         now = self._clock.read_elapsed()
+        if action.outcome == 'ended' and action.digest:
+            self._record_crash(action, now)
         with self._driver.lock:
             self._core.fallback.record_end(action.server, action.outcome, now)
             self._core.statements.record_own(
@@ -503,6 +508,26 @@
             ),
         )
 
+    def _record_crash(
+        self, action: actions.ReportPermit, now: datetime.timedelta
+    ) -> None:
+        definition = self.context.get_configuration().servers.get(
+            action.server
+        )
+        process = request_crashes.ServerProcess(
+            action.server, definition.started_ms if definition else 0
+        )
+        with self._driver.lock:
+            self._core.crashes.record_crash(action.digest, process, now)
+            known = self._core.crashes.list_crashes(action.digest, now)
+        logs.log_event(
+            'server_ended',
+            server=action.server,
+            service=action.service,
+            digest=action.digest.hex(),
+            ends=len(known),
+        )
+
     def settle_token(self, request_id: str, is_spent: bool) -> None:
         """Do nothing: an admission cannot be passed on to another request."""
 
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -14,6 +14,7 @@
 from cranberryscale.connection import http_framing
 from cranberryscale.connection import http_heads
 from cranberryscale import errors
+from cranberryscale.process import request_crashes
 from cranberryscale.request import actions
 from cranberryscale.request import flow
 from cranberryscale.request import headers
@@ -66,6 +67,7 @@
         self.method = caller_request.method.decode('ascii')
         self.key = ''
         self.once_key = ''
+        self._digest = b''
 
     def _read_request(self) -> actions.ParsedRequest:
         caller_request = self._caller_request
@@ -142,6 +144,8 @@
             case actions.AskTokens():
                 return admission.ask_tokens(action, self.request_id)
             case actions.AskPermit():
+                self._digest = self._find_digest(action)
+                action = action._replace(digest=self._digest)
                 return admission.ask_permit(action, self.request_id)
             case actions.ForwardRequest():
                 self._forward_action = action
@@ -151,11 +155,24 @@
                 return self._receive(self._pending.resume)
             case actions.ReportPermit():
                 self._forward_action = None
-                admission.report_permit(action)
+                admission.report_permit(action._replace(digest=self._digest))
             case actions.RefuseRequest():
                 self._refusal = action
         return None
 
+    def _find_digest(self, action: actions.AskPermit) -> bytes:
+        """Return the digest of a request that may be sent again.
+
+        It is empty for requests with a body, which is not read yet.
+        """
+        caller_request = self._caller_request
+        framing = caller_request.inheaders.framing
+        if not action.probe_ok or framing.length or framing.chunked:
+            return b''
+        return request_crashes.make_digest(
+            (self.method, self._host, caller_request.uri, action.customer)
+        )
+
     def _make_request_head(
         self, action: actions.ForwardRequest
     ) -> http_heads.RequestHead:
--- a/cranberryscale/request/request_state.py
+++ b/cranberryscale/request/request_state.py
@@ -22,6 +22,7 @@
     'backend_timeout': 'silent',
     'backend_refused': 'refused',
     'backend_broken': 'error',
+    'backend_ended': 'ended',
     'answer_truncated': 'truncated',
     'answer_crossed': 'crossed',
     'answer_wrong': 'wrong',
