--- a/standins/machines.py
+++ b/standins/machines.py
@@ -217,6 +217,10 @@
         server.arrivals.append(
             Arrival(request_id, time.monotonic(), float(rest or 0))
         )
+        if self.path == server.fatal_path:
+            server.crash()
+            self.close_connection = True
+            return
         if rest:
             refusal['Retry-After'] = rest
         if rest or not server.start_request(
@@ -264,8 +268,9 @@
     It runs at most `slots` requests at a time, each for `service_s`. While
     `limit` is set, all answers name it, and while `is_leaving`, all say so.
     While `rest` is set, all requests are turned away, with it as the time to
-    come back. `arrivals` are all requests that arrived, whether they ran or
-    not. `born` tells its processes apart.
+    come back. A request for `fatal_path` ends its process, which restarts at
+    once; `crashes` counts these. `arrivals` are all requests that arrived,
+    whether they ran or not. `born` tells its processes apart.
     """
 
     def __init__(
@@ -286,6 +291,8 @@
         self.limit = ''
         self.is_leaving = False
         self.rest = ''
+        self.fatal_path = ''
+        self.crashes = 0
         self.born = 1
         self.arrivals: list[Arrival] = []
         self._executed = executed
@@ -329,6 +336,12 @@
             statements['Server-Leaving'] = '1'
         return statements
 
+    def crash(self) -> None:
+        """End the process and start another one."""
+        with self._lock:
+            self.crashes += 1
+            self.born += 1
+
     def finish_request(self) -> None:
         """Free the request's slot."""
         with self._lock:
