--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -102,6 +102,7 @@
     `target` is the latency objective, counted from the arrival of the request
     `waited` ago. `probe_ok` allows a trial at an ejected server. `is_repeat`
     marks another attempt of a request that a server has already received.
+    `digest` is that of request_crashes, empty for requests that run once.
     """
 
     service: str
@@ -113,6 +114,7 @@
     waited: datetime.timedelta = datetime.timedelta(0)
     priority: int = 0
     is_repeat: bool = False
+    digest: bytes = b''
 
 
 class ForwardRequest(NamedTuple):
@@ -161,6 +163,7 @@
     latency: datetime.timedelta
     cold: bool = False
     statement: server_statements.ServerStatement | None = None
+    digest: bytes = b''
 
 
 class ReportOverdue(NamedTuple):
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -18,8 +18,8 @@
 from cranberryscale import messages
 from cranberryscale.process import dispatch_requests
 from cranberryscale.process import metrics
+from cranberryscale.process import request_crashes
 from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.process import shutdown
 from cranberryscale.request import actions
@@ -79,6 +79,25 @@
     asked_at: datetime.timedelta
 
 
+class _PermitId(NamedTuple):
+    """Parts of a permit's id: its holder, and the number and shard there."""
+
+    holder: str
+    number: int
+    index: int
+    count: int
+    domain: str
+
+    def make_shard(self, service: str) -> shards.Shard:
+        """Return the shard of the service for which the permit is."""
+        return shards.Shard(service, self.domain, self.index, self.count)
+
+
+def _parse_permit_id(permit_id: str) -> _PermitId:
+    holder, number, index, count, domain = permit_id.split(' ', 4)
+    return _PermitId(holder, int(number), int(index), int(count), domain)
+
+
 def _rank_reply(shard_reply: _ShardReply) -> tuple[bool, int, float]:
     """Return a sort key: the shortest queue for healthy servers first.
 
@@ -317,7 +336,10 @@
             # A free slot in another domain is preferred to waiting in a queue.
             query = _ServerQuery(action, request_id, started_at, shard, False)
             shard_reply = self._query_shard_holder(query)
-            if shard_reply is not None and shard_reply.reply.server:
+            if shard_reply is not None and (
+                shard_reply.reply.server
+                or shard_reply.reply.code == 'request_crashes'
+            ):
                 return self._make_event(query, shard_reply)
             if shard_reply is not None:
                 shard_replies.append(shard_reply)
@@ -366,6 +388,9 @@
             limits = self._core.statements.limits.list_limits(
                 query.shard.has_server, now
             )
+            history = None
+            if action.digest:
+                history = self._core.crashes.make_history(action.digest, now)
         elapsed = now - query.started_at
         remaining = action.remaining - elapsed
         if remaining <= datetime.timedelta(0):
@@ -386,6 +411,7 @@
             query.may_wait,
             not (action.excluded or query.is_second_queue),
             limits,
+            history,
         )
         timeout = core_driver.HOLDER_TIMEOUT
         if query.may_wait:
@@ -400,6 +426,7 @@
             self._core.statements.limits.merge(
                 reply.limits, self._clock.read_elapsed()
             )
+        self._merge_history(reply.history)
         return _ShardReply(query.shard, holder, reply, now)
 
     def _make_event(
@@ -417,6 +444,7 @@
             code=reply.code,
             is_repeat=action.is_repeat,
             excluded=','.join(action.excluded),
+            digest=action.digest.hex(),
             **self._core.describe_configuration(self._clock.read_elapsed()),
         )
         if reply.code:
@@ -438,6 +466,9 @@
         if action.is_repeat:
             return actions.AdmissionDenied('repeats_spent')
         now = self._clock.read_elapsed()
+        with self._driver.lock:
+            if self._core.crashes.is_refused(action.digest, now):
+                return actions.AdmissionDenied('request_crashes')
         published = self.context.get_configuration()
         with self._driver.lock:
             limited = [
@@ -463,6 +494,7 @@
             service=action.service,
             holder=LOCAL_HOLDER,
             server=server,
+            digest=action.digest.hex(),
             **self._core.describe_configuration(self._clock.read_elapsed()),
         )
         if server is None and limited:
@@ -501,51 +533,101 @@
             self._core.fallback.record_overdue(
                 action.server, self._clock.read_elapsed()
             )
-        self._send_report(
-            action.service,
-            action.permit_id,
-            dispatch_requests.OVERDUE,
-            datetime.timedelta(0),
+        if action.permit_id == LOCAL_HOLDER:
+            return
+        permit = _parse_permit_id(action.permit_id)
+        self._driver.send(
+            permit.holder,
+            messages.FinishRequest(
+                permit.make_shard(action.service),
+                permit.number,
+                dispatch_requests.OVERDUE,
+                0.0,
+            ),
         )
 
     def report_permit(self, action: actions.ReportPermit) -> None:
-        """Return a permit; the report is sent in the background."""
+        """Return a permit; the report is sent in the background.
+
+        Holders are told that a server ended before the request goes on.
+        """
         now = self._clock.read_elapsed()
         with self._driver.lock:
             self._core.fallback.record_end(action.server, action.outcome, now)
             self._core.statements.record_own(
                 action.server, action.statement, now - action.latency, now
             )
-        self._send_report(
-            action.service,
-            action.permit_id,
-            action.outcome,
-            action.latency,
-            action.statement,
-        )
+            history = self._record_result(action, now)
+            holders = frozenset()
+            if history is not None:
+                holders = self._core.start_informing(
+                    action.digest, action.service, now
+                )
+        calls = {
+            holder: cores.make_history_report(
+                action.service, action.outcome, history
+            )
+            for holder in holders
+            if not self._driver.is_unresponsive(holder)
+        }
+        if action.permit_id != LOCAL_HOLDER:
+            permit = _parse_permit_id(action.permit_id)
+            calls[permit.holder] = messages.FinishRequest(
+                permit.make_shard(action.service),
+                permit.number,
+                action.outcome,
+                action.latency.total_seconds(),
+                action.statement,
+                history,
+            )
+        if action.outcome == 'ended' and history is not None:
+            for reply in self._driver.call_instances(
+                calls, core_driver.HOLDER_TIMEOUT
+            ):
+                self._merge_history(reply.history)
+            return
+        for holder, message in calls.items():
+            self._driver.send(holder, message)
 
-    def _send_report(
-        self,
-        service: str,
-        permit_id: str,
-        outcome: str,
-        latency: datetime.timedelta,
-        statement: server_statements.ServerStatement | None = None,
+    def _merge_history(
+        self, history: request_crashes.RequestHistory | None
     ) -> None:
-        """Send a report to the holder that granted the permit."""
-        if permit_id == LOCAL_HOLDER:
-            return
-        holder, number, index, count, domain = permit_id.split(' ', 4)
-        self._driver.send(
-            holder,
-            messages.FinishRequest(
-                shards.Shard(service, domain, int(index), int(count)),
-                int(number),
-                outcome,
-                latency.total_seconds(),
-                statement,
-            ),
+        """Record what a holder knows of a request."""
+        if history is not None:
+            with self._driver.lock:
+                self._core.crashes.merge(
+                    history,
+                    self._clock.read_elapsed(),
+                    request_crashes.REPLY_MARGIN,
+                )
+
+    def _record_result(
+        self, action: actions.ReportPermit, now: datetime.timedelta
+    ) -> request_crashes.RequestHistory | None:
+        """Record whether a server ended under a request, or answered it.
+
+        Returns what holders must be told, or None.
+        """
+        crashes, digest = self._core.crashes, action.digest
+        if not digest or action.outcome not in ('ended', 'ok'):
+            return None
+        known = crashes.list_crashes(digest, now)
+        if action.outcome == 'ok':
+            crashes.record_response(digest, now)
+            return crashes.make_history(digest, now) if known else None
+        server = self.context.get_configuration().servers.get(action.server)
+        process = request_crashes.ServerProcess(
+            action.server, server.started_ms if server else 0
+        )
+        crashes.record_crash(digest, process, now)
+        logs.log_event(
+            'server_ended',
+            server=action.server,
+            service=action.service,
+            digest=digest.hex(),
+            ends=len({*known, process}),
         )
+        return crashes.make_history(digest, now)
 
     def settle_token(self, request_id: str, is_spent: bool) -> None:
         """Do nothing: an admission cannot be passed on to another request."""
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -17,6 +17,7 @@
 from cranberryscale.connection import http_heads
 from cranberryscale.connection import open_exchanges
 from cranberryscale import errors
+from cranberryscale.process import request_crashes
 from cranberryscale.request import actions
 from cranberryscale.request import flow
 from cranberryscale.request import headers
@@ -89,6 +90,7 @@
         self.method = caller_request.method.decode('ascii')
         self.key = ''
         self.once_key = ''
+        self._digest = b''
 
     def _read_request(self) -> actions.ParsedRequest:
         caller_request = self._caller_request
@@ -167,11 +169,7 @@
                     lambda: admission.ask_tokens(action, self.request_id)
                 )
             case actions.AskPermit():
-                return self._ask(
-                    lambda: admission.ask_permit(
-                        action, self.request_id, self._exchanges.is_ready
-                    )
-                )
+                return self._ask(lambda: self._ask_permit(action))
             case actions.ForwardRequest():
                 return self._send(action)
             case actions.KeepWaiting(until=until):
@@ -180,7 +178,7 @@
                 admission.report_overdue(action)
             case actions.ReportPermit():
                 self._end_attempt(action.server)
-                admission.report_permit(action)
+                admission.report_permit(action._replace(digest=self._digest))
             case actions.RefuseRequest():
                 self._refusal = action
         return None
@@ -212,6 +210,35 @@
         for forward in self._unreported.values():
             self._cancel_exchange(forward)
 
+    def _ask_permit(
+        self, action: actions.AskPermit
+    ) -> actions.PermitGranted | actions.AdmissionDenied:
+        self._digest = self._find_digest(action)
+        return self._gateway.admission.ask_permit(
+            action._replace(digest=self._digest),
+            self.request_id,
+            self._exchanges.is_ready,
+        )
+
+    def _find_digest(self, action: actions.AskPermit) -> bytes:
+        """Return the digest of a request that may be sent again.
+
+        It is empty for requests whose body cannot be read in advance.
+        """
+        caller_request = self._caller_request
+        framing = caller_request.inheaders.framing
+        is_large = framing.length > http_framing.MAX_REPLAY_BYTES
+        if not action.probe_ok or framing.chunked or is_large:
+            return b''
+        parts = [self.method, self._host, caller_request.uri, action.customer]
+        if framing.length:
+            caller_request.conn.wrapped_socket.set_deadline(
+                self._gateway.clock.read_elapsed() + action.remaining
+            )
+            self._body.rewind()
+            parts.append(b''.join(iter(self._body.read_some, b'')))
+        return request_crashes.make_digest(parts)
+
     def _make_request_head(
         self, action: actions.ForwardRequest
     ) -> http_heads.RequestHead:
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -235,6 +235,10 @@
         server.arrivals.append(
             Arrival(request_id, time.monotonic(), float(rest or 0))
         )
+        if self.path == server.fatal_path:
+            server.crash()
+            self.close_connection = True
+            return
         if rest:
             refusal['Retry-After'] = rest
         is_repeat = server.repeats != 'run' and server.has_run_elsewhere(
@@ -337,7 +341,9 @@
     not. `born` tells its processes apart. While `is_mute`, it works on
     requests without ever answering, while `is_down`, it closes all
     connections, and while `is_dying`, it closes them in place of a response.
-    A request for one of `fatal_paths` ends it as soon as it runs.
+    A request for one of `fatal_paths` ends it as soon as it runs; one for
+    `fatal_path` ends its process, which restarts at once, and `crashes`
+    counts these.
 
     `repeats` is what it does with requests that another server of `executed`
     began to run: "run", "shed" (refuse as not executed) or "reset" (close the
@@ -368,6 +374,8 @@
         self.ended_s = 0.0
         self.repeats = 'run'
         self.fatal_paths: set[str] = set()
+        self.fatal_path = ''
+        self.crashes = 0
         self.born = 1
         self.arrivals: list[Arrival] = []
         self.connections: set[socket.socket] = set()
@@ -463,6 +471,12 @@
             statements['Server-Leaving'] = '1'
         return statements
 
+    def crash(self) -> None:
+        """End the process and start another one."""
+        with self._lock:
+            self.crashes += 1
+            self.born += 1
+
     def finish_request(self) -> None:
         """Free the request's slot."""
         with self._lock:
