Tell a stale connection from a server that ends under a request

Callers would see: 502 request_crashes for a healthy request, after two servers had forgotten idle connections on which it was sent. Cause: a reset before any byte of the response counted as an end of the server, also on a connection in use again that the server had closed before the request arrived. Change: on such a connection a reset within 20 ms says nothing about the request. A response head that never begins is a reset connection for the caller of read_response_head, so one place decides. Result: test_reused_connection_that_closes_is_ambiguous, now for both times, failed for the stale connection before (backend_ended) and passes; tests of requests that end servers pass.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -34,6 +34,9 @@
 
 
 PREFETCH_BYTES = 65536
+# A reset within this time on a reused connection may come from a server that
+# had closed the connection before the request arrived.
+STALE_RESET_TIME = datetime.timedelta(milliseconds=20)
 # Responses to earlier requests that are skipped before the one that is due.
 MAX_SURPLUS_RESPONSES = 8
 # Subtracted from the server's keep-alive timeout, which starts when the server
@@ -192,6 +195,7 @@
         self.socket: deadline_socket.DeadlineSocket = self._connection.sock
         self.socket.start_exchange(limits.deadline)
         self.socket.watch(limits.caller)
+        self._started_at = pool.clock.read_elapsed()
 
     @property
     def deadline(self) -> datetime.timedelta:
@@ -221,13 +225,24 @@
         is_sent = self.socket.sent_bytes > 0
         if not is_sent and code == 'backend_broken':
             code = 'backend_refused'
-        elif code == 'backend_broken' and not self.socket.received_bytes:
+        elif code == 'backend_broken' and self._has_server_ended():
             code = 'backend_ended'
         self.end(False)
         return ForwardFailed(
             errors.make_error(code, type(cause).__name__), is_sent
         )
 
+    def _has_server_ended(self) -> bool:
+        """Return whether the server seems to have ended under the request.
+
+        A server that closed an idle connection resets it at once.
+        """
+        if self.socket.received_bytes:
+            return False
+        is_reused = self._connection.idle_since is not None
+        elapsed = self._pool.clock.read_elapsed() - self._started_at
+        return not is_reused or elapsed >= STALE_RESET_TIME
+
     @contextlib.contextmanager
     def translate_errors(self):
         """Turn errors into ForwardFailed, and close the connection."""
--- a/cranberryscale/connection/http_heads.py
+++ b/cranberryscale/connection/http_heads.py
@@ -112,13 +112,13 @@
 def read_response_head(stream: Any) -> ResponseHead:
     """Return the head of the final response; interim (1xx) ones are skipped.
 
-    Raises BackendBroken, or BackendEnded if the connection ends before it.
+    Raises BackendBroken, or ConnectionResetError without any response.
     """
     reader = _HeadReader(stream)
     for _ in range(MAX_INTERIM_RESPONSES):
         line = reader.readline()
         if not line:
-            raise errors.make_error('backend_ended')
+            raise ConnectionResetError('no response')
         match = _STATUS_LINE.fullmatch(line)
         if match is None or int(match[2]) == SWITCHING_PROTOCOLS:
             break
--- a/cranberryscale_bench/report_mutants.py
+++ b/cranberryscale_bench/report_mutants.py
@@ -166,7 +166,7 @@
     mutants.Mutation(
         'connection-id-twice',
         'cranberryscale/connection/connection_pool.py',
-        'request_id not in self.request_ids',
+        'request_id not in self.request_methods',
         'True',
         ('refusal_copies',),
         'a connection carries a request id once',
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -401,12 +401,20 @@
     server.close()
 
 
-def test_reused_connection_that_closes_is_ambiguous():
-    """The server may have run the request before it closed."""
+@pytest.mark.parametrize(
+    'work_s,code', [(0.0, 'backend_broken'), (0.1, 'backend_ended')]
+)
+def test_reused_connection_that_closes_is_ambiguous(work_s, code):
+    """The server may have run the request before it closed.
+
+    It may also have closed the connection before the request arrived, which
+    says nothing about the request.
+    """
 
     def serve(server, sock, number):
         sock.sendall(harness.copy_request_id(server.read_head(sock), HELLO))
         server.read_head(sock)
+        time.sleep(work_s)
 
     server = harness.FakeServer(serve)
     client = make_client()
@@ -414,6 +422,7 @@
     with pytest.raises(backends.ForwardFailed) as caught:
         fetch(client, server.address)
     assert caught.value.is_sent
+    assert caught.value.error.code == code
     server.close()
 
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -8,7 +8,7 @@
 
 
 ROOT = pathlib.Path(__file__).parent.parent
-PROMISES = 15
+PROMISES = 16
 FAULTS = 10
 
 
