Bound interim responses by their size alone

What callers saw: 502 backend_broken, and a failure counted against the server, while the server worked on the request and said so: it had sent 17 interim responses (102 Processing), for example one each second.

Cause: the number of interim responses was limited to 16. It was to bound endless streams of them, which the size of all heads together (64 KiB) and the deadline of the request already do.

Change: the limit of the number is gone.

Result: test_any_number_of_short_interim_responses_is_skipped (200 of them) failed with backend_broken and passes. Endless interim responses end as backend_broken after 64 KiB or, if they come slowly, as backend_timeout at the deadline; both have tests. Tests of backends, gateway, faulty servers and reports pass (180). In a run before, at a load of 26 on 8 processors, test_answers_without_end_cost_neither_memory_nor_other_callers[length body] and test_request_whose_answer_is_lost_runs_once_and_is_not_denied (a request that ended after 2.0 s) failed; they passed in the two runs after it.

--- a/cranberryscale/connection/http_heads.py
+++ b/cranberryscale/connection/http_heads.py
@@ -21,7 +21,6 @@
     'read_response_head',
 ]
 
-MAX_INTERIM_RESPONSES = 16
 # Of a response's head together with the interim ones before it. A faulty
 # server may send lines or heads without end.
 MAX_HEAD_BYTES = 65536
@@ -112,10 +111,11 @@
 def read_response_head(stream: Any) -> ResponseHead:
     """Return the head of the final response; interim (1xx) ones are skipped.
 
-    Raises BackendBroken.
+    Raises BackendBroken. Servers may send interim responses all the time while
+    they work, so only their size is bounded.
     """
     reader = _HeadReader(stream)
-    for _ in range(MAX_INTERIM_RESPONSES):
+    while True:
         match = _STATUS_LINE.fullmatch(reader.readline())
         if match is None or int(match[2]) == SWITCHING_PROTOCOLS:
             break
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -243,6 +243,52 @@
     server.close()
 
 
+def test_any_number_of_short_interim_responses_is_skipped():
+    """A server that reports progress used to count as broken after 16."""
+    processing = b'HTTP/1.1 102 Processing\r\n\r\n'
+    server = harness.FakeServer(
+        harness.make_serve_once(processing * 100, processing * 100, HELLO)
+    )
+    assert fetch(make_client(), server.address) == b'hello'
+    server.close()
+
+
+@pytest.mark.parametrize('has_headers', [False, True])
+def test_interim_responses_without_end_are_bounded_in_bytes(has_headers):
+    sent = []
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        headers = b'X: %b\r\n' % (b'a' * 100) if has_headers else b''
+        interim = b'HTTP/1.1 102 Processing\r\n%b\r\n' % headers
+        while True:
+            sock.sendall(interim)
+            sent.append(len(interim))
+
+    server = harness.FakeServer(serve)
+    with pytest.raises(backends.ForwardFailed) as caught:
+        fetch(make_client(), server.address, seconds=5)
+    assert caught.value.error.code == 'backend_broken'
+    assert sum(sent) >= http_heads.MAX_HEAD_BYTES
+    server.close()
+
+
+def test_slow_interim_responses_without_end_are_bounded_in_time():
+    def serve(server, sock, number):
+        server.read_head(sock)
+        while True:
+            sock.sendall(b'HTTP/1.1 102 Processing\r\n\r\n')
+            time.sleep(0.01)
+
+    server = harness.FakeServer(serve)
+    started = time.monotonic()
+    with pytest.raises(backends.ForwardFailed) as caught:
+        fetch(make_client(), server.address)
+    assert caught.value.error.code == 'backend_timeout'
+    assert time.monotonic() - started < 1.5
+    server.close()
+
+
 def test_clean_connection_is_reused_and_an_idle_one_is_not():
     """A new connection costs 1 ms; an idle one may be half closed."""
     server = harness.FakeServer(harness.serve_hello)
