Count the wait for a thread into the time of a request

What callers saw: a request that waited for a thread was served later than its deadline allows, and servers were handed more time than was left: with one thread, a request with 3,000 ms that waited for 1.8 s was passed on with X-Deadline-Ms 2999.

Cause: the time of a request began when a thread took up its connection.

Change: it begins when the connection becomes readable, or at the end of the previous answer for a request that was already buffered behind it. The time to send the headers still begins when a thread reads them, since a request must be read however long it waited. Durations in logs and metrics contain the wait, too.

--- a/cranberryscale/connection/caller_requests.py
+++ b/cranberryscale/connection/caller_requests.py
@@ -127,7 +127,8 @@
         self.request_protocol = b'HTTP/1.1'
         # Whether the caller announced that it sends nothing further.
         self._is_last = False
-        self.received = server.clock.read_elapsed()
+        # The request may have waited for a thread since then.
+        self.received = conn.received
 
     @property
     def pairs(self) -> http_framing.HeaderPairs:
@@ -136,7 +137,8 @@
 
     def parse_request(self) -> None:
         """Parse the request up to its body, or respond with a typed error."""
-        deadline = self.received + self.server.sender_timeout
+        now = self.server.clock.read_elapsed()
+        deadline = now + self.server.sender_timeout
         self.conn.wrapped_socket.start_exchange(deadline)
         try:
             super().parse_request()
--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -153,6 +153,9 @@
     RequestHandlerClass = caller_requests.CallerRequest
     may_receive_more = False
     is_aborted = False
+    # Elapsed time at which the next request began to arrive or, if it was
+    # already buffered, the previous response ended.
+    received = datetime.timedelta(0)
 
     def __init__(self, server, sock, makefile=None):
         self.wrapped_socket = deadline_socket.DeadlineSocket(
@@ -277,6 +280,7 @@
         """Queue a readable connection, or refuse it if the queue is full."""
         if conn is self._connections.wakeup:
             return
+        conn.received = self.clock.read_elapsed()
         is_new = conn.last_used is None
         if is_new and self.can_add_keepalive_connection:
             # cheroot would block a thread until the first byte arrives.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 import contextlib
 import datetime
 import json
+import re
 import socket
 import threading
 import time
@@ -673,6 +674,71 @@
             sock.close()
 
 
+def serve_slowly(server, sock, number):
+    """Respond to each request after 0.6 s."""
+    while head := server.read_head(sock):
+        time.sleep(0.6)
+        sock.sendall(harness.copy_request_id(head, HELLO))
+
+
+def make_slow_request(name, deadline_ms):
+    return b'GET /r/%b HTTP/1.1%b\r\nX-Deadline-Ms: %d\r\n\r\n' % (
+        name,
+        AUTH,
+        deadline_ms,
+    )
+
+
+def find_deadline_ms(server, name):
+    """Return the deadline that a request to the server had."""
+    pattern = rb'GET /r/%b .*?X-Deadline-Ms: ([0-9]+)\r\n' % name
+    return int(re.search(pattern, bytes(server.received), re.DOTALL)[1])
+
+
+def test_wait_for_a_thread_is_part_of_the_time_of_a_request():
+    """It used to begin when a thread took up the connection."""
+    with harness.GatewayStack(serve_slowly, threads=1) as proxy:
+        with contextlib.ExitStack() as stack:
+            first, second, late = (
+                stack.enter_context(proxy.connect()) for _ in range(3)
+            )
+            first.sendall(make_slow_request(b'first', 2000))
+            time.sleep(0.1)
+            second.sendall(make_slow_request(b'second', 2000))
+            late.sendall(make_slow_request(b'late', 800))
+            assert second.recv(4096).endswith(b'hello')
+            status, details = parse(late.recv(4096))
+        # 0.5 s remained of the first request.
+        assert find_deadline_ms(proxy.server, b'second') < 1600
+        assert (status, details['code']) == (503, 'deadline_too_short')
+        assert details['ran'] == errors.NOT_RUN
+        assert b'/r/late ' not in proxy.server.received
+
+
+def test_time_of_a_pipelined_request_begins_after_the_answer_before():
+    with harness.GatewayStack(serve_slowly, threads=1) as proxy:
+        with proxy.connect() as sock:
+            sock.sendall(
+                make_slow_request(b'first', 2000)
+                + make_slow_request(b'second', 2000)
+            )
+            data = b''
+            while data.count(b'hello') < 2:
+                data += sock.recv(4096)
+        # From its arrival on, 1.4 s would be left.
+        assert find_deadline_ms(proxy.server, b'second') > 1600
+
+
+def test_wait_for_a_thread_leaves_the_time_to_send_the_headers():
+    """A request must be read however long it has waited."""
+    with harness.GatewayStack(serve_slowly, threads=1, sender_s=0.3) as proxy:
+        with proxy.connect() as first, proxy.connect() as second:
+            first.sendall(make_slow_request(b'first', 2000))
+            time.sleep(0.05)
+            second.sendall(make_slow_request(b'second', 2000))
+            assert second.recv(4096).endswith(b'hello')
+
+
 def test_idempotency_key_is_finished_and_unspent_token_returned(stack):
     """Without the report the key would count as running forever."""
     stack.admission.finished.clear()
