Say when the report of a permit may wait

Cause: the page of the gateway's admission control said that it never blocks; since a request under which a server ended waits until holders know it, that is not so. Change: the docstring. Result: none measured, no code changed.

--- a/cranberryscale/request/gateway.py
+++ b/cranberryscale/request/gateway.py
@@ -49,7 +49,11 @@
         """Report a server that is silent for long; must not block."""
 
     def report_permit(self, action: actions.ReportPermit) -> None:
-        """Return a permit; must not block."""
+        """Return a permit and report how the request ended at its server.
+
+        If the server ended under the request, this may wait until holders
+        know it. Otherwise it must not block.
+        """
 
     def settle_token(self, request_id: str, is_spent: bool) -> None:
         """Release a request's token; an unspent one may be used again."""
