--- a/cranberryscale_bench/mutations.py
+++ b/cranberryscale_bench/mutations.py
@@ -20,6 +20,7 @@
 import time
 from typing import NamedTuple
 
+from cranberryscale_bench import crash_mutants
 from cranberryscale_bench import mutants
 from cranberryscale_bench import pool_mutants
 from cranberryscale_bench import report_mutants
@@ -69,6 +70,7 @@
         + request_mutants.MUTATIONS
         + report_mutants.MUTATIONS
         + statement_mutants.MUTATIONS
+        + crash_mutants.MUTATIONS
     )
 
 
