Test the sum of servers that one request can end with instances that fail in series

Cause: the sum in the postmortem had tests for its parts one by one only. Change: attempts that are under way at once, and random series of lost holders, partitions and their ends.

--- a/tests/test_crash_bounds.py
+++ b/tests/test_crash_bounds.py
@@ -174,6 +174,19 @@
             down = int(roster.InstanceState.DOWN)
             core.roster.merge([r._replace(state=down) for r in records], now)
 
+    def heal(self):
+        """End a partition; instances learn that the others are up."""
+        self.side_of = {}
+        now = self.clock.read_elapsed()
+        up = [c for n, c in self.cores.items() if n not in self.lost]
+        for core in up:
+            name = core.instance_settings.name
+            views = [other.roster.find_record(name) for other in up]
+            core.roster.merge(views, now)
+        records = [core.roster.own_record for core in up]
+        for core in up:
+            core.roster.merge(records, now)
+
     def lose_holders(self):
         """Lose the holders of the service's shards, one in each domain."""
         now = self.clock.read_elapsed()
@@ -184,50 +197,61 @@
         }
         self.record_down()
 
-    def send(self, digest, is_deadly=True, entry=None, resets=()):
+    def ask(self, digest, entry=None, excluded=()):
+        """Ask for a server; return the instance's admission and its reply."""
+        up = [name for name in self.cores if name not in self.lost]
+        admission = self.admissions[entry or self.rng.choice(up)]
+        self._number += 1
+        reply = admission.ask_permit(
+            actions.AskPermit(
+                'x',
+                '',
+                SECOND,
+                excluded,
+                True,
+                is_repeat=bool(excluded),
+                digest=digest,
+            ),
+            f'r{self._number}',
+        )
+        if isinstance(reply, actions.PermitGranted):
+            self.arrivals.setdefault(digest, []).append(reply.server)
+        return admission, reply
+
+    def finish(self, admission, permit, digest, has_ended=True):
+        """Report the end of an attempt, which may have ended the server."""
+        if has_ended:
+            self._restart(permit.server)
+        admission.report_permit(
+            actions.ReportPermit(
+                'x',
+                permit.server,
+                permit.permit_id,
+                'ended' if has_ended else 'ok',
+                LATENCY,
+                digest=digest,
+            )
+        )
+
+    def send(self, digest, is_deadly=True, resets=()):
         """Send a request as a caller does; return its code.
 
         It ends each server if it is deadly. Servers in `resets` cut off any
         request.
         """
         up = [name for name in self.cores if name not in self.lost]
-        admission = self.admissions[entry or self.rng.choice(up)]
-        self._number += 1
-        excluded = ()
+        entry, excluded = self.rng.choice(up), ()
         while len(excluded) < MAX_ATTEMPTS:
-            result = admission.ask_permit(
-                actions.AskPermit(
-                    'x',
-                    '',
-                    SECOND,
-                    excluded,
-                    True,
-                    is_repeat=bool(excluded),
-                    digest=digest,
-                ),
-                f'r{self._number}',
-            )
-            if isinstance(result, actions.AdmissionDenied):
+            admission, reply = self.ask(digest, entry, excluded)
+            if isinstance(reply, actions.AdmissionDenied):
                 break
-            self.arrivals.setdefault(digest, []).append(result.server)
             self.advance(LATENCY)
-            has_ended = is_deadly or result.server in resets
-            if has_ended:
-                self._restart(result.server)
-            admission.report_permit(
-                actions.ReportPermit(
-                    'x',
-                    result.server,
-                    result.permit_id,
-                    'ended' if has_ended else 'ok',
-                    LATENCY,
-                    digest=digest,
-                )
-            )
+            has_ended = is_deadly or reply.server in resets
+            self.finish(admission, reply, digest, has_ended)
             if not has_ended:
                 return 'ok'
-            excluded += (result.server,)
-        return 'backend_ended' if excluded else result.code
+            excluded += (reply.server,)
+        return 'backend_ended' if excluded else reply.code
 
     def _restart(self, server):
         domain, born = self._born[server]
@@ -277,6 +301,44 @@
     assert len(fleet.arrivals[DEADLY]) <= most
 
 
+@pytest.mark.parametrize('count', [1, 2, 3, 6])
+def test_attempts_that_are_under_way_at_once_add_up(count):
+    """Those that begin with one end known cannot be taken back."""
+    fleet = Fleet(12)
+    first = fleet.ask(DEADLY)
+    fleet.finish(*first, DEADLY)
+    fleet.publish_restarts()
+    fleet.advance(SECOND)
+    running = [fleet.ask(DEADLY) for _ in range(count)]
+    fleet.advance(LATENCY)
+    for admission, permit in running:
+        fleet.finish(admission, permit, DEADLY)
+    fleet.publish_restarts()
+    codes = fleet.send_often(DEADLY, 8)
+    assert len(fleet.arrivals[DEADLY]) <= 1 + count
+    assert set(codes) == {'request_crashes'}
+
+
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_ends_add_up_while_instances_fail_in_series(seed):
+    """Each loss of all holders and each cut costs one part of the sum."""
+    fleet, parts = Fleet(24, seed=seed), 1
+    for _ in range(6):
+        fleet.send_often(DEADLY, 5)
+        match fleet.rng.choice(['lose holders', 'cut', 'heal']):
+            case 'lose holders' if len(fleet.lost) < 15:
+                fleet.lose_holders()
+                parts += 1
+            case 'cut' if not fleet.side_of:
+                names = list(fleet.cores)
+                fleet.side_of = {n: fleet.rng.randrange(2) for n in names}
+                fleet.record_down()
+                parts += 1
+            case 'heal':
+                fleet.heal()
+    assert len(fleet.arrivals[DEADLY]) <= parts * request_crashes.CRASH_LIMIT
+
+
 @pytest.mark.parametrize('is_noticed', [False, True])
 def test_instances_that_are_alone_refuse_what_they_know(is_noticed):
     fleet = Fleet(4)
