--- a/soak/checks.py
+++ b/soak/checks.py
@@ -179,7 +179,8 @@
     for run in executed:
         request = by_id.get(run.request_id)
         if request is None:
-            yield Violation('runs were asked for', run.request_id)
+            detail = f'{run.server} {run.method} {run.path} {run.request_id}'
+            yield Violation('runs were asked for', detail)
         elif run.headers.get('x-tenant') != request.customer:
             yield Violation('own customer', run.request_id)
         elif request.key in str(run.headers):
