Handle signals in a thread that reads them from a pipe

Callers saw: an instance that had got SIGTERM served on and was killed at the end of the grace time, with all its requests and open connections (LOST); nothing was drained, and the directory went on to name it. Cause: Python runs signal handlers in the main thread, which waits for a lock. When signals follow each other closely, for example SIGHUP and SIGTERM, the kernel delivers the second one to another thread; the main thread's wait is not interrupted and the handler never runs. Change: whichever thread receives a signal writes its number to a pipe (signal.set_wakeup_fd), and a thread that reads the pipe acts on it. The program with a published list polls its engine and is not affected (from reading).

--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -29,6 +29,7 @@
 from cranberryscale.request import core_admission
 from cranberryscale.request import core_pages
 from cranberryscale.request import gateway
+from cranberryscale import signals
 from cranberryscale.version import deployment
 from cranberryscale.version import replica
 
@@ -233,9 +234,13 @@
             )
 
     def _install_signal_handlers(self) -> None:
-        signal.signal(signal.SIGTERM, lambda *_: self.shut_down())
-        signal.signal(signal.SIGINT, lambda *_: self.shut_down())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload_requested.set())
+        signals.handle_signals(
+            {
+                signal.SIGTERM: self.shut_down,
+                signal.SIGINT: self.shut_down,
+                signal.SIGHUP: self._reload_requested.set,
+            }
+        )
 
     def _make_server_threads(self) -> Iterable[http_servers.ServerThread]:
         addresses = self.instance_settings.addresses
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -214,3 +214,17 @@
     events = instance.log_path.read_text()
     assert 'event=listener_lost' in events
     assert 'event=leaving' in events
+
+
+def test_stop_right_after_reloads_is_not_lost(tmp_path):
+    """The kernel may deliver the last signal to a thread other than the main.
+
+    The instance then served on until it was killed, with all its requests.
+    """
+    with machines.FleetEnvironment(tmp_path, instances=8) as fleet:
+        for instance in fleet.instances:
+            for _ in range(3):
+                instance.send_signal(signal.SIGHUP)
+            instance.send_signal(signal.SIGTERM)
+        codes = [instance.wait(8) for instance in fleet.instances]
+    assert codes == [0] * 8
