Read a response only when it is whole while others are waited for

Cause: the first socket that became readable was read to its end, which may take until the deadline. Change: while several exchanges are open, received bytes are looked at without reading them, and an exchange is read once its final head and a short body of stated length are there. In the same place: a connection that is reset at once, kept or new, does not count as a server that ended under the request: servers reset connections beyond their limit (two such resets refused a healthy request for a minute), and a stale kept connection over a round trip of 20 ms looked like an end. The time is counted from the last byte sent, and by the round trip.

--- a/cranberryscale/connection/backends.py
+++ b/cranberryscale/connection/backends.py
@@ -34,9 +34,11 @@
 
 
 PREFETCH_BYTES = 65536
-# A reset within this time on a reused connection may come from a server that
-# had closed the connection before the request arrived.
+# A reset within this time, or two round trips, may come from a server that had
+# closed the connection before the request arrived.
 STALE_RESET_TIME = datetime.timedelta(milliseconds=20)
+# Time to read a response that lies in the socket.
+READ_TIME = datetime.timedelta(milliseconds=20)
 # Responses to earlier requests that are skipped before the one that is due.
 MAX_SURPLUS_RESPONSES = 8
 # Subtracted from the server's keep-alive timeout, which starts when the server
@@ -195,7 +197,7 @@
         self.socket: deadline_socket.DeadlineSocket = self._connection.sock
         self.socket.start_exchange(limits.deadline)
         self.socket.watch(limits.caller)
-        self._started_at = pool.clock.read_elapsed()
+        self._sent_at = pool.clock.read_elapsed()
 
     @property
     def deadline(self) -> datetime.timedelta:
@@ -225,23 +227,26 @@
         is_sent = self.socket.sent_bytes > 0
         if not is_sent and code == 'backend_broken':
             code = 'backend_refused'
-        elif code == 'backend_broken' and self._has_server_ended():
+        elif code == 'backend_broken' and self._has_server_ended(cause):
             code = 'backend_ended'
         self.end(False)
         return ForwardFailed(
             errors.make_error(code, type(cause).__name__), is_sent
         )
 
-    def _has_server_ended(self) -> bool:
+    def _has_server_ended(self, cause: Exception) -> bool:
         """Return whether the server seems to have ended under the request.
 
-        A server that closed an idle connection resets it at once.
+        A server that closed an idle connection resets it at once, as does one
+        that accepts no further connections.
         """
         if self.socket.received_bytes:
             return False
         is_reused = self._connection.idle_since is not None
-        elapsed = self._pool.clock.read_elapsed() - self._started_at
-        return not is_reused or elapsed >= STALE_RESET_TIME
+        if not is_reused and getattr(cause, 'errno', None) is None:
+            return True
+        limit = max(STALE_RESET_TIME, 2 * self._connection.connect_time)
+        return self._pool.clock.read_elapsed() - self._sent_at >= limit
 
     @contextlib.contextmanager
     def translate_errors(self):
@@ -305,9 +310,17 @@
         with self.translate_errors():
             self._send_head()
             self._send_body_until_response(body)
+        self._sent_at = self._pool.clock.read_elapsed()
 
     def receive(self) -> BackendResponse:
-        """Return the response, or raise ForwardFailed."""
+        """Return the response, or raise ForwardFailed.
+
+        A response that has arrived is read even if the deadline has passed
+        meanwhile.
+        """
+        if self.socket.is_readable():
+            read_until = self._pool.clock.read_elapsed() + READ_TIME
+            self.socket.set_deadline(max(self.deadline, read_until))
         with self.translate_errors():
             head = self._read_head()
             response = BackendResponse(self, head)
@@ -369,6 +382,16 @@
         """Return the elapsed time at which the exchange ends."""
         return self._exchange.deadline
 
+    def has_response(self) -> bool:
+        """Return whether a response can be read without a long wait.
+
+        That is the final head with a short body of stated length, any other
+        final head, or the end of the connection.
+        """
+        return http_heads.is_readable_response(
+            self._exchange.socket.peek(PREFETCH_BYTES), PREFETCH_BYTES
+        )
+
     def receive(self) -> BackendResponse:
         """Return the response once its head arrived, or raise ForwardFailed.
 
--- a/cranberryscale/connection/connection_pool.py
+++ b/cranberryscale/connection/connection_pool.py
@@ -43,10 +43,13 @@
     clock: clocks.Clock
     idle_limit: datetime.timedelta
     idle_since: datetime.timedelta | None = None
+    connect_time = datetime.timedelta(0)
     request_methods: dict[str, str]
 
     def connect(self) -> None:
+        began_at = self.clock.read_elapsed()
         super().connect()
+        self.connect_time = self.clock.read_elapsed() - began_at
         self.idle_since = None
         # Methods of the requests sent on this connection, by id. A late copy
         # of a response is recognized by its id, so an id is used only once.
--- a/cranberryscale/connection/deadline_socket.py
+++ b/cranberryscale/connection/deadline_socket.py
@@ -145,6 +145,18 @@
         """Return whether data, end of file or an error is pending."""
         return self.fileno() in dict(self._read_poll.poll(0))
 
+    def peek(self, size: int) -> bytes | None:
+        """Return received bytes that stay unread; None without any.
+
+        They are empty at the end of the connection, also after an error.
+        """
+        try:
+            return self.sock.recv(size, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b''
+
     def is_watched_ready(self) -> bool:
         """Return whether the watched socket is ready, without waiting."""
         return self._watched in dict(self._read_poll.poll(0))
--- a/cranberryscale/connection/http_heads.py
+++ b/cranberryscale/connection/http_heads.py
@@ -17,6 +17,7 @@
     'RequestHead',
     'ResponseHead',
     'format_request_head',
+    'is_readable_response',
     'open_response_body',
     'read_response_head',
 ]
@@ -34,6 +35,8 @@
 )
 _KEEP_ALIVE_TIMEOUT = re.compile(r'\btimeout=([0-9]{1,6})\b')
 _LENGTH = re.compile(r'[0-9]{1,15}')
+_LENGTH_LINE = re.compile(rb'\r\ncontent-length: *([0-9]{1,15})', re.I)
+_END_OF_HEAD = b'\r\n\r\n'
 
 
 class RequestHead(NamedTuple):
@@ -130,6 +133,24 @@
     raise errors.make_error(_BROKEN, 'status line of the answer')
 
 
+def is_readable_response(data: bytes | None, limit: int) -> bool:
+    """Return whether received bytes hold a response to be read now.
+
+    `data` is None without any, and empty at the end of the connection. Of a
+    body with a length, as much as fits into `limit` must have arrived.
+    """
+    if not data:
+        return data is not None
+    while data.startswith(b'HTTP/1.1 1'):
+        _, _, data = data.partition(_END_OF_HEAD)
+    head, end, body = data.partition(_END_OF_HEAD)
+    if not end:
+        return len(data) >= limit
+    length = _LENGTH_LINE.search(head)
+    missing = (int(length[1]) if length else 0) - len(body)
+    return missing <= 0 or len(data) >= limit
+
+
 def _parse_length(lengths: set[str]) -> int:
     if len(lengths) != 1 or not _LENGTH.fullmatch(min(lengths)):
         raise errors.make_error(_BROKEN, 'no single length of the answer')
