Let a fault in a report end no request

Cause: only calls for tokens and permits with an exchange open were guarded. Change: reports are guarded as well, and a kept response counts like an open exchange. Result: test_fault_in_a_report_ends_no_request failed for both reports before (500) and passes.

--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -175,10 +175,11 @@
             case actions.KeepWaiting(until=until):
                 return self._receive(until)
             case actions.ReportOverdue():
-                admission.report_overdue(action)
+                self._report(lambda: admission.report_overdue(action))
             case actions.ReportPermit():
                 self._end_attempt(action.server)
-                admission.report_permit(action._replace(digest=self._digest))
+                report = action._replace(digest=self._digest)
+                self._report(lambda: admission.report_permit(report))
             case actions.RefuseRequest():
                 self._refusal = action
         return None
@@ -190,11 +191,18 @@
         except errors.FleetError as error:
             return actions.AdmissionDenied(error.code, error.retry_after)
         except Exception as error:
-            if not self._exchanges:
+            if not self._exchanges and self._response is None:
                 raise
             self._log_fault(error)
             return actions.AdmissionDenied(errors.FleetError().code)
 
+    def _report(self, report: Callable[[], None]) -> None:
+        """Send a report; an unexpected exception ends no request."""
+        try:
+            report()
+        except Exception as error:
+            self._log_fault(error)
+
     def _end_attempt(self, server: str) -> None:
         """Forget a reported attempt; close its exchange if it is open."""
         forward = self._unreported.get(server)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -897,3 +897,26 @@
         )
         assert b'hello' in send_body(proxy, b'abcd')
         assert digests == [b'']
+
+
+@pytest.mark.parametrize('report', ['report_permit', 'report_overdue'])
+def test_fault_in_a_report_ends_no_request(report):
+    """The first server is at work and answers."""
+
+    def serve(server, sock, number):
+        server.read_head(sock)
+        if number == 1:
+            time.sleep(0.6)
+            sock.sendall(HELLO)
+
+    with harness.GatewayStack(serve) as proxy:
+        original = proxy.admission.ask_permit
+
+        def ask_permit(action, request_id, is_answered):
+            permit = original(action, request_id, is_answered)
+            timeout = datetime.timedelta(milliseconds=100)
+            return permit._replace(first_byte_timeout=timeout)
+
+        proxy.admission.ask_permit = ask_permit
+        setattr(proxy.admission, report, lambda *_: 1 // 0)
+        assert b'hello' in proxy.send_raw(GET)
