Serve common requests again soon after many servers ended together

Cause: more than three ends were taken for a failed trial even if they came at once; who was told was recorded before it was sent, and never repeated; calls that were not waited for any more stayed queued. Change: ends within RECOVERY_TIME of the third belong to attempts that were under way; holders are told again every 2 s while the request is refused; what has not started when the wait ends is cancelled, and an exception of one call is not raised in the request. The flood of reports was not measured again.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -13,6 +13,7 @@
 import heapq
 import random
 from typing import Any
+from typing import NamedTuple
 
 from cranberryscale import errors
 from cranberryscale import messages
@@ -37,6 +38,9 @@
 __all__ = ['Core', 'make_history_report']
 
 
+# How often holders are told again of a request that is refused, since a
+# message may have been lost.
+INFORM_INTERVAL = datetime.timedelta(seconds=2)
 # A core advances every 100 ms. After a longer break others may have taken it
 # for down, which it learns with its next checks of other instances.
 PAUSE_LIMIT = datetime.timedelta(milliseconds=600)
@@ -61,6 +65,14 @@
     )
 
 
+class _InformedHolders(NamedTuple):
+    """Holders of a service's shards that were told of a request at a time."""
+
+    service: str
+    holders: frozenset[str]
+    at: datetime.timedelta
+
+
 def make_history_report(
     service: str, outcome: str, history: request_crashes.RequestHistory
 ) -> messages.FinishRequest:
@@ -100,8 +112,8 @@
         self.fallback = fallback.FallbackSelector(rng)
         self.statements = server_statements.StatementTable()
         self.crashes = request_crashes.CrashTable()
-        # Service and informed holders of requests under which servers ended.
-        self._informed: dict[bytes, tuple[str, frozenset[str]]] = {}
+        # Who was told of requests under which servers ended, by digest.
+        self._informed: dict[bytes, _InformedHolders] = {}
         self._advanced_at = now
         # Until then a successor may have taken over what this instance holds.
         self._resumes_at = now
@@ -253,7 +265,7 @@
         Later ones are found by `collect_histories`.
         """
         holders = self.list_shard_holders(service, now)
-        self._informed[digest] = (service, holders)
+        self._informed[digest] = _InformedHolders(service, holders, now)
         return holders
 
     def collect_histories(
@@ -264,16 +276,24 @@
         Only the instances that saw a server end send this, and only about
         requests that are refused.
         """
-        for digest, (service, informed) in tuple(self._informed.items()):
+        for digest, informed in tuple(self._informed.items()):
             if not self.crashes.list_crashes(digest, now):
                 del self._informed[digest]
             elif self.crashes.is_refused(digest, now):
-                holders = self.list_shard_holders(service, now)
-                self._informed[digest] = (service, holders)
+                is_repeated = now - informed.at >= INFORM_INTERVAL
+                told = frozenset() if is_repeated else informed.holders
+                holders = self.list_shard_holders(informed.service, now)
+                self._informed[digest] = _InformedHolders(
+                    informed.service,
+                    holders,
+                    now if is_repeated else informed.at,
+                )
                 message = make_history_report(
-                    service, 'ended', self.crashes.make_history(digest, now)
+                    informed.service,
+                    'ended',
+                    self.crashes.make_history(digest, now),
                 )
-                for holder in holders - informed:
+                for holder in holders - told:
                     yield holder, message
 
     def find_shard(self, server: configuration.BackendServer) -> shards.Shard:
--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -201,10 +201,12 @@
             self._submit(self._send_or_log, target, message)
             for target, message in calls.items()
         ]
-        done, _ = futures.wait(
+        done, late = futures.wait(
             filter(None, submitted), timeout.total_seconds()
         )
-        replies = (future.result() for future in done)
+        for future in late:
+            future.cancel()
+        replies = (f.result() for f in done if f.exception() is None)
         return tuple(reply for reply in replies if reply is not None)
 
     def _submit(
--- a/cranberryscale/process/request_crashes.py
+++ b/cranberryscale/process/request_crashes.py
@@ -139,9 +139,13 @@
         responded_at = self._responses.get(digest)
         if responded_at is None or now - responded_at >= RETENTION:
             return len(crashes) >= CRASH_LIMIT
-        if len(crashes) != ANSWERED_CRASH_LIMIT:
-            return len(crashes) > ANSWERED_CRASH_LIMIT
-        return now - max(crashes.values()) < RECOVERY_TIME
+        ends = sorted(crashes.values())
+        if len(ends) < ANSWERED_CRASH_LIMIT:
+            return False
+        # Ends within RECOVERY_TIME belong to attempts that were under way.
+        if ends[-1] - ends[ANSWERED_CRASH_LIMIT - 1] >= RECOVERY_TIME:
+            return True
+        return now - ends[-1] < RECOVERY_TIME
 
     def make_history(
         self, digest: bytes, now: datetime.timedelta
--- a/tests/test_request_crashes.py
+++ b/tests/test_request_crashes.py
@@ -70,6 +70,22 @@
     assert table.is_refused(DIGEST, now + 50 * SECOND)
 
 
+@pytest.mark.parametrize('crashes', [3, 4, 5])
+def test_common_request_is_refused_briefly_after_ends_at_once(crashes):
+    """Servers that ended together cut off several attempts of it."""
+    table = request_crashes.CrashTable()
+    table.record_response(DIGEST, START)
+    for number, process in enumerate(PROCESSES[:crashes]):
+        table.record_crash(DIGEST, process, START + number * MILLISECOND)
+    last = START + (crashes - 1) * MILLISECOND
+    recovered = last + request_crashes.RECOVERY_TIME
+    assert table.is_refused(DIGEST, recovered - MILLISECOND)
+    assert not table.is_refused(DIGEST, recovered)
+    process = request_crashes.ServerProcess('s9', 1)
+    table.record_crash(DIGEST, process, recovered)
+    assert table.is_refused(DIGEST, recovered + 30 * SECOND)
+
+
 def test_exchanges_make_nothing_seem_more_recent():
     """Each message takes a while, and adds it to what it brings."""
     tables = [make_table(1), request_crashes.CrashTable()]
