--- a/tests/test_repeat_bounds.py
+++ b/tests/test_repeat_bounds.py
@@ -14,7 +14,10 @@
 import test_published
 
 from cranberryscale import messages
+from cranberryscale.process import fleet_buckets
+from cranberryscale.process import retry_budgets
 from cranberryscale.process import roster
+from cranberryscale.process import server_limits
 
 
 SECOND = test_core.SECOND
@@ -27,6 +30,8 @@
 NOTICE_DELAY = 300 * MILLISECOND
 STOP_TIME = SECOND
 RESTART_TIME = 2 * SECOND
+WINDOW = 10 * SECOND
+QUEUE_TIME = 0.6 * SECOND
 REPEATS_PER_REQUEST = 2
 # First attempts before the callers need repeats.
 CALM_S = 12
@@ -35,9 +40,10 @@
 class Fleet(test_limit_bounds.Fleet):
     """Cores whose server needs any number of repeats from START on."""
 
+    warm_up = CALM_S * SECOND
+
     def __init__(self, instances, seed):
         super().__init__(0, instances, seed)
-        self.now = START - CALM_S * SECOND
         self.requests = []
         self.repeats = []
         self.stopped = {}
@@ -102,6 +108,13 @@
             self.now,
         )
 
+    def count_repeats(self, since_s, until_s):
+        """Count the repeats of a span after START."""
+        return sum(
+            since_s * SECOND <= at - START < until_s * SECOND
+            for at in self.repeats
+        )
+
     def find_largest_ratio(self):
         """Return the largest part of the bound that a window uses."""
         terms = next(iter(self.cores.values())).instance_settings.terms
@@ -133,13 +146,15 @@
     while fleet.now < START + seconds * SECOND:
         while left and fleet.now >= START + left[0].at * SECOND:
             fleet.apply(left.pop(0).kind)
-        if fleet.now >= tick_at:
-            tick_at = fleet.now + test_limit_bounds.TICK
-            fleet.advance()
         awake = [name for name in fleet.cores if name not in fleet.frozen]
         fleet.request(fleet.rng.choice(awake), number)
         number += 1
-        fleet.now += SECOND * fleet.rng.expovariate(rate_per_s)
+        next_at = fleet.now + SECOND * fleet.rng.expovariate(rate_per_s)
+        while tick_at <= next_at:
+            fleet.now = tick_at
+            fleet.advance()
+            tick_at += test_limit_bounds.TICK
+        fleet.now = next_at
     return fleet
 
 
@@ -188,3 +203,55 @@
     changes = [Change(rng.uniform(0.5, 14), kind) for kind in kinds * 3]
     fleet = play(changes, rng.choice((5, 20, 55)), seed)
     assert fleet.find_largest_ratio() <= 1
+
+
+def test_parts_of_the_repeats_add_up_to_no_more_than_the_bound():
+    """Guards the sum over everyone who may grant repeats in one window."""
+    delay = retry_budgets.HANDOVER_TIME + QUEUE_TIME
+    window = (WINDOW + delay) / WINDOW
+    slack = (
+        retry_budgets.BURST_PART
+        + retry_budgets.RATE_PART * window
+        + retry_budgets.START_PART
+    )
+    assert slack * server_limits.PART_MARGIN <= 1
+    assert retry_budgets.REQUEST_PART * window <= 1
+
+
+@pytest.mark.parametrize('rate_per_s', [5, 55])
+def test_repeats_are_granted_again_soon_after_the_holder_stopped(rate_per_s):
+    """Guards against a bound that is kept by granting nothing."""
+    calm = play((), rate_per_s)
+    stopped = play((Change(1, 'stop the holder'),), rate_per_s)
+    assert calm.find_largest_ratio() > 0.6
+    assert len(stopped.repeats) > 0.6 * len(calm.repeats)
+    assert stopped.count_repeats(2.5, 4.5) >= 3
+
+
+@pytest.mark.parametrize('has_predecessor', [False, True])
+def test_budget_starts_with_tokens_only_if_nobody_held_it(has_predecessor):
+    position = fleet_buckets.FleetPosition('i', 0, 4, 1.0, has_predecessor)
+    budget = retry_budgets.RetryBudget(0.2, 60, WINDOW, lambda now: position)
+    assert budget.try_spend(START) is not has_predecessor
+    spent = sum(budget.try_spend(START) for _ in range(100))
+    assert spent + (not has_predecessor) == 9 * (not has_predecessor)
+
+
+def test_replaced_holder_loses_its_tokens():
+    ratio = 1.0
+    budget = retry_budgets.RetryBudget(
+        0.2,
+        60,
+        WINDOW,
+        lambda now: fleet_buckets.FleetPosition('i', 0, 4, ratio),
+    )
+    budget.advance(START)
+    assert budget.try_spend(START + WINDOW)
+    ratio = 0.0
+    assert not budget.try_spend(START + 1.1 * WINDOW)
+    ratio = 1.0
+    now = START + 1.2 * WINDOW
+    budget.refund()
+    assert not budget.try_spend(now)
+    assert not budget.try_spend(now + retry_budgets.HANDOVER_TIME)
+    assert budget.try_spend(now + retry_budgets.HANDOVER_TIME + SECOND)
