--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -206,8 +206,6 @@
                 terms.repeat_ratio,
                 terms.repeat_slack / max(1, count),
                 terms.repeat_window,
-                functools.partial(self._find_repeat_position, shard),
-                f'{shard.service}/{shard.domain}/{shard.index}',
             )
             pool = dispatch.ServerPool(
                 shard.service,
@@ -400,13 +398,10 @@
             self.roster.has_settled_other(now),
         )
 
-    def _find_shard_position(
-        self, shard: shards.Shard, up: int, now: datetime.timedelta
+    def _find_limit_position(
+        self, shard: shards.Shard, now: datetime.timedelta
     ) -> fleet_buckets.FleetPosition:
-        """Return the part of the bounds on a shard's servers to use here.
-
-        `up` instances are counted as up.
-        """
+        """Return the part of the limits at a shard's servers to use here."""
         name = self.instance_settings.name
         known = self.roster.count_possibly_up()
         ratio = 0.0
@@ -416,29 +411,12 @@
         if not was_paused and self.find_shard_holder(shard, now) == name:
             has_joined = self.roster.has_finished_joining(now)
             ratio = server_limits.find_usable_part(
-                up, known if has_joined else None
+                self.roster.count_settled(now), known if has_joined else None
             )
         return fleet_buckets.FleetPosition(
-            name,
-            self.roster.own_rank,
-            known,
-            ratio,
-            self.roster.has_settled_other(now),
+            name, self.roster.own_rank, known, ratio
         )
 
-    def _find_limit_position(
-        self, shard: shards.Shard, now: datetime.timedelta
-    ) -> fleet_buckets.FleetPosition:
-        up = self.roster.count_settled(now)
-        return self._find_shard_position(shard, up, now)
-
-    def _find_repeat_position(
-        self, shard: shards.Shard, now: datetime.timedelta
-    ) -> fleet_buckets.FleetPosition:
-        # An instance that has just started is no holder yet.
-        up = len(self.roster.list_up())
-        return self._find_shard_position(shard, up, now)
-
     def _handle_ask_quota(
         self, message: messages.AskQuota, now: datetime.timedelta
     ) -> messages.QuotaReply:
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/dispatch.py
@@ -414,7 +414,6 @@
     def advance(self, now: datetime.timedelta) -> None:
         """Grant free slots to queued requests and deny the expired ones."""
         self._apply_statements(now)
-        self._retry_budget.advance(now)
         self._expire(now)
         if not self._queued:
             return
--- a/cranberryscale_bench/statement_mutants.py
+++ b/cranberryscale_bench/statement_mutants.py
@@ -50,8 +50,8 @@
     mutants.Mutation(
         'limit-unsettled-counted',
         'cranberryscale/core.py',
-        'up = self.roster.count_settled(now)',
-        'up = len(self.roster.list_up())',
+        'self.roster.count_settled(now), known if has_joined else None',
+        'len(self.roster.list_up()), known if has_joined else None',
         ('limit_bounds',),
         'sides that just met again do not both use the whole limit',
     ),
--- a/tests/test_limit_bounds.py
+++ b/tests/test_limit_bounds.py
@@ -60,11 +60,9 @@
     of a partition.
     """
 
-    warm_up = WARM_UP
-
     def __init__(self, limit_per_s, instances, seed):
         self.limit_per_s = limit_per_s
-        self.now = START - self.warm_up
+        self.now = START - WARM_UP
         self.rng = random.Random(seed)
         self.arrivals = []
         self.told_at = {}
