Keep reports queued that come too late to be waited for

Callers would see: servers with free slots that count as full until the deadline of a request, after many servers ended at once. Found when the diff was read again. Cause: cancelled the calls that had not started when the wait for holders ended. The report that frees the permit's slot is one of them. Change: they stay queued. That many reports delay the check of other instances is listed as open in the postmortem. Result: the tests of requests that end servers and of coordination pass.

--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -201,11 +201,9 @@
             self._submit(self._send_or_log, target, message)
             for target, message in calls.items()
         ]
-        done, late = futures.wait(
+        done, _ = futures.wait(
             filter(None, submitted), timeout.total_seconds()
         )
-        for future in late:
-            future.cancel()
         replies = (f.result() for f in done if f.exception() is None)
         return tuple(reply for reply in replies if reply is not None)
 
--- a/cranberryscale/process/request_crashes.py
+++ b/cranberryscale/process/request_crashes.py
@@ -40,8 +40,8 @@
 # Servers that may end under a request before it is refused. Two attempts may
 # be under way at once, and operators count from three servers on.
 CRASH_LIMIT = 2
-# The same for a request that was answered lately. The news of an answer may
-# arrive after that of the next crash.
+# The same for a request that was answered lately. The report of an answer
+# may arrive after that of the next crash.
 ANSWERED_CRASH_LIMIT = 3
 # Callers repeat a request until its deadline, and operators their jobs.
 RETENTION = datetime.timedelta(seconds=60)
