Start in deployments whose operators leave terms unset

Cause: the settings template named every bound, and the platform renders a bound that a deployment's contracts lack as an empty text, which is no duration. Both new deployments have no evacuation, so every process ended at its start.

The default then guides the instance's own behavior; the names of unset terms are logged once with the start.

--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -153,6 +153,7 @@
             label=self.instance_settings.label,
             epoch=self.core.roster.own_record.epoch,
             seeds=','.join(self.instance_settings.seeds),
+            unset_terms=','.join(self.instance_settings.unset_terms),
         )
         threading.Thread(target=self._become_ready, daemon=True).start()
         self._stopping.wait()
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -43,7 +43,9 @@
 class OperatorBounds(msgspec.Struct, frozen=True):
     """Bounds set by the operators of the deployment.
 
-    The defaults are the values of the first deployments.
+    A deployment whose operators do not set a bound leaves it out or empty.
+    The defaults, which are the values of the first deployments, then apply
+    to the instance's own behavior, and nobody holds the instance to them.
     """
 
     # Time without faults after which the bounds apply to an instance.
@@ -87,6 +89,8 @@
     memory_mb: Positive = 300
     seeds: tuple[settings.Address, ...] = ()
     terms: OperatorBounds = OperatorBounds()
+    # Names of the bounds that the operators do not set.
+    unset_terms: tuple[str, ...] = ()
     # Apply until the route of a request is known; the operators' limits are
     # part of the configuration.
     limits: settings.ListenerLimits = settings.ListenerLimits(
@@ -110,13 +114,19 @@
         field.name: field.type
         for field in msgspec.structs.fields(OperatorBounds)
     }
+    set_terms = {
+        name: value
+        for name, value in terms.items()
+        if value != '' or name not in field_types
+    }
     converted = {
         name: durations.parse_duration(value)
         if field_types.get(name) is datetime.timedelta
         else value
-        for name, value in terms.items()
+        for name, value in set_terms.items()
     }
-    return data | {'terms': converted}
+    unset_terms = [name for name in field_types if name not in set_terms]
+    return data | {'terms': converted, 'unset_terms': unset_terms}
 
 
 def parse_deployment(text: str, source: str) -> Deployment:
