Give the decisions of a pool's holder a package of their own

Cause: process/ held 55 modules on one floor; what the holder of a shard decides lay beside the pools with leases, which serve fleets with a published member list.

Change: process/pool/ holds the requests, queue, ranking, health, limits and statements of a holder, with server_pool.ServerPool (dispatch.py before) as its entry; process/leased/ holds the leased pools. Imports and paths follow; no behavior changes.

--- a/cranberryscale/connection/backend_headers.py
+++ b/cranberryscale/connection/backend_headers.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from cranberryscale.connection import http_framing
-from cranberryscale.process import server_statements
+from cranberryscale.process.pool import server_statements
 
 
 __all__ = ['BackendHeaders']
--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -17,17 +17,17 @@
 
 from cranberryscale import errors
 from cranberryscale import messages
-from cranberryscale.process import dispatch
-from cranberryscale.process import dispatch_requests
 from cranberryscale.process import fallback
 from cranberryscale.process import fleet_buckets
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import retry_budgets
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_pool
+from cranberryscale.process.pool import server_statements
 from cranberryscale.process import quotas
 from cranberryscale.process import rendezvous
 from cranberryscale.process import request_crashes
-from cranberryscale.process import retry_budgets
 from cranberryscale.process import roster
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.process import store_follower
 from cranberryscale.version import configuration
@@ -123,7 +123,7 @@
         )
         self._quota_holder = quotas.QuotaHolder(bounds)
         self._local_quota = quotas.LocalQuota(bounds)
-        self.pools: dict[shards.Shard, dispatch.ServerPool] = {}
+        self.pools: dict[shards.Shard, server_pool.ServerPool] = {}
         self._shard_counts: dict[str, dict[str, int]] = {}
         self._loaded_configuration: configuration.Configuration | None = None
 
@@ -197,7 +197,7 @@
         for pool in self.pools.values():
             pool.load_servers(self._loaded_configuration)
 
-    def _get_pool(self, shard: shards.Shard) -> dispatch.ServerPool:
+    def _get_pool(self, shard: shards.Shard) -> server_pool.ServerPool:
         pool = self.pools.get(shard)
         if pool is None:
             terms = self.instance_settings.terms
@@ -207,7 +207,7 @@
                 terms.repeat_slack / max(1, count),
                 terms.repeat_window,
             )
-            pool = dispatch.ServerPool(
+            pool = server_pool.ServerPool(
                 shard.service,
                 budget,
                 shard.has_server,
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -12,10 +12,10 @@
 import msgspec
 
 from cranberryscale import errors
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_statements
 from cranberryscale.process import request_crashes
 from cranberryscale.process import roster
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.version import replica
 
--- a/cranberryscale/process/outlier_ejection.py
+++ b/cranberryscale/process/leased/outlier_ejection.py
@@ -8,9 +8,9 @@
 import math
 import statistics
 
-from cranberryscale.process import evidence
-from cranberryscale.process import server_records
-from cranberryscale.process import server_stats
+from cranberryscale.process.leased import evidence
+from cranberryscale.process.leased import server_records
+from cranberryscale.process.leased import server_stats
 from cranberryscale.version import configuration
 
 
--- a/cranberryscale/process/permit_issuer.py
+++ b/cranberryscale/process/leased/permit_issuer.py
@@ -9,13 +9,13 @@
 from typing import NamedTuple
 
 from cranberryscale import messages
-from cranberryscale.process import fair_queue
-from cranberryscale.process import issued_permits
-from cranberryscale.process import outlier_ejection
-from cranberryscale.process import server_records
-from cranberryscale.process import server_stats
-from cranberryscale.process import slot_selection
-from cranberryscale.process import survey
+from cranberryscale.process.leased import fair_queue
+from cranberryscale.process.leased import issued_permits
+from cranberryscale.process.leased import outlier_ejection
+from cranberryscale.process.leased import server_records
+from cranberryscale.process.leased import server_stats
+from cranberryscale.process.leased import slot_selection
+from cranberryscale.process.leased import survey
 from cranberryscale.version import configuration
 
 
--- a/cranberryscale/process/pools.py
+++ b/cranberryscale/process/leased/pools.py
@@ -10,10 +10,10 @@
 from typing import NamedTuple
 
 from cranberryscale import messages
-from cranberryscale.process import fair_queue
-from cranberryscale.process import permit_issuer
-from cranberryscale.process import server_stats
-from cranberryscale.process import slot_selection
+from cranberryscale.process.leased import fair_queue
+from cranberryscale.process.leased import permit_issuer
+from cranberryscale.process.leased import server_stats
+from cranberryscale.process.leased import slot_selection
 from cranberryscale.version import configuration as configurations
 
 
--- a/cranberryscale/process/server_records.py
+++ b/cranberryscale/process/leased/server_records.py
@@ -4,8 +4,8 @@
 import math
 
 from cranberryscale import messages
-from cranberryscale.process import evidence
-from cranberryscale.process import slow_start
+from cranberryscale.process.leased import evidence
+from cranberryscale.process.leased import slow_start
 from cranberryscale.version import configuration
 
 
--- a/cranberryscale/process/server_stats.py
+++ b/cranberryscale/process/leased/server_stats.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from cranberryscale import messages
-from cranberryscale.process import evidence
-from cranberryscale.process import server_records
+from cranberryscale.process.leased import evidence
+from cranberryscale.process.leased import server_records
 
 
 __all__ = [
--- a/cranberryscale/process/slot_selection.py
+++ b/cranberryscale/process/leased/slot_selection.py
@@ -4,10 +4,10 @@
 from typing import NamedTuple
 
 from cranberryscale import messages
-from cranberryscale.process import issued_permits
-from cranberryscale.process import outlier_ejection
-from cranberryscale.process import server_records
-from cranberryscale.process import survey
+from cranberryscale.process.leased import issued_permits
+from cranberryscale.process.leased import outlier_ejection
+from cranberryscale.process.leased import server_records
+from cranberryscale.process.leased import survey
 
 
 __all__ = ['ServerSnapshot', 'SlotSelector']
--- a/cranberryscale/process/dispatch.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -20,16 +20,16 @@
 from typing import NamedTuple
 import zlib
 
-from cranberryscale.process import dispatch_requests
 from cranberryscale.process import fleet_buckets
-from cranberryscale.process import health
-from cranberryscale.process import load_statistics
-from cranberryscale.process import retry_budgets
-from cranberryscale.process import return_schedule
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_ranking
-from cranberryscale.process import server_statements
-from cranberryscale.process import tracked_servers
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import health
+from cranberryscale.process.pool import load_statistics
+from cranberryscale.process.pool import retry_budgets
+from cranberryscale.process.pool import return_schedule
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_ranking
+from cranberryscale.process.pool import server_statements
+from cranberryscale.process.pool import tracked_servers
 from cranberryscale.version import configuration
 
 
--- a/cranberryscale/process/server_ranking.py
+++ b/cranberryscale/process/pool/server_ranking.py
@@ -9,10 +9,10 @@
 from collections.abc import Iterable
 import datetime
 
-from cranberryscale.process import dispatch_requests
-from cranberryscale.process import health
-from cranberryscale.process import retry_budgets
-from cranberryscale.process import tracked_servers
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import health
+from cranberryscale.process.pool import retry_budgets
+from cranberryscale.process.pool import tracked_servers
 from cranberryscale.version import configuration
 
 
--- a/cranberryscale/process/server_statements.py
+++ b/cranberryscale/process/pool/server_statements.py
@@ -20,7 +20,7 @@
 import datetime
 from typing import NamedTuple
 
-from cranberryscale.process import server_limits
+from cranberryscale.process.pool import server_limits
 from cranberryscale.version import configuration
 
 
--- a/cranberryscale/process/tracked_servers.py
+++ b/cranberryscale/process/pool/tracked_servers.py
@@ -6,8 +6,8 @@
 import itertools
 
 from cranberryscale.process import fleet_buckets
-from cranberryscale.process import health
-from cranberryscale.process import server_limits
+from cranberryscale.process.pool import health
+from cranberryscale.process.pool import server_limits
 from cranberryscale.version import configuration
 
 
--- a/cranberryscale/process/resource_holder.py
+++ b/cranberryscale/process/resource_holder.py
@@ -12,10 +12,10 @@
 from cranberryscale.process import budgets
 from cranberryscale.process import calls
 from cranberryscale.process import idempotency
+from cranberryscale.process.leased import pools
 from cranberryscale.process import leases
 from cranberryscale.process import local_permits
 from cranberryscale.process import placement
-from cranberryscale.process import pools
 from cranberryscale.process import status
 from cranberryscale.version import configuration
 from cranberryscale.version import view
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from cranberryscale import errors
-from cranberryscale.process import server_statements
+from cranberryscale.process.pool import server_statements
 from cranberryscale.process import shutdown
 from cranberryscale.request import routes
 from cranberryscale.version import configuration
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -16,10 +16,10 @@
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale import messages
-from cranberryscale.process import dispatch_requests
 from cranberryscale.process import metrics
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import server_limits
 from cranberryscale.process import request_crashes
-from cranberryscale.process import server_limits
 from cranberryscale.process import shards
 from cranberryscale.process import shutdown
 from cranberryscale.request import actions
--- a/cranberryscale_bench/holder_pool.py
+++ b/cranberryscale_bench/holder_pool.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from cranberryscale import messages
-from cranberryscale.process import pools
+from cranberryscale.process.leased import pools
 
 
 __all__ = ['HolderPool', 'FakePoolLease']
--- a/cranberryscale_bench/pool_mutants.py
+++ b/cranberryscale_bench/pool_mutants.py
@@ -9,7 +9,7 @@
 MUTATIONS = (
     mutants.Mutation(
         'pool-one-slot-more',
-        'cranberryscale/process/slot_selection.py',
+        'cranberryscale/process/leased/slot_selection.py',
         'return limit - self._permits.count(record.server.name)',
         'return limit + 1 - self._permits.count(record.server.name)',
         ('pools',),
@@ -17,7 +17,7 @@
     ),
     mutants.Mutation(
         'pool-no-instance-cap',
-        'cranberryscale/process/slot_selection.py',
+        'cranberryscale/process/leased/slot_selection.py',
         '< survey.compute_instance_limit(record.server.slots)',
         '< record.server.slots',
         ('pools',),
@@ -25,7 +25,7 @@
     ),
     mutants.Mutation(
         'pool-survey-ignored',
-        'cranberryscale/process/slot_selection.py',
+        'cranberryscale/process/leased/slot_selection.py',
         'if self._survey.is_open(now_s):',
         'if False:',
         ('pools',),
@@ -33,7 +33,7 @@
     ),
     mutants.Mutation(
         'pool-unsurveyed-served',
-        'cranberryscale/process/permit_issuer.py',
+        'cranberryscale/process/leased/permit_issuer.py',
         'if self.survey.is_pending(queued.sender, now_s):',
         'if False:',
         ('pools',),
@@ -41,7 +41,7 @@
     ),
     mutants.Mutation(
         'pool-out-server-used',
-        'cranberryscale/process/server_records.py',
+        'cranberryscale/process/leased/server_records.py',
         "return self.state == 'in use' and not self.is_out",
         "return self.state == 'in use'",
         ('pools',),
@@ -49,7 +49,7 @@
     ),
     mutants.Mutation(
         'pool-cold-limit-ignored',
-        'cranberryscale/process/slow_start.py',
+        'cranberryscale/process/leased/slow_start.py',
         'return min(self._limit, self._server.slots)',
         'return self._server.slots',
         ('ramps', 'pools'),
@@ -57,7 +57,7 @@
     ),
     mutants.Mutation(
         'pool-queue-unfair',
-        'cranberryscale/process/fair_queue.py',
+        'cranberryscale/process/leased/fair_queue.py',
         '            self._by_customer.move_to_end(queued.customer)',
         '            self._by_customer.move_to_end('
         'queued.customer, last=False)',
@@ -66,7 +66,7 @@
     ),
     mutants.Mutation(
         'pool-late-request-queued',
-        'cranberryscale/process/permit_issuer.py',
+        'cranberryscale/process/leased/permit_issuer.py',
         'if queued.deadline_s - now_s < service_s + wait_s:',
         'if False:',
         ('pools',),
@@ -74,7 +74,7 @@
     ),
     mutants.Mutation(
         'pool-excluded-ignored',
-        'cranberryscale/process/slot_selection.py',
+        'cranberryscale/process/leased/slot_selection.py',
         'return name not in request.excluded and self',
         'return self',
         ('pools',),
@@ -82,7 +82,7 @@
     ),
     mutants.Mutation(
         'pool-freed-on-cancel',
-        'cranberryscale/process/permit_issuer.py',
+        'cranberryscale/process/leased/permit_issuer.py',
         "('cancelled', 'silent', 'truncated')",
         "('silent', 'truncated')",
         ('pools',),
@@ -90,7 +90,7 @@
     ),
     mutants.Mutation(
         'pool-freed-by-another',
-        'cranberryscale/process/permit_issuer.py',
+        'cranberryscale/process/leased/permit_issuer.py',
         'permit.sender != sender',
         'False',
         ('pools',),
@@ -98,7 +98,7 @@
     ),
     mutants.Mutation(
         'pool-start-after-lease',
-        'cranberryscale/process/permit_issuer.py',
+        'cranberryscale/process/leased/permit_issuer.py',
         'return min(within_s, self.until_s - now_s)',
         'return within_s',
         ('pools',),
@@ -114,7 +114,7 @@
     ),
     mutants.Mutation(
         'ejection-floor-ignored',
-        'cranberryscale/process/outlier_ejection.py',
+        'cranberryscale/process/leased/outlier_ejection.py',
         'if len(self.records_in_use) > self._floor or self._restore_better(\n'
         '            record, now_s\n        ):',
         'if record.is_in_use:',
@@ -123,7 +123,7 @@
     ),
     mutants.Mutation(
         'trial-without-consent',
-        'cranberryscale/process/slot_selection.py',
+        'cranberryscale/process/leased/slot_selection.py',
         '        if not request.probe_ok:\n            return None\n',
         '',
         ('evidence',),
@@ -131,7 +131,7 @@
     ),
     mutants.Mutation(
         'evidence-no-threshold',
-        'cranberryscale/process/evidence.py',
+        'cranberryscale/process/leased/evidence.py',
         'ERROR_THRESHOLD = 12.5',
         'ERROR_THRESHOLD = 0.0',
         ('evidence',),
@@ -139,7 +139,7 @@
     ),
     mutants.Mutation(
         'evidence-no-reset',
-        'cranberryscale/process/server_records.py',
+        'cranberryscale/process/leased/server_records.py',
         '        self.evidence.reset()\n',
         '',
         ('evidence',),
--- a/cranberryscale_bench/pool_simulation.py
+++ b/cranberryscale_bench/pool_simulation.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from cranberryscale import messages
-from cranberryscale.process import pools
+from cranberryscale.process.leased import pools
 from cranberryscale.version import configuration
 from cranberryscale_bench import holder_pool
 from cranberryscale_bench import simulated_servers
--- a/cranberryscale_bench/statement_mutants.py
+++ b/cranberryscale_bench/statement_mutants.py
@@ -17,7 +17,7 @@
     ),
     mutants.Mutation(
         'limit-not-binding',
-        'cranberryscale/process/tracked_servers.py',
+        'cranberryscale/process/pool/tracked_servers.py',
         'if self.is_leaving or self.is_at_limit:',
         'if self.is_leaving:',
         ('server_limits',),
@@ -41,7 +41,7 @@
     ),
     mutants.Mutation(
         'limit-whole-on-each-side',
-        'cranberryscale/process/server_limits.py',
+        'cranberryscale/process/pool/server_limits.py',
         'return min(1.0, PART_MARGIN * up / known)',
         'return 1.0',
         ('limit_bounds',),
@@ -65,7 +65,7 @@
     ),
     mutants.Mutation(
         'limit-lifted-by-earlier-request',
-        'cranberryscale/process/server_limits.py',
+        'cranberryscale/process/pool/server_limits.py',
         'if known is None or sent_at <= known.stated_at:',
         'if known is None:',
         ('server_limits',),
@@ -73,7 +73,7 @@
     ),
     mutants.Mutation(
         'limit-late-permit-used',
-        'cranberryscale/process/dispatch.py',
+        'cranberryscale/process/pool/server_pool.py',
         'and now - granted_at > server_limits.CLAIM_TIME',
         'and False',
         ('server_limits',),
@@ -81,7 +81,7 @@
     ),
     mutants.Mutation(
         'limit-unused-permit-spent',
-        'cranberryscale/process/server_limits.py',
+        'cranberryscale/process/pool/server_limits.py',
         'if is_spent and not has_started and self._bucket is not None:',
         'if False:',
         ('server_limits',),
@@ -89,7 +89,7 @@
     ),
     mutants.Mutation(
         'limit-burst-at-start',
-        'cranberryscale/process/server_limits.py',
+        'cranberryscale/process/pool/server_limits.py',
         'self._bucket = fleet_buckets.Bucket(limits, phase, now)',
         'self._bucket = fleet_buckets.Bucket(\n'
         '                limits._replace(start=burst), phase, now\n'
@@ -99,7 +99,7 @@
     ),
     mutants.Mutation(
         'limit-return-not-queued',
-        'cranberryscale/process/return_schedule.py',
+        'cranberryscale/process/pool/return_schedule.py',
         'ahead = min(waiting + len(self._returns), MAX_RETURNS)',
         'ahead = 0',
         ('server_limits',),
@@ -107,7 +107,7 @@
     ),
     mutants.Mutation(
         'leaving-server-used',
-        'cranberryscale/process/server_ranking.py',
+        'cranberryscale/process/pool/server_ranking.py',
         'if name not in request.excluded and not server.is_leaving',
         'if name not in request.excluded',
         ('server_statements',),
@@ -115,7 +115,7 @@
     ),
     mutants.Mutation(
         'leaving-server-started',
-        'cranberryscale/process/tracked_servers.py',
+        'cranberryscale/process/pool/tracked_servers.py',
         'if self.is_leaving or self.is_at_limit:',
         'if self.is_at_limit:',
         ('server_statements',),
@@ -123,7 +123,7 @@
     ),
     mutants.Mutation(
         'leaving-ended-by-earlier-request',
-        'cranberryscale/process/server_statements.py',
+        'cranberryscale/process/pool/server_statements.py',
         'elif known is not None and sent_at > known.stated_at:',
         'elif known is not None:',
         ('server_statements',),
@@ -139,7 +139,7 @@
     ),
     mutants.Mutation(
         'rest-for-all-instances',
-        'cranberryscale/process/server_statements.py',
+        'cranberryscale/process/pool/server_statements.py',
         'self.record(server, statement, sent_at, now)',
         'self.record_own(server, statement, sent_at, now)',
         ('server_statements',),
@@ -147,7 +147,7 @@
     ),
     mutants.Mutation(
         'rest-unbounded',
-        'cranberryscale/process/server_statements.py',
+        'cranberryscale/process/pool/server_statements.py',
         'min(rest_s, MAX_REST.total_seconds()),',
         'rest_s,',
         ('server_statements',),
@@ -155,7 +155,7 @@
     ),
     mutants.Mutation(
         'rest-shortened',
-        'cranberryscale/process/server_statements.py',
+        'cranberryscale/process/pool/server_statements.py',
         'if known is None or known.until < until:',
         'if True:',
         ('server_statements',),
@@ -163,7 +163,7 @@
     ),
     mutants.Mutation(
         'rest-unknown-to-holder',
-        'cranberryscale/process/dispatch.py',
+        'cranberryscale/process/pool/server_pool.py',
         'if statement is not None and statement.rest_s:',
         'if False:',
         ('server_statements',),
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -11,9 +11,9 @@
 from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import metrics
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_statements
 from cranberryscale.process import quotas
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
 from cranberryscale.request import actions
 from cranberryscale.request import core_admission
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from cranberryscale.process import dispatch
-from cranberryscale.process import dispatch_requests
-from cranberryscale.process import health
-from cranberryscale.process import retry_budgets
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import health
+from cranberryscale.process.pool import retry_budgets
+from cranberryscale.process.pool import server_pool
 from cranberryscale.version import configuration
 
 
@@ -50,7 +50,7 @@
 
 def make_pool(published):
     budget = retry_budgets.RetryBudget(0.2, 60, 10 * SECOND)
-    pool = dispatch.ServerPool('x', budget)
+    pool = server_pool.ServerPool('x', budget)
     pool.load_servers(published)
     return pool
 
@@ -721,7 +721,7 @@
 def test_repeat_that_is_not_collected_costs_no_budget(is_granted):
     """The first server may answer while the repeat waits for another one."""
     budget = retry_budgets.RetryBudget(0.0, 10, 10 * SECOND)
-    pool = dispatch.ServerPool('x', budget)
+    pool = server_pool.ServerPool('x', budget)
     pool.load_servers(make_configuration(1, slots=1))
     now = START
     for number in range(50):
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -6,8 +6,8 @@
 import pytest
 
 from cranberryscale import messages
-from cranberryscale.process import evidence
-from cranberryscale.process import server_records
+from cranberryscale.process.leased import evidence
+from cranberryscale.process.leased import server_records
 from cranberryscale.version import configuration
 from cranberryscale_bench import pool_simulation
 from cranberryscale_bench import pools
--- a/tests/test_limit_bounds.py
+++ b/tests/test_limit_bounds.py
@@ -16,9 +16,9 @@
 import test_published
 
 from cranberryscale import messages
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_statements
 from cranberryscale.process import roster
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -9,8 +9,8 @@
 
 from cranberryscale import errors
 from cranberryscale import messages
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_statements
 from cranberryscale.process import shards
 from cranberryscale.version import replica
 from cranberryscale.version import view
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -8,8 +8,8 @@
 import pytest
 
 from cranberryscale import messages
-from cranberryscale.process import fair_queue
-from cranberryscale.process import pools
+from cranberryscale.process.leased import fair_queue
+from cranberryscale.process.leased import pools
 from cranberryscale.version import configuration
 
 
--- a/tests/test_ramps.py
+++ b/tests/test_ramps.py
@@ -1,8 +1,8 @@
 """Tests of slow start."""
 
 from cranberryscale import messages
-from cranberryscale.process import server_records
-from cranberryscale.process import slow_start
+from cranberryscale.process.leased import server_records
+from cranberryscale.process.leased import slow_start
 from cranberryscale.version import configuration
 
 
--- a/tests/test_run_once.py
+++ b/tests/test_run_once.py
@@ -11,9 +11,9 @@
 import random
 from typing import NamedTuple
 
-from cranberryscale.process import dispatch
-from cranberryscale.process import dispatch_requests
-from cranberryscale.process import retry_budgets
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import retry_budgets
+from cranberryscale.process.pool import server_pool
 from cranberryscale.version import configuration
 
 
@@ -116,7 +116,7 @@
     @staticmethod
     def _make_pool(domain):
         budget = retry_budgets.RetryBudget(0.2, 20, 10 * SECOND)
-        return dispatch.ServerPool(
+        return server_pool.ServerPool(
             'x', budget, lambda server: server.domain == domain
         )
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -6,12 +6,12 @@
 import test_dispatch
 
 from cranberryscale.platform import header_names
-from cranberryscale.process import dispatch
-from cranberryscale.process import dispatch_requests
 from cranberryscale.process import fleet_buckets
-from cranberryscale.process import retry_budgets
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import retry_budgets
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_pool
+from cranberryscale.process.pool import server_statements
 from cranberryscale.version import configuration
 
 
@@ -147,7 +147,7 @@
         self.table = statements.limits
         self.ratio = 1.0
         budget = retry_budgets.RetryBudget(0.2, 60, 10 * SECOND)
-        self.pool = dispatch.ServerPool(
+        self.pool = server_pool.ServerPool(
             'x',
             budget,
             statements=statements,
--- a/tests/test_server_statements.py
+++ b/tests/test_server_statements.py
@@ -13,11 +13,11 @@
 import test_limited_servers
 
 from cranberryscale.platform import header_names
-from cranberryscale.process import dispatch
-from cranberryscale.process import dispatch_requests
-from cranberryscale.process import retry_budgets
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
+from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import retry_budgets
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_pool
+from cranberryscale.process.pool import server_statements
 from standins import machines
 
 
@@ -117,7 +117,7 @@
     published = test_dispatch.make_configuration(count, slots)
     statements = make_table(servers=count)
     budget = retry_budgets.RetryBudget(0.2, 60, 10 * SECOND)
-    pool = dispatch.ServerPool('x', budget, statements=statements)
+    pool = server_pool.ServerPool('x', budget, statements=statements)
     pool.load_servers(published)
     return pool, statements
 
