Tell a shard's holder whose request it is and of which kind

Cause: a holder knows priority and target of a request only, so requests with equal targets are one kind to it, and customers are not told apart.

Change: questions for a server carry the customer and the route's name. Nothing decides by them yet; fair shares and estimates of work will.

Measured: tests of core, flow, messages and dispatch pass.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -62,6 +62,8 @@
         message.is_idempotent,
         message.may_wait,
         message.is_new,
+        message.customer,
+        message.kind,
     )
 
 
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -423,7 +423,8 @@
 
     See dispatch_requests.DispatchRequest. `limits` are those in force at the
     shard's servers as far as the sender knows. `history` is what it knows of
-    the request, None for one that runs once.
+    the request, None for one that runs once. `customer` is empty for requests
+    without a key. `kind` names requests that are alike.
     """
 
     shard: shards.Shard
@@ -439,6 +440,8 @@
     is_new: bool = True
     limits: tuple[server_limits.ServerLimit, ...] = ()
     history: request_crashes.RequestHistory | None = None
+    customer: str = ''
+    kind: str = ''
 
 
 class ServerReply(NamedTuple):
--- a/cranberryscale/process/pool/dispatch_requests.py
+++ b/cranberryscale/process/pool/dispatch_requests.py
@@ -24,7 +24,8 @@
     `target` is the latency within which the response is on time, counted from
     the arrival of the request `waited` ago; `remaining` is the time left.
     Unless it `may_wait`, the request is for a free slot at a healthy server
-    only.
+    only. `customer` is empty for requests without a key; `kind` names requests
+    that are alike.
     """
 
     request_id: str
@@ -41,6 +42,8 @@
     # limited. A request may be sent to several pools, and again after a
     # failed connection, but counts once.
     is_new: bool = True
+    customer: str = ''
+    kind: str = ''
 
 
 class DispatchPermit(NamedTuple):
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -103,6 +103,7 @@
     `waited` ago. `probe_ok` allows a trial at an ejected server. `is_repeat`
     marks another attempt of a request that a server has already received.
     `digest` is that of request_crashes, empty for requests that run once.
+    `kind` names requests that are alike: those of one route.
     """
 
     service: str
@@ -115,6 +116,7 @@
     priority: int = 0
     is_repeat: bool = False
     digest: bytes = b''
+    kind: str = ''
 
 
 class ForwardRequest(NamedTuple):
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -412,6 +412,8 @@
             not (action.excluded or query.is_second_queue),
             limits,
             history,
+            action.customer,
+            action.kind,
         )
         timeout = core_driver.HOLDER_TIMEOUT
         if query.may_wait:
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -58,6 +58,7 @@
         state.context.read_elapsed() - state.request.received,
         state.priority,
         state.has_reached_server,
+        kind=state.route.name,
     )
     match (yield action):
         case actions.PermitGranted() as permit:
