Prefer servers to which the instance has an idle connection

Each takes a round trip and work of the server, and requests that run once reuse only connections that were in use within the last second.

Change: the holder of a shard remembers from permits and reports which instance used which server and when. Among servers with a third of their slots free, such a server, or one that got no request for a second, outweighs one more running request.

--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -323,7 +323,7 @@
             server.definition.name,
             self._latencies.find_first_byte_timeout(request.target),
         )
-        server.start_request(permit.permit_id, now)
+        server.start_request(permit.permit_id, now, request.sender)
         self._running[permit.permit_id] = _RunningRequest(
             server.definition.name,
             request.sender,
@@ -395,6 +395,7 @@
     ) -> None:
         match outcome:
             case 'ok':
+                server.connections.release(running.sender, now)
                 usual = self._latencies.estimate_latency(running.kind)
                 server.health.record_success(
                     latency / usual, now, now - latency
--- a/cranberryscale/process/pool/server_ranking.py
+++ b/cranberryscale/process/pool/server_ranking.py
@@ -3,7 +3,8 @@
 Load pattern: servers that fail most requests at once always have free slots,
 so they must not attract the requests for which the healthy servers have no
 slot. Where a failure costs no more than a retry, such servers get trial
-requests instead of staying idle.
+requests instead of staying idle. Among servers with room to spare, those to
+which the instance has an idle connection are preferred.
 """
 
 from collections.abc import Iterable
@@ -25,6 +26,10 @@
 # sheds a third of its requests is used only when all others are full.
 SHED_COST = 3.0
 UNHEALTHY_COST = 10.0
+# An idle connection outweighs one more running request, as long as the server
+# has a third of its slots free: some servers slow down when nearly full.
+REUSE_SLOTS = 1.5
+MAX_REUSE_UTILIZATION = 2 / 3
 # Idempotent requests arrive at random; after this time without one,
 # non-idempotent requests have to do the trials. Ejected servers are tried
 # every 3 s (health.EJECTION_TIME).
@@ -283,6 +288,23 @@
         can_explore = self._lacks_idempotent and server.is_unused(now)
         return not (request.is_idempotent or can_explore)
 
+    def _saves_handshake(
+        self,
+        server: tracked_servers.TrackedServer,
+        request: dispatch_requests.DispatchRequest,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether an idle connection to the server may be used.
+
+        Unused servers count as if they had one, so that they stay in use.
+        """
+        used = (len(server.running) + 1) / server.definition.slots
+        if used > MAX_REUSE_UTILIZATION:
+            return False
+        return server.is_unused(now) or server.connections.is_reusable(
+            request.sender, request.is_idempotent, now
+        )
+
     def _find_cost(
         self,
         server: tracked_servers.TrackedServer,
@@ -290,6 +312,8 @@
         now: datetime.timedelta,
     ) -> float:
         cost = len(server.running) / server.definition.slots
+        if self._saves_handshake(server, request, now):
+            cost -= REUSE_SLOTS / server.definition.slots
         cost += SHED_COST * server.health.find_shed_ratio(now)
         if not server.is_unused(now):
             cost += max(0.0, server.health.latency_ratio - 1.0)
--- a/cranberryscale/process/pool/tracked_servers.py
+++ b/cranberryscale/process/pool/tracked_servers.py
@@ -7,6 +7,7 @@
 
 from cranberryscale.process import fleet_buckets
 from cranberryscale.process.pool import health
+from cranberryscale.process.pool import idle_connections
 from cranberryscale.process.pool import server_limits
 from cranberryscale.version import configuration
 
@@ -40,6 +41,7 @@
     def __init__(self, definition: configuration.BackendServer):
         self.definition = definition
         self.health = health.ServerHealth()
+        self.connections = idle_connections.IdleConnections()
         self.running: dict[int, datetime.timedelta] = {}
         self.limit: server_limits.LimitedStarts | None = None
         self.is_leaving = False
@@ -119,9 +121,12 @@
             self.limit = server_limits.LimitedStarts(self.definition.name)
         self.limit.update(rate_per_s, position, now)
 
-    def start_request(self, permit_id: int, now: datetime.timedelta) -> None:
-        """Record that a request may start."""
+    def start_request(
+        self, permit_id: int, now: datetime.timedelta, sender: str = ''
+    ) -> None:
+        """Record that a request of an instance may start."""
         self.running[permit_id] = now
+        self.connections.claim(sender)
         self.start_times.append(now)
         if self.limit is not None:
             self.limit.spend(permit_id)
