Tell queued requests when they have a result

Each report of an ended request woke all queued requests; each replied and asked again. A queue of 100 also took all 96 threads for messages. Ruled out: failing servers (none were disrupted in these seconds) and lost instances.

Change: a queued request is answered at once; the holder announces its result with a message, and the sender collects it. Holders are large instances where sizes differ. A search that found no server is not repeated for requests for which the same servers may be used, and the queue is reviewed every 20 ms.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -199,6 +199,14 @@
         for pool in self.pools.values():
             pool.load_servers(self._loaded_configuration)
 
+    def collect_results(self) -> tuple[dispatch_requests.ResultNotice, ...]:
+        """Return the queued requests that got a result since the last call."""
+        return tuple(
+            notice
+            for pool in self.pools.values()
+            for notice in pool.collect_results()
+        )
+
     def _get_pool(self, shard: shards.Shard) -> server_pool.ServerPool:
         pool = self.pools.get(shard)
         if pool is None:
--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -6,8 +6,10 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from concurrent import futures
+import contextlib
 import datetime
 import threading
 from typing import Any
@@ -22,6 +24,7 @@
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale import messages
+from cranberryscale.process.pool import dispatch_requests
 from cranberryscale.process import roster
 from cranberryscale.process import store_follower
 from cranberryscale.version import replica
@@ -32,9 +35,6 @@
 PEER_THREADS = 96
 WORKERS = 12
 TICK_INTERVAL = datetime.timedelta(milliseconds=100)
-# How long a queued request occupies a thread of the holder before its sender
-# has to repeat the message.
-QUEUE_WAIT = datetime.timedelta(milliseconds=250)
 # A call between failure domains takes 2 ms. The retransmission of a lost
 # packet takes 200 ms, which is too long to wait for.
 HOLDER_TIMEOUT = datetime.timedelta(milliseconds=150)
@@ -86,7 +86,9 @@
         self.lock = threading.RLock()
         self.store = store
         self._clock = clock
-        self._changed = threading.Condition(self.lock)
+        # Set when a holder tells that a queued request has a result, by the
+        # request's id in messages.
+        self._results_ready: dict[str, threading.Event] = {}
         self._stopping = threading.Event()
         self._unresponsive_until: dict[str, datetime.timedelta] = {}
         self._store_is_up: bool | None = None
@@ -232,20 +234,49 @@
         return self._handle_locally(frame.sender, message)
 
     def _handle_locally(self, sender: str, message: Any) -> Any:
-        with self._changed:
+        if isinstance(message, messages.ResultReady):
+            self._set_ready(message.request_id)
+            return messages.Done()
+        with self.lock:
             reply = self._handle_message(sender, message)
-            match message:
-                case messages.AskServer():
-                    is_queued = not (reply.server or reply.code)
-                    if is_queued and message.may_wait:
-                        self._changed.wait(QUEUE_WAIT.total_seconds())
-                        reply = self._handle_message(sender, message)
-                case messages.FinishRequest():
-                    self._changed.notify_all()
-        if isinstance(message, messages.AskServer):
-            self._log_dispatch(sender, message, reply)
+            notices = self.core.collect_results()
+        match message:
+            case messages.AskServer():
+                self._log_dispatch(sender, message, reply)
+        self._send_notices(notices)
         return reply
 
+    # Queued requests
+
+    @contextlib.contextmanager
+    def follow_result(self, request_id: str) -> Iterator[threading.Event]:
+        """Yield an event that is set when a queued request has a result."""
+        ready = self._results_ready[request_id] = threading.Event()
+        try:
+            yield ready
+        finally:
+            del self._results_ready[request_id]
+
+    def _set_ready(self, request_id: str) -> None:
+        ready = self._results_ready.get(request_id)
+        if ready is not None:
+            ready.set()
+
+    def _send_notices(
+        self, notices: tuple[dispatch_requests.ResultNotice, ...]
+    ) -> None:
+        """Tell the senders of queued requests that these have results.
+
+        A sender that does not get the notice collects the result later.
+        """
+        for notice in notices:
+            if notice.sender == self.core.instance_settings.name:
+                self._set_ready(notice.request_id)
+            else:
+                self.send(
+                    notice.sender, messages.ResultReady(notice.request_id)
+                )
+
     def _log_dispatch(
         self,
         sender: str,
@@ -286,17 +317,17 @@
 
     def _tick(self) -> None:
         while not self._stopping.wait(TICK_INTERVAL.total_seconds()):
-            with self._changed:
+            with self.lock:
                 now = self._clock.read_elapsed()
                 events = self.core.advance(now)
                 changes = tuple(self.core.statements.collect_changes(now))
-                if any(p.has_results for p in self.core.pools.values()):
-                    self._changed.notify_all()
+                notices = self.core.collect_results()
                 histories = tuple(self.core.collect_histories(now))
                 targets = ()
                 if self.core.roster.has_updates:
                     targets = self.core.roster.choose_update_targets()
                     check = self._make_check()
+            self._send_notices(notices)
             self.log_events(events)
             for change in changes:
                 logs.log_event(
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -53,6 +53,7 @@
     'PoolSummaryReply',
     'PullChanges',
     'QuotaReply',
+    'ResultReady',
     'ReturnTokens',
     'ServerReply',
     'ServerSummary',
@@ -484,6 +485,15 @@
     history: request_crashes.RequestHistory | None = None
 
 
+class ResultReady(NamedTuple):
+    """A notice to the sender of a queued request that it has a result.
+
+    The sender collects the result by repeating its question.
+    """
+
+    request_id: str
+
+
 class Done(NamedTuple):
     """The acknowledgement of a message that has no other reply.
 
@@ -536,6 +546,7 @@
     32: AskServer,
     33: ServerReply,
     34: FinishRequest,
+    35: ResultReady,
 }
 _TAG_OF = {kind: tag for tag, kind in _TAGS.items()}
 _DECODERS = {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TAGS.items()}
--- a/cranberryscale/process/pool/dispatch_requests.py
+++ b/cranberryscale/process/pool/dispatch_requests.py
@@ -11,6 +11,7 @@
     'DispatchResult',
     'OVERDUE',
     'QueuePlace',
+    'ResultNotice',
 ]
 
 ZERO = datetime.timedelta(0)
@@ -77,4 +78,11 @@
     doubt: int = 0
 
 
+class ResultNotice(NamedTuple):
+    """A queued request that has a result, and the instance that waits."""
+
+    sender: str
+    request_id: str
+
+
 DispatchResult = DispatchPermit | DispatchDenial | QueuePlace
--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -13,6 +13,7 @@
 the time at which the limits have room for them).
 """
 
+import collections
 from collections.abc import Callable
 import datetime
 import heapq
@@ -37,10 +38,14 @@
 
 ZERO = datetime.timedelta(0)
 SECOND = datetime.timedelta(seconds=1)
-# An instance polls for its queued request within this time; one that does not
+# An instance asks for its queued request within this time; one that does not
 # is gone.
-POLL_TIMEOUT = datetime.timedelta(milliseconds=600)
+QUEUE_TIMEOUT = datetime.timedelta(milliseconds=900)
+# It is told when there is a result, and collects it within this time.
+COLLECT_TIMEOUT = datetime.timedelta(milliseconds=600)
 QUEUE_LIMIT = 512
+# How often it is decided anew whether queued requests can still be served.
+REVIEW_INTERVAL = datetime.timedelta(milliseconds=20)
 MIN_RETRY_AFTER = datetime.timedelta(milliseconds=100)
 # Above this utilization, arrivals count as a surge.
 SURGE_UTILIZATION = 0.95
@@ -133,6 +138,11 @@
         self._latencies = load_statistics.LatencyEstimator()
         self._arrivals = load_statistics.ArrivalCounter()
         self._permit_ids = itertools.count(1)
+        self._reviewed_at = ZERO
+        # Queued requests that got a result and whose senders are not told.
+        self._notices: collections.deque[dispatch_requests.ResultNotice] = (
+            collections.deque(maxlen=QUEUE_LIMIT)
+        )
 
     def load_servers(self, published: configuration.Configuration) -> None:
         """Replace the published servers; drop the state of all others.
@@ -418,26 +428,63 @@
         self._expire(now)
         if not self._queued:
             return
-        for queued in tuple(self._queued.values()):
-            self._drop_or_deny(queued, now)
+        if now - self._reviewed_at >= REVIEW_INTERVAL:
+            self._reviewed_at = now
+            for queued in tuple(self._queued.values()):
+                self._drop_or_deny(queued, now)
+        self._grant_queued(now)
+
+    def _grant_queued(self, now: datetime.timedelta) -> None:
+        """Grant free slots to queued requests, in their order.
+
+        Requests for which the same servers may be used are not tried again
+        after one of them found none: with a long queue and free slots at
+        ejected servers only, each report would cost a search by each request.
+        """
+        if not self._has_free_slot:
+            return
+        tried = set()
         for queued in sorted(
             self._queued.values(), key=lambda q: self._find_queue_order(q, now)
         ):
-            if not any(s.has_free_slot for s in self._ranker.tracked.values()):
-                return
             request = queued.make_current_request(now)
+            alike = self._describe_choice(request)
+            if alike in tried:
+                continue
             server = self._choose_server(request, now)
-            if server is not None:
-                del self._queued[request.request_id]
-                permit = self._grant(request, server, now)
-                self._granted[request.request_id] = (permit, now)
+            if server is None:
+                tried.add(alike)
+                continue
+            del self._queued[request.request_id]
+            permit = self._grant(request, server, now)
+            self._granted[request.request_id] = (permit, now)
+            self._add_notice(request)
+            if not self._has_free_slot:
+                return
+
+    @property
+    def _has_free_slot(self) -> bool:
+        return any(s.has_free_slot for s in self._ranker.tracked.values())
+
+    def _describe_choice(
+        self, request: dispatch_requests.DispatchRequest
+    ) -> tuple[object, ...]:
+        """Return what decides whether there is a server for a request now."""
+        usual = self._latencies.estimate_latency(request.target)
+        return (
+            request.priority,
+            request.is_idempotent,
+            request.is_repeat,
+            request.excluded,
+            request.waited + usual >= request.target,
+        )
 
     def _drop_or_deny(
         self, queued: _QueuedRequest, now: datetime.timedelta
     ) -> None:
         """Remove a queued request that can no longer be served here."""
         request = queued.request
-        if now - queued.polled_at > POLL_TIMEOUT:
+        if now - queued.polled_at > QUEUE_TIMEOUT:
             # The instance stopped polling: it is gone, or needs no server.
             self._remove_queued(request)
         elif (
@@ -462,6 +509,7 @@
     ) -> None:
         self._remove_queued(request)
         self._denied[request.request_id] = denial
+        self._add_notice(request)
 
     def _remove_queued(
         self, request: dispatch_requests.DispatchRequest
@@ -471,10 +519,16 @@
         if request.is_repeat:
             self._retry_budget.refund()
 
-    @property
-    def has_results(self) -> bool:
-        """Return whether results of queued requests wait for a poll."""
-        return bool(self._granted or self._denied)
+    def _add_notice(self, request: dispatch_requests.DispatchRequest) -> None:
+        self._notices.append(
+            dispatch_requests.ResultNotice(request.sender, request.request_id)
+        )
+
+    def collect_results(self) -> tuple[dispatch_requests.ResultNotice, ...]:
+        """Return the queued requests that got a result since the last call."""
+        notices = tuple(self._notices)
+        self._notices.clear()
+        return notices
 
     def _expire(self, now: datetime.timedelta) -> None:
         """Release the permits of requests that are past their deadline.
@@ -490,7 +544,7 @@
         unclaimed = [
             (request_id, permit.permit_id)
             for request_id, (permit, at) in self._granted.items()
-            if now - at > POLL_TIMEOUT
+            if now - at > COLLECT_TIMEOUT
         ]
         for request_id, permit_id in unclaimed:
             del self._granted[request_id]
--- a/cranberryscale/process/roster.py
+++ b/cranberryscale/process/roster.py
@@ -51,6 +51,8 @@
 JOIN_QUIET_TIME = datetime.timedelta(milliseconds=200)
 # An instance coordinates others only after it has learned their state.
 MIN_HOLDER_UPTIME = datetime.timedelta(seconds=2)
+# Instances with at least this part of the cores of the largest one are large.
+LARGE_RATIO = 0.5
 # Differences of start times beyond it do not matter.
 MAX_AGE_AHEAD_MS = 3_600_000
 
@@ -97,6 +99,15 @@
     until: datetime.timedelta
 
 
+def _list_large(
+    records: Iterable[InstanceRecord],
+) -> tuple[InstanceRecord, ...]:
+    """Return the large instances among the records."""
+    records = tuple(records)
+    limit = LARGE_RATIO * max((r.cores for r in records), default=0.0)
+    return tuple(r for r in records if r.cores >= limit)
+
+
 class Roster:
     """Table of the records of all instances; `rng` draws check targets."""
 
@@ -246,6 +257,8 @@
     ) -> str:
         """Return the instance that coordinates a resource, maybe this one.
 
+        It is one of the large instances, since coordination takes up to
+        several times the processor time of an instance's other work.
         With a domain it is an instance of that domain, as long as there is
         one. Without the `excluded` holder it is its successor. Every instance
         chooses from its own records. A short disagreement between two is
@@ -276,7 +289,9 @@
             for r in ready
         }
         eligible = [r for r in ready if now >= eligible_from[r]]
-        chosen = rendezvous.choose_candidate(eligible or ready, resource)
+        chosen = rendezvous.choose_candidate(
+            _list_large(eligible or ready), resource
+        )
         name = chosen.name if chosen else self.own_record.name
         later = (at for at in eligible_from.values() if at > now)
         return _HolderChoice(name, now, min(later, default=_NEVER))
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import datetime
+import threading
 from typing import NamedTuple
 
 from cranberryscale import clock as clocks
@@ -51,6 +52,11 @@
 # waited for in the order of arrival, so otherwise requests with much time
 # would take the tokens that urgent ones with little time cannot wait for.
 LESS_URGENT_WAIT_RATIO = 1 / 2
+# A queued request is told when it has a result; it asks again after this time
+# in case that message was lost, and so keeps its place.
+QUEUE_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
+# How soon the answer to an earlier attempt ends the wait in a queue.
+ANSWER_POLL_INTERVAL = datetime.timedelta(milliseconds=20)
 # A second queue is tried if the first one refuses the request after all.
 MAX_QUEUES_TRIED = 2
 
@@ -69,6 +75,11 @@
     # Whether another queue was tried before.
     is_second_queue: bool = False
 
+    @property
+    def message_id(self) -> str:
+        """Return the id of the request in messages, new for each attempt."""
+        return f'{self.request_id}/{len(self.action.excluded)}'
+
 
 class _ShardReply(NamedTuple):
     """Reply of a shard's holder."""
@@ -367,15 +378,37 @@
     def _wait_in_queue(
         self, query: _ServerQuery, is_answered: Callable[[], bool]
     ) -> actions.PermitGranted | actions.AdmissionDenied:
-        while True:
-            shard_reply = self._query_shard_holder(query)
-            if shard_reply is None:
-                self._record_local_decision('pool')
-                return self._choose_locally(query.action, query.request_id)
-            if shard_reply.reply.server or shard_reply.reply.code:
-                return self._make_event(query, shard_reply)
-            if is_answered():
-                return actions.AdmissionDenied('pool_busy')
+        with self._driver.follow_result(query.message_id) as ready:
+            while True:
+                ready.clear()
+                shard_reply = self._query_shard_holder(query)
+                if shard_reply is None:
+                    self._record_local_decision('pool')
+                    return self._choose_locally(query.action, query.request_id)
+                if shard_reply.reply.server or shard_reply.reply.code:
+                    return self._make_event(query, shard_reply)
+                self._wait_for_result(query, ready, is_answered)
+                if is_answered():
+                    return actions.AdmissionDenied('pool_busy')
+
+    def _wait_for_result(
+        self,
+        query: _ServerQuery,
+        ready: threading.Event,
+        is_answered: Callable[[], bool],
+    ) -> None:
+        """Wait until the holder has a result or is to be asked again.
+
+        An earlier attempt of the request may be answered meanwhile.
+        """
+        now = self._clock.read_elapsed()
+        ends_at = query.started_at + query.action.remaining
+        until = min(now + QUEUE_POLL_INTERVAL, ends_at)
+        step = ANSWER_POLL_INTERVAL if query.action.is_repeat else until - now
+        while now < until and not is_answered():
+            if ready.wait(min(step, until - now).total_seconds()):
+                return
+            now = self._clock.read_elapsed()
 
     def _query_shard_holder(self, query: _ServerQuery) -> _ShardReply | None:
         """Return the reply of the shard's holder, or None without one."""
@@ -400,7 +433,7 @@
             return None
         message = messages.AskServer(
             query.shard,
-            f'{query.request_id}/{len(action.excluded)}',
+            query.message_id,
             action.target.total_seconds(),
             (action.waited + elapsed).total_seconds(),
             remaining.total_seconds(),
@@ -415,11 +448,10 @@
             action.customer,
             action.kind,
         )
-        timeout = core_driver.HOLDER_TIMEOUT
-        if query.may_wait:
-            timeout += core_driver.QUEUE_WAIT
         try:
-            reply = self._driver.call_instance(holder, message, timeout)
+            reply = self._driver.call_instance(
+                holder, message, core_driver.HOLDER_TIMEOUT
+            )
         except errors.FleetError as error:
             self._record_missing_holder(action.service, holder, error)
             return None
--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -1,5 +1,6 @@
 """Tests of the connections of an instance to other instances."""
 
+from concurrent import futures
 import datetime
 
 import pytest
@@ -9,6 +10,9 @@
 from cranberryscale import core_driver
 from cranberryscale import errors
 from cranberryscale import messages
+from cranberryscale.process import metrics
+from cranberryscale.request import actions
+from cranberryscale.request import core_admission
 from standins import machines
 
 
@@ -58,3 +62,72 @@
     driver.close_unknown_peers()
     assert driver.client.addresses == {SEED}
     driver.close()
+
+
+def ask_server(driver, number, **fields):
+    """Ask this instance, which is the holder, for a server."""
+    message = test_core.make_ask_server(
+        request_id=f'r{number}/0', remaining_s=600.0, target_s=1.0, **fields
+    )
+    return driver.call_instance('10.0.0.1:1', message, test_core.SECOND)
+
+
+def finish_request(driver, permit_id):
+    message = messages.FinishRequest(test_core.SHARD, permit_id, 'ok', 0.1)
+    driver.call_instance('10.0.0.1:1', message, test_core.SECOND)
+
+
+def test_queued_request_is_told_once_that_it_has_a_result():
+    """Guards holders against waking all queued requests at each report."""
+    driver = make_driver()
+    permits = [ask_server(driver, n) for n in range(100)]
+    granted = [reply for reply in permits if reply.server]
+    assert len(granted) == 2
+    first, second = len(granted), len(granted) + 1
+    with (
+        driver.follow_result(f'r{first}/0') as first_ready,
+        driver.follow_result(f'r{second}/0') as second_ready,
+    ):
+        finish_request(driver, granted[0].permit_id)
+        assert first_ready.is_set()
+        assert not second_ready.is_set()
+        assert ask_server(driver, first).server
+        finish_request(driver, granted[-1].permit_id)
+        assert second_ready.is_set()
+    driver.close()
+
+
+class MessageCounter:
+    """Counts the questions for a server at a driver."""
+
+    def __init__(self, driver):
+        self.asked = 0
+        self._call = driver.call_instance
+        driver.call_instance = self.call
+
+    def call(self, target, message, timeout):
+        self.asked += isinstance(message, messages.AskServer)
+        return self._call(target, message, timeout)
+
+
+def test_queued_request_asks_again_only_for_its_result():
+    driver = make_driver()
+    context = core_admission.CoreDecisionContext(driver.core, driver._clock)
+    admission = core_admission.CoreAdmission(
+        driver, context, driver._clock, metrics.Metrics()
+    )
+    replies = [ask_server(driver, n) for n in range(60)]
+    granted = [reply.permit_id for reply in replies if reply.server]
+    counter = MessageCounter(driver)
+    action = actions.AskPermit('x', 'c', 600 * test_core.SECOND, (), True)
+    with futures.ThreadPoolExecutor(1) as pool:
+        result = pool.submit(admission.ask_permit, action, 'last')
+        machines.FleetEnvironment.wait_for(lambda: counter.asked == 2, 5)
+        for number in range(len(granted), len(replies)):
+            finish_request(driver, granted.pop(0))
+            granted.append(ask_server(driver, number).permit_id)
+        finish_request(driver, granted.pop(0))
+        assert result.result(5).server == 'i1'
+        # Two to get a place, those of the others, and one to collect.
+        assert counter.asked == 2 + 58 + 1
+    driver.close()
