Read the store's responses strictly and within a time limit

Cause: responses of the store were read by http.client, which takes 0200, +200, 2_00 and 200 after other white space for 200, HTTP/0.9 and HTTP/1.2 for HTTP/1, and control characters in a reason, and skips interim responses with the status 100 without end, so that the reader never returned.

Change: connection/http_calls.py reads such calls with the parser for backend servers. The head must arrive within the call's timeout and the body within the timeout after it, as before; now interim responses count as well.

--- a/cranberryscale/platform/store.py
+++ b/cranberryscale/platform/store.py
@@ -4,15 +4,14 @@
 import binascii
 from collections.abc import Iterable
 import datetime
-import socket
 from typing import Annotated
 from typing import NamedTuple
 
 from absl import logging
 import msgspec
-import urllib3
 
 from cranberryscale import clock as clocks
+from cranberryscale.connection import http_calls
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale.platform import entry_decoding
@@ -31,6 +30,7 @@
 # A page has up to 500 entries or 1 MB. The limit ends reads of a store that
 # always reports another page.
 PAGE_LIMIT = 1000
+CONNECTIONS = 2
 BLOCK_BYTES = 65536
 # Several times the largest page. Memory must not grow with a faulty response.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -105,15 +105,8 @@
         self._address = address
         self._pool = self._make_pool()
 
-    def _make_pool(self) -> urllib3.HTTPConnectionPool:
-        host, port = self._address.rsplit(':', 1)
-        return urllib3.HTTPConnectionPool(
-            host,
-            int(port),
-            maxsize=2,
-            retries=False,
-            socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
-        )
+    def _make_pool(self) -> http_calls.CallPool:
+        return http_calls.CallPool(self._address, self._clock, CONNECTIONS)
 
     def read_all(self) -> PlatformStoreUpdate:
         """Return a snapshot of all entries."""
@@ -174,24 +167,14 @@
         response_type: type,
     ):
         self.calls += 1
-        seconds = timeout.total_seconds()
         try:
-            response = self._pool.request(
-                'GET',
-                path,
-                fields=fields,
-                redirect=False,
-                preload_content=False,
-                timeout=urllib3.Timeout(total=seconds),
-            )
+            response = self._pool.request('GET', path, fields, timeout)
             body = self._read_body(response, timeout)
-        except urllib3.exceptions.HTTPError as error:
+        except http_calls.CallFailed as error:
             # Other connections of the pool may be dead as well.
             self._pool.close()
             self._pool = self._make_pool()
-            raise errors.make_error(
-                'platform_unavailable', type(error).__name__
-            ) from error
+            raise errors.make_error('platform_unavailable', error) from error
         if response.status == _STATUS_GONE:
             raise _RevisionTooOld(path)
         if response.status != 200:
@@ -202,7 +185,7 @@
             raise errors.make_error('platform_malformed', error) from error
 
     def _read_body(
-        self, response: urllib3.BaseHTTPResponse, timeout: datetime.timedelta
+        self, response: http_calls.CallResponse, timeout: datetime.timedelta
     ) -> bytes:
         """Return the body; a response may be faulty and never end."""
         until = self._clock.read_elapsed() + timeout
