Check a configuration before it is written to the store

Operators asked for a check of a configuration before it is sent: the store's acknowledgement starts the time limit for putting it in force, and decoding merges duplicate services, customers and keys without a word.

`check-configuration FILE [--in-force FILE] [--json]` reads files only. platform/configuration_check.py inspects the rows before they are decoded; version/findings.py and version/differences.py work on the decoded policy. Exit code 5, warnings only, is new; the others keep their meaning.

The names of the rows in entry_decoding are public for this, and the listeners' limits have a name; behavior is unchanged.

--- a/cranberryscale/commands.py
+++ b/cranberryscale/commands.py
@@ -2,7 +2,8 @@
 
 All sub-commands are read-only: operators change the fleet by publishing.
 Exit codes: 0 success, 1 the check found faults, 2 wrong usage, 3 settings
-or documents that cannot be read, 4 no instance could be reached.
+or documents that cannot be read, 4 no instance could be reached, 5 the check
+of a configuration found warnings only.
 """
 
 import argparse
@@ -19,7 +20,9 @@
 from cranberryscale import logs
 from cranberryscale import node_daemon
 from cranberryscale import operators
+from cranberryscale.platform import configuration_check
 from cranberryscale import traces
+from cranberryscale.version import findings
 from cranberryscale.version import settings
 from cranberryscale.version import subtrees
 from cranberryscale.version import tree
@@ -31,6 +34,11 @@
 EXIT_FAULTS = 1
 EXIT_INVALID = 3
 EXIT_UNREACHABLE = 4
+EXIT_WARNINGS = 5
+_EXIT_BY_LEVEL = {
+    findings.ERROR: EXIT_FAULTS,
+    findings.WARNING: EXIT_WARNINGS,
+}
 KEY_VARIABLE = 'CRANBERRYSCALE_KEY'
 CLEAR_SCREEN = '\x1b[2J\x1b[H'
 
@@ -75,6 +83,26 @@
                 )
 
 
+def _check_configuration(options: argparse.Namespace) -> int:
+    try:
+        body = options.configuration.read_bytes()
+        in_force = options.in_force and options.in_force.read_bytes()
+    except OSError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_INVALID
+    found, changes = configuration_check.check_configuration(body, in_force)
+    if options.json:
+        _print_json(
+            {
+                'findings': [finding._asdict() for finding in found],
+                'differences': [change._asdict() for change in changes],
+            }
+        )
+    else:
+        _print(console.render_findings(found, changes))
+    return _EXIT_BY_LEVEL.get(findings.find_worst_level(found), EXIT_OK)
+
+
 def _show_faults(options: argparse.Namespace) -> int:
     faults = list(_list_faults(options))
     if options.json:
@@ -189,6 +217,22 @@
     table.set_defaults(run=_show_errors)
 
 
+def _add_configuration_command(commands) -> None:
+    check = commands.add_parser(
+        'check-configuration',
+        help='check a configuration before it is written to the store',
+    )
+    check.add_argument('configuration', type=pathlib.Path, metavar='FILE')
+    check.add_argument(
+        '--in-force',
+        type=pathlib.Path,
+        metavar='FILE',
+        help='the configuration in force, to show the differences',
+    )
+    check.add_argument('--json', action='store_true', help='print JSON')
+    check.set_defaults(run=_check_configuration)
+
+
 def _add_check_commands(commands) -> None:
     check = commands.add_parser(
         'check', help='check settings and documents, all faults in one run'
@@ -201,6 +245,7 @@
     )
     check.add_argument('--json', action='store_true', help='print JSON')
     check.set_defaults(run=_show_faults)
+    _add_configuration_command(commands)
     manifest = commands.add_parser(
         'manifest', help='print the manifest of a team\'s documents'
     )
--- a/cranberryscale/console.py
+++ b/cranberryscale/console.py
@@ -6,9 +6,16 @@
 
 from cranberryscale.process import audit
 from cranberryscale.process import status
+from cranberryscale.version import differences
+from cranberryscale.version import findings
 
 
-__all__ = ['render_audit', 'render_fleet', 'render_table']
+__all__ = [
+    'render_audit',
+    'render_findings',
+    'render_fleet',
+    'render_table',
+]
 
 
 def render_table(head: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
@@ -138,3 +145,22 @@
         f'fault: {fault.instance} record {fault.number}: {fault.reason}\n'
         for fault in faults
     )
+
+
+def _describe_difference(difference: differences.Difference) -> str:
+    subject = f'{difference.subject} {difference.field}'.rstrip()
+    if difference.before is None:
+        return f'{subject} added'
+    if difference.after is None:
+        return f'{subject} removed'
+    return f'{subject}: {difference.before} -> {difference.after}'
+
+
+def render_findings(
+    found: Iterable[findings.Finding],
+    changes: Iterable[differences.Difference],
+) -> str:
+    """Return findings and differences as lines of text."""
+    lines = [f'{f.level}: {f.subject}: {f.text} [{f.code}]' for f in found]
+    lines += [f'changed: {_describe_difference(d)}' for d in changes]
+    return '\n'.join(lines) if lines else 'nothing found'
--- a/cranberryscale/platform/entry_decoding.py
+++ b/cranberryscale/platform/entry_decoding.py
@@ -16,12 +16,23 @@
 from cranberryscale.version import replica
 
 
-__all__ = ['KEY_PREFIX', 'decode_entry']
+__all__ = [
+    'CONFIGURATION_KEY',
+    'DECODING_ERRORS',
+    'KEY_PREFIX',
+    'PolicyDocument',
+    'RouteRow',
+    'RowTable',
+    'ServiceRow',
+    'TenantRow',
+    'convert_row',
+    'decode_entry',
+]
 
 # Empty, so that all entries are read: the store contains no others.
 KEY_PREFIX = ''
 _SERVERS = 'servers/'
-_CONFIGURATION = 'op/config'
+CONFIGURATION_KEY = 'op/config'
 _EVACUATIONS = 'op/evacuate/'
 
 _VERSION = re.compile(r'[0-9a-f]{8}')
@@ -43,6 +54,15 @@
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=65536)]
 # Above any real rate or weight, and finite when multiplied.
 _Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+DECODING_ERRORS = (
+    # A number too large for its type.
+    ArithmeticError,
+    LookupError,
+    # Nested too deeply.
+    RecursionError,
+    ValueError,
+    msgspec.MsgspecError,
+)
 # Routes without a timeout are limited by the caller's deadline only.
 _NO_TIMEOUT = datetime.timedelta(minutes=5)
 
@@ -73,7 +93,9 @@
     weight: _Amount
 
 
-class _RouteRow(msgspec.Struct, rename='kebab'):
+class RouteRow(msgspec.Struct, rename='kebab'):
+    """A row of the routes."""
+
     name: str
     host: str
     prefix: str
@@ -89,14 +111,18 @@
     service: str | None = None
 
 
-class _ServiceRow(msgspec.Struct, rename='kebab'):
+class ServiceRow(msgspec.Struct, rename='kebab'):
+    """A row of the services."""
+
     name: str
     warmup: str | None = None
     # Requests per second that a server can handle during warm-up.
     warmup_per_s: _Amount | None = None
 
 
-class _TenantRow(msgspec.Struct, rename='kebab'):
+class TenantRow(msgspec.Struct, rename='kebab'):
+    """A row of the customers."""
+
     name: str
     api_keys: list[str] | None = None
     priority: _Priority | None = None
@@ -112,35 +138,39 @@
     idle_timeout: str
 
 
-class _RowTable(msgspec.Struct):
+class RowTable(msgspec.Struct):
     """Rows of values; null means that a value is omitted."""
 
     columns: list[str]
     rows: list[list[Any]]
 
 
-class _PolicyDocument(msgspec.Struct):
+class PolicyDocument(msgspec.Struct):
+    """The operators' configuration as it is written."""
+
     version: str
-    routes: _RowTable
-    services: _RowTable
+    routes: RowTable
+    services: RowTable
     limits: _Limits
-    tenants: _RowTable | None = None
+    tenants: RowTable | None = None
+
 
+def convert_row(table: RowTable, row: list[Any], row_type: type) -> Any:
+    """Return a decoded row. Raises one of DECODING_ERRORS."""
+    if len(row) != len(table.columns):
+        raise ValueError(f'row has {len(row)} values, not one per column')
+    pairs = zip(table.columns, row, strict=True)
+    return msgspec.convert(
+        {name: value for name, value in pairs if value is not None},
+        row_type,
+    )
 
-def _convert_rows(table: _RowTable, row_type: type) -> list[Any]:
-    def convert(row):
-        if len(row) != len(table.columns):
-            raise ValueError(f'row has {len(row)} values, not one per column')
-        pairs = zip(table.columns, row, strict=True)
-        return msgspec.convert(
-            {name: value for name, value in pairs if value is not None},
-            row_type,
-        )
 
-    return [convert(row) for row in table.rows]
+def _convert_rows(table: RowTable, row_type: type) -> list[Any]:
+    return [convert_row(table, row, row_type) for row in table.rows]
 
 
-def _make_route(row: _RouteRow, body_limit: int) -> configuration.Route:
+def _make_route(row: RouteRow, body_limit: int) -> configuration.Route:
     parts = tuple(
         configuration.WeightedService(part.service, part.weight)
         for part in row.split or ()
@@ -169,7 +199,7 @@
     )
 
 
-def _make_service(row: _ServiceRow) -> configuration.Service:
+def _make_service(row: ServiceRow) -> configuration.Service:
     return configuration.Service(
         row.name,
         warmup=durations.parse_duration(row.warmup or '0ms'),
@@ -177,7 +207,7 @@
     )
 
 
-def _make_customer(row: _TenantRow) -> configuration.Customer:
+def _make_customer(row: TenantRow) -> configuration.Customer:
     return configuration.Customer(
         row.name,
         row.rate_per_s or 0.0,
@@ -187,20 +217,20 @@
 
 
 def _decode_policy(body: bytes) -> replica.Policy:
-    document = msgspec.json.decode(body, type=_PolicyDocument)
+    document = msgspec.json.decode(body, type=PolicyDocument)
     if not _VERSION.fullmatch(document.version):
         raise ValueError(f'version {document.version!r}')
     body_limit = document.limits.max_body_bytes
     tenants = (
-        _convert_rows(document.tenants, _TenantRow) if document.tenants else []
+        _convert_rows(document.tenants, TenantRow) if document.tenants else []
     )
     digests = (
         configuration.Key(keys.digest_key(key), tenant.name)
         for tenant in tenants
         for key in tenant.api_keys or ()
     )
-    routes = _convert_rows(document.routes, _RouteRow)
-    services = _convert_rows(document.services, _ServiceRow)
+    routes = _convert_rows(document.routes, RouteRow)
+    services = _convert_rows(document.services, ServiceRow)
     if document.tenants is None:
         # Without customers there are no keys, so every route is public.
         for route in routes:
@@ -257,7 +287,7 @@
 
 
 def _decode(key: str, body: bytes) -> replica.DecodedEntry | None:
-    if key == _CONFIGURATION:
+    if key == CONFIGURATION_KEY:
         return _decode_policy(body)
     if key.startswith(_SERVERS):
         return _decode_server(key.removeprefix(_SERVERS), body)
@@ -274,15 +304,7 @@
     """
     try:
         return _decode(key, body)
-    except (
-        # A number too large for its type.
-        ArithmeticError,
-        LookupError,
-        # Nested too deeply.
-        RecursionError,
-        ValueError,
-        msgspec.MsgspecError,
-    ) as error:
+    except DECODING_ERRORS as error:
         raise errors.make_error(
             'document_invalid', f'{key}: {type(error).__name__}: {error}'
         ) from error
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -14,6 +14,7 @@
 
 
 __all__ = [
+    'LISTENER_LIMITS',
     'Deployment',
     'OperatorBounds',
     'load_deployment',
@@ -22,6 +23,9 @@
 
 Ratio = Annotated[float, msgspec.Meta(ge=0)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+LISTENER_LIMITS = settings.ListenerLimits(
+    header_bytes=65536, body_bytes=64 * 1024 * 1024, threads=48
+)
 
 
 class DeploymentListenAddresses(msgspec.Struct, frozen=True):
@@ -93,9 +97,7 @@
     unset_terms: tuple[str, ...] = ()
     # Apply until the route of a request is known; the operators' limits are
     # part of the configuration.
-    limits: settings.ListenerLimits = settings.ListenerLimits(
-        header_bytes=65536, body_bytes=64 * 1024 * 1024, threads=48
-    )
+    limits: settings.ListenerLimits = LISTENER_LIMITS
     # sender_s: callers may reuse a connection that was idle for 12 s.
     # connect_s: servers accept within about 5 ms. A lost SYN packet is
     # retransmitted after 1 s, so a slightly longer timeout would not help.
--- a/cranberryscale/version/durations.py
+++ b/cranberryscale/version/durations.py
@@ -4,7 +4,7 @@
 import re
 
 
-__all__ = ['parse_duration']
+__all__ = ['format_duration', 'parse_duration']
 
 _DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)')
 _UNITS = {'ms': 'milliseconds', 's': 'seconds'}
@@ -27,3 +27,8 @@
     if duration > _LONGEST:
         raise ValueError(f'{text[:40]!r} is longer than a year')
     return duration
+
+
+def format_duration(duration: datetime.timedelta) -> str:
+    """Return a duration in seconds with its unit, for example "1.5s"."""
+    return f'{duration.total_seconds():.12g}s'
