Guard faults during uploads, the store's reader and empty differences

Adds to the guards of status lines a server that answers before it has read a body of 1 MB, and an instance whose store answers 999 for a while: it goes on with what it knows, logs a typed error and follows the next version. Negating each of the 39 conditions of the configuration check left two mutants alive, the note on keys without customers and the version's difference; both now have a test.

Calls of http_calls have a constant of their own for connecting.

The new tests were seen to fail with a looser parser, with an untyped error of the store's client and with the two mutants.

--- a/cranberryscale/connection/http_calls.py
+++ b/cranberryscale/connection/http_calls.py
@@ -16,6 +16,8 @@
 
 __all__ = ['CallFailed', 'CallPool', 'CallResponse']
 
+# Calls with a shorter timeout end sooner.
+CONNECT_TIMEOUT = datetime.timedelta(seconds=10)
 IDLE_LIMIT = datetime.timedelta(seconds=60)
 _SOCKET_OPTIONS = ((socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),)
 
@@ -83,7 +85,7 @@
             host,
             int(port),
             maxsize=connections,
-            timeout=urllib3.Timeout(connect=IDLE_LIMIT.total_seconds()),
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT.total_seconds()),
             socket_options=_SOCKET_OPTIONS,
             clock=clock,
             idle_limit=IDLE_LIMIT,
--- a/tests/test_findings.py
+++ b/tests/test_findings.py
@@ -201,6 +201,13 @@
     assert run(tmp_path, capsys, BASE, as_json=False)[1] == 'nothing found\n'
 
 
+def test_nothing_is_found_in_a_configuration_without_customers(
+    tmp_path, capsys
+):
+    document = make_document((('tenants',), None))
+    assert run(tmp_path, capsys, document)[1]['findings'] == []
+
+
 @pytest.mark.parametrize('case', CASES)
 def test_fault_is_found_by_its_code(case, tmp_path, capsys):
     """Each case changes the sound configuration so that one code appears."""
@@ -281,6 +288,8 @@
     code, output = run(tmp_path, capsys, new, BASE)
     assert code == commands.EXIT_FAULTS
     assert [f['code'] for f in output['findings']] == ['version-not-above']
+    expected = {('version', ''): ('5', '4')} if version < '00000005' else {}
+    assert list_differences(output) == expected
 
 
 def test_worked_example_of_the_page_is_current(tmp_path, capsys):
--- a/tests/test_status_lines.py
+++ b/tests/test_status_lines.py
@@ -24,6 +24,7 @@
 
 KEY = 'key-of-t1-0001'
 MARK = b'bytes-of-the-faulty-server'
+REQUEST_BODY = b'x' * 1000000
 INTERIM_PAUSE_S = 0.02
 # Longer than the deadlines of all requests.
 CLOSE_TIMEOUT_S = 3.0
@@ -199,7 +200,7 @@
         self._sock = socket.create_connection((host, int(port)), 5)
         self._stream = self._sock.makefile('rb')
 
-    def send(self, path, method='GET', deadline_ms=2000):
+    def send(self, path, method='GET', deadline_ms=2000, request_body=b''):
         """Send a request; return its id, the status, the head and the body."""
         request_id = next(REQUEST_IDS)
         self._sock.sendall(
@@ -207,8 +208,10 @@
                 f'{method} {path} HTTP/1.1\r\nHost: {machines.HOST}\r\n'
                 f'X-Request-Id: {request_id}\r\n'
                 f'X-Deadline-Ms: {deadline_ms}\r\n'
-                f'Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n\r\n'
+                f'Authorization: Bearer {KEY}\r\n'
+                f'Content-Length: {len(request_body)}\r\n\r\n'
             ).encode()
+            + request_body
         )
         head = b''.join(iter(self._stream.readline, b'\r\n'))
         status = re.match(rb'HTTP/1.1 ([2-5][0-9]{2}) ', head)
@@ -315,6 +318,35 @@
     check_connections(servers)
 
 
+@pytest.mark.parametrize(
+    'name', ['zero', 'leading-zero', 'switching', '000-and-answer']
+)
+def test_fault_before_the_end_of_the_body_is_answered_as_unknown(faulty, name):
+    """The server does not read the body, which is longer than its buffers."""
+    fleet, servers, arrivals = faulty
+    address = fleet.instances[0].addresses['callers']
+    caller = Caller(address)
+    request_id, status, head, body = caller.send(
+        f'/book/{name}', 'POST', 1000, REQUEST_BODY
+    )
+    caller.close()
+    assert status == 502, (head, body)
+    assert MARK not in head + body
+    assert json.loads(body)['ran'] == 'unknown'
+    assert len(list_arrivals(arrivals, request_id)) == 1
+    # What the server has not read of the body is all that comes.
+    until = time.monotonic() + 2 * CLOSE_TIMEOUT_S
+    while any(s.pending for s in servers) and time.monotonic() < until:
+        time.sleep(0.02)
+    for server in servers:
+        assert not b''.join(server.surplus).strip(REQUEST_BODY[:1])
+        server.surplus.clear()
+    check_connections(servers)
+    caller = Caller(address)
+    check_next_request(caller, '/book/good')
+    caller.close()
+
+
 def test_idempotent_request_is_answered_by_another_server_or_fails(faulty):
     """Guards the answer of the second server, and its number of attempts."""
     fleet, servers, arrivals = faulty
@@ -346,6 +378,30 @@
     check_connections(servers)
 
 
+def test_instance_goes_on_while_the_store_sends_no_status(faulty):
+    """Guards the reader, which must neither end nor forget what it knows."""
+    fleet, _, _ = faulty
+    caller = Caller(fleet.instances[0].addresses['callers'])
+    fleet.store.refusal_status = 999
+    calls = fleet.store.calls
+    fleet.wait_for(lambda: fleet.store.calls >= calls + 3, 8)
+    check_next_request(caller, '/read/good')
+    fleet.store.refusal_status = 0
+    route = ['r3', machines.HOST, '/more/', 'idempotent', '2s', '500ms', 2, 2]
+    fleet.store.put(
+        'op/config',
+        machines.encode_configuration(
+            2, fleet.keys, more_routes=[[*route, 'x']]
+        ),
+    )
+    fleet.wait_for(lambda: caller.send('/more/good')[1] == 200, 5)
+    caller.close()
+    assert fleet.instances[0].process.poll() is None
+    log = fleet.instances[0].log_path.read_text()
+    assert 'platform_unavailable' in log
+    assert 'loop_fault' not in log
+
+
 STORE_BODY = b'{"items":[],"events":[],"has-more":false,"current-rev":5}'
 STORE_FAULTS = {
     name: fault for name, fault in FAULTS.items() if not fault.closes
