--- a/standins/machines.py
+++ b/standins/machines.py
@@ -97,32 +97,49 @@
         if store.is_silent:
             time.sleep(STOP_TIMEOUT_S)
         if store.refusal_status:
-            self.send_whole_response(store.refusal_status, b'')
+            self._send(StoreAnswer(store.era, store.refusal_status))
             return
         match path:
             case '/cranberryscale/kv-range':
-                self._send_json(store.read_range(fields))
+                self._send(store.read_range(fields))
             case '/cranberryscale/kv-watch':
-                events = store.wait_events(fields)
-                if events is None:
-                    self.send_whole_response(410, b'')
-                else:
-                    self._send_json(events)
+                self._send(store.wait_events(fields))
             case _:
-                self.send_whole_response(404, b'')
+                self._send(StoreAnswer(store.era, 404))
 
-    def _send_json(self, value: Any) -> None:
-        body = json.dumps(value).encode()
-        self.send_whole_response(
-            200, body, {'Content-Type': 'application/json'}
-        )
+    def _send(self, answer: 'StoreAnswer') -> None:
+        headers = {}
+        era = self.server.owner.era_header.format(era=answer.era)
+        if era:
+            headers['Store-Era'] = era
+        body = b''
+        if answer.value is not None:
+            headers['Content-Type'] = 'application/json'
+            body = json.dumps(answer.value).encode()
+        self.send_whole_response(answer.status, body, headers)
+
+
+class StoreAnswer(NamedTuple):
+    """An answer of the store, with the era of its content."""
+
+    era: int
+    status: int = 200
+    value: dict[str, Any] | None = None
+
+
+class _StoreCopy(NamedTuple):
+    entries: dict[str, dict]
+    events: list[dict]
+    first_revision: int
+    revision: int
 
 
 class KeyValueStoreServer:
     """An in-memory key-value store with revisions, served over HTTP.
 
     A `refusal_status` other than 0 is the status of all its responses. While
-    `is_silent`, it delays them by STOP_TIMEOUT_S.
+    `is_silent`, it delays them by STOP_TIMEOUT_S. In `era_header`, the value
+    of the header with the era, "{era}" stands for the era; empty for none.
     """
 
     def __init__(self, page_size: int = 500):
@@ -130,17 +147,24 @@
         self.refusal_status = 0
         self.is_silent = False
         self._page_size = page_size
-        self._changed = threading.Condition()
+        # Reentrant, since `write_again` calls `put` and `remove`.
+        self._changed = threading.Condition(threading.RLock())
         self._entries: dict[str, dict] = {}
         self._events: list[dict] = []
         self._first_revision = 1
         self.revision = 1
+        self.era = 1
+        self.era_header = '{era}'
+        self._copy: _StoreCopy | None = None
+        # Entries that the last return from a copy lost, None for removed ones.
+        self._lost: dict[str, bytes | None] = {}
         self._listener = _LoopbackServer(self, _StoreHandler)
         self.address = self._listener.address
 
     def put(self, key: str, body: bytes) -> int:
         """Write an entry, notify watches and return its revision."""
         with self._changed:
+            self._lost.pop(key, None)
             self.revision += 1
             item = {
                 'key': key,
@@ -157,6 +181,7 @@
     def remove(self, key: str) -> None:
         """Remove an entry and notify watches."""
         with self._changed:
+            self._lost.pop(key, None)
             self.revision += 1
             if self._entries.pop(key, None) is not None:
                 self._events.append(
@@ -170,7 +195,40 @@
             self._events.clear()
             self._first_revision = self.revision + 1
 
-    def read_range(self, fields: dict[str, str]) -> dict:
+    def take_copy(self) -> None:
+        """Copy the present state, in place of the last copy."""
+        with self._changed:
+            self._copy = _StoreCopy(
+                dict(self._entries),
+                list(self._events),
+                self._first_revision,
+                self.revision,
+            )
+
+    def restore_copy(self) -> None:
+        """Go back to the copy, whose revisions are given out again."""
+        with self._changed:
+            for key in {*self._entries, *self._copy.entries}:
+                item = self._entries.get(key)
+                if item != self._copy.entries.get(key):
+                    self._lost[key] = item and base64.b64decode(item['value'])
+            self._entries = dict(self._copy.entries)
+            self._events = list(self._copy.events)
+            self._first_revision = self._copy.first_revision
+            self.revision = self._copy.revision
+            self.era += 1
+            self._changed.notify_all()
+
+    def write_again(self) -> None:
+        """Repeat what the writers of lost entries had written last."""
+        with self._changed:
+            for key, body in tuple(self._lost.items()):
+                if body is None:
+                    self.remove(key)
+                else:
+                    self.put(key, body)
+
+    def read_range(self, fields: dict[str, str]) -> StoreAnswer:
         """Return one page of the entries under a prefix, in order of keys."""
         prefix, after = fields.get('prefix', ''), fields.get('after', '')
         with self._changed:
@@ -179,26 +237,28 @@
                 for key in self._entries
                 if key.startswith(prefix) and key > after
             )
-            return {
+            page = {
                 'items': [
                     self._entries[key] for key in keys[: self._page_size]
                 ],
                 'has-more': len(keys) > self._page_size,
                 'current-rev': self.revision,
             }
+            return StoreAnswer(self.era, value=page)
 
-    def wait_events(self, fields: dict[str, str]) -> dict | None:
-        """Return events after a revision, None if they were compacted.
+    def wait_events(self, fields: dict[str, str]) -> StoreAnswer:
+        """Return events after a revision, 410 if the store has none of them.
 
         Waits for the first event up to `wait-ms` milliseconds.
         """
         after, wait_s = int(fields['after']), int(fields['wait-ms']) / 1000
         with self._changed:
-            if after + 1 < self._first_revision:
-                return None
-            self._changed.wait_for(lambda: self.revision > after, wait_s)
+            self._changed.wait_for(lambda: self.revision != after, wait_s)
+            if after + 1 < self._first_revision or after > self.revision:
+                return StoreAnswer(self.era, 410)
             events = [e for e in self._events if e['revision'] > after]
-            return {'events': events, 'current-rev': self.revision}
+            value = {'events': events, 'current-rev': self.revision}
+            return StoreAnswer(self.era, value=value)
 
     def close(self) -> None:
         """Stop listening."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -273,6 +273,7 @@
 
     def __init__(self, body: bytes):
         self.status = 200
+        self.headers = {}
         self._stream = io.BytesIO(body)
         self.read1 = self._stream.read1
 
