Follow a store that comes back from a copy

Cause: instances order updates by revision only.

A later era replaces all entries and travels with pulls; what is older than the replica is ignored and confirms nothing. The policy version never decreases, leaving and removed servers stay so, and lost servers and evacuations stay for a while, until their writers have written again. Evacuations get more time than removals in general: they cost nothing if they are written again anyway.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -161,15 +161,70 @@
         is_snapshot: bool,
         is_after_outage: bool,
         now: datetime.timedelta,
-    ) -> tuple[replica.ReplicaEvent, ...]:
+        era: int = 0,
+    ) -> tuple[replica.ReplicaEvent | replica.EraChange, ...]:
         """Apply a snapshot or changes from the store or another instance."""
         if is_after_outage:
             self.replica.defer_removals(now)
         update = self.replica.replace if is_snapshot else self.replica.apply
-        events = update(changes, revision, now)
+        events = update(changes, revision, now, era)
         self._update_pools(now)
         return events
 
+    def receive_store_update(
+        self,
+        changes: tuple[replica.EntryChange, ...],
+        revision: int,
+        is_snapshot: bool,
+        era: int,
+        now: datetime.timedelta,
+    ) -> tuple[replica.ReplicaEvent | replica.EraChange, ...]:
+        """Apply an answer of the store unless it is older than the replica.
+
+        One that is does not confirm the entries, and the next call is delayed.
+        """
+        if self.replica.is_outdated(revision, is_snapshot, era):
+            self.follower.record_store_failure(now)
+            return (self._make_outdated_event('store', revision, era),)
+        is_after_outage = self.follower.record_store_answer(now, bool(changes))
+        return self.apply_store_update(
+            changes, revision, is_snapshot, is_after_outage, now, era
+        )
+
+    def receive_changes_reply(
+        self,
+        source: str,
+        reply: messages.ChangesReply,
+        sent_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> tuple[replica.ReplicaEvent | replica.EraChange, ...]:
+        """Apply the reply to a pull that was sent to `source` at a time."""
+        if self.replica.is_outdated(reply.revision, False, reply.era):
+            self.follower.record_pull_failure(source, now)
+            return (
+                self._make_outdated_event(source, reply.revision, reply.era),
+            )
+        age = None
+        if reply.age_s >= 0:
+            age = datetime.timedelta(seconds=reply.age_s)
+        is_after_outage = self.follower.record_pull_reply(age, sent_at, source)
+        return self.apply_store_update(
+            reply.changes,
+            reply.revision,
+            False,
+            is_after_outage,
+            now,
+            reply.era,
+        )
+
+    @staticmethod
+    def _make_outdated_event(
+        source: str, revision: int, era: int
+    ) -> replica.ReplicaEvent:
+        return replica.ReplicaEvent(
+            'update_outdated', source, revision, f'era {era}'
+        )
+
     def advance(
         self, now: datetime.timedelta
     ) -> tuple[replica.ReplicaEvent, ...]:
@@ -178,6 +233,8 @@
             self._resumes_at = now + RESUME_TIME
         self._advanced_at = now
         events = self.replica.advance(now)
+        if self.follower.find_staleness(now) <= store_follower.STALE_AFTER:
+            events += self.replica.release_held(now)
         self.roster.remove_long_down(now)
         self._quota_holder.remove_idle(now)
         for customer in self._quota_holder.list_held():
@@ -354,8 +411,8 @@
             case messages.Exchange(records=records):
                 self.roster.merge(records, now)
                 return messages.ExchangeReply(self.roster.records)
-            case messages.PullChanges(revision=revision):
-                return self._handle_pull(revision, now)
+            case messages.PullChanges():
+                return self._handle_pull(message, now)
             case messages.AskQuota():
                 return self._handle_ask_quota(message, now)
             case messages.AskServer():
@@ -365,15 +422,21 @@
         raise errors.make_error('message_undecodable', type(message).__name__)
 
     def _handle_pull(
-        self, revision: int, now: datetime.timedelta
+        self, message: messages.PullChanges, now: datetime.timedelta
     ) -> messages.ChangesReply:
+        changes: tuple[replica.EntryChange, ...] = ()
+        if message.era == self.replica.era:
+            changes = self.replica.list_changes_since(message.revision)
+        elif message.era < self.replica.era:
+            changes = self.replica.list_changes_since(-1)
         age_s = -1.0
         if self.follower.is_confirmed:
             age_s = self.follower.find_staleness(now).total_seconds()
         return messages.ChangesReply(
             self.replica.revision,
             age_s,
-            self.replica.list_changes_since(revision),
+            changes,
+            self.replica.era,
         )
 
     def _find_quota_ratio(self, now: datetime.timedelta) -> float:
--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -57,6 +57,7 @@
     changes: tuple[replica.EntryChange, ...]
     revision: int
     is_snapshot: bool
+    era: int
 
 
 class KeyValueStore(Protocol):
@@ -64,13 +65,13 @@
 
     calls: int
 
-    def read_all(self) -> StoreUpdate:
-        """Return a snapshot of all entries."""
+    def read_all(self, era: int = 0) -> StoreUpdate:
+        """Return a snapshot of all entries; `era` is the last known era."""
 
     def wait_for_changes(
-        self, revision: int, wait: datetime.timedelta
+        self, revision: int, wait: datetime.timedelta, era: int = 0
     ) -> StoreUpdate:
-        """Wait for changes after a revision and return them."""
+        """Wait for changes after a revision of an era and return them."""
 
 
 class CoreDriver:
@@ -397,7 +398,8 @@
                 now = self._clock.read_elapsed()
                 interval = self.core.follower.find_pull_interval(now)
                 source = self.core.follower.choose_source(now)
-                message = messages.PullChanges(self.core.replica.revision)
+                known = self.core.replica
+                message = messages.PullChanges(known.revision, known.era)
             if source is not None:
                 self._pull_changes(source, message, now)
 
@@ -416,16 +418,9 @@
                     source, self._clock.read_elapsed()
                 )
             return
-        age = None
-        if reply.age_s >= 0:
-            age = datetime.timedelta(seconds=reply.age_s)
         with self.lock:
-            now = self._clock.read_elapsed()
-            is_after_outage = self.core.follower.record_pull_reply(
-                age, sent_at, source
-            )
-            events = self.core.apply_store_update(
-                reply.changes, reply.revision, False, is_after_outage, now
+            events = self.core.receive_changes_reply(
+                source, reply, sent_at, self._clock.read_elapsed()
             )
         self.log_events(events, source)
 
@@ -445,13 +440,14 @@
                 self._stopping.wait(pause.total_seconds())
 
     def _read_store(self) -> None:
-        revision = self.core.replica.revision
+        with self.lock:
+            revision, era = self.core.replica.revision, self.core.replica.era
         try:
             if revision == 0:
-                update = self.store.read_all()
+                update = self.store.read_all(era)
             else:
                 update = self.store.wait_for_changes(
-                    revision, store_follower.STORE_POLL_WAIT
+                    revision, store_follower.STORE_POLL_WAIT, era
                 )
         except errors.FleetError as error:
             with self.lock:
@@ -461,16 +457,12 @@
             self._log_store_state(False, error.code, error.value)
             return
         with self.lock:
-            now = self._clock.read_elapsed()
-            is_after_outage = self.core.follower.record_store_answer(
-                now, bool(update.changes)
-            )
-            events = self.core.apply_store_update(
+            events = self.core.receive_store_update(
                 update.changes,
                 update.revision,
                 update.is_snapshot,
-                is_after_outage,
-                now,
+                update.era,
+                self._clock.read_elapsed(),
             )
         self._log_store_state(True)
         self.log_events(events, 'store')
@@ -493,18 +485,24 @@
         logs.log_event(event, code=code, reason=value)
 
     def log_events(
-        self, events: tuple[replica.ReplicaEvent, ...], source: str = 'clock'
+        self,
+        events: tuple[replica.ReplicaEvent | replica.EraChange, ...],
+        source: str = 'clock',
     ) -> None:
         """Log and count changes of the replica with their source."""
         for event in events:
-            self.event_counts[event.event] += 1
-            logs.log_event(
-                event.event,
-                subject=event.subject,
-                revision=event.revision,
-                detail=event.detail,
-                source=source,
-            )
+            match event:
+                case replica.EraChange(old, new, revision):
+                    name = 'era_changed'
+                    fields = {'old': old, 'new': new, 'revision': revision}
+                case replica.ReplicaEvent(name, subject, revision, detail):
+                    fields = {
+                        'subject': subject,
+                        'revision': revision,
+                        'detail': detail,
+                    }
+            self.event_counts[name] += 1
+            logs.log_event(name, **fields, source=source)
 
     def announce_leaving(self) -> None:
         """Announce to the other instances that this instance is leaving."""
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -380,21 +380,24 @@
 
 
 class PullChanges(NamedTuple):
-    """A request for changes of the store after a revision."""
+    """A request for changes of the store after a revision of an era."""
 
     revision: int
+    era: int = 0
 
 
 class ChangesReply(NamedTuple):
     """Changes of the store, complete up to `revision`.
 
     `age_s` is the time since the store last confirmed them, negative if this
-    instance has received nothing from the store yet.
+    instance has received nothing from the store yet. If `era` is later than
+    that of the request, they are all entries; if earlier, there are none.
     """
 
     revision: int
     age_s: float
     changes: tuple[replica.EntryChange, ...] = ()
+    era: int = 0
 
 
 class AskQuota(NamedTuple):
--- a/cranberryscale/platform/store.py
+++ b/cranberryscale/platform/store.py
@@ -4,8 +4,10 @@
 import binascii
 from collections.abc import Iterable
 import datetime
+import re
 import socket
 from typing import Annotated
+from typing import Any
 from typing import NamedTuple
 
 from absl import logging
@@ -24,6 +26,9 @@
 _RANGE = '/cranberryscale/kv-range'
 _WATCH = '/cranberryscale/kv-watch'
 _STATUS_GONE = 410
+_ERA_HEADER = 'store-era'
+# Larger eras would not fit into messages to other instances.
+_ERA = re.compile(r'[0-9]{1,18}')
 # The store responds in 4 ms; a slower response counts as an outage.
 RESPONSE_TIMEOUT = datetime.timedelta(seconds=1)
 # Added to the wait of a watch call before the connection counts as dead.
@@ -65,6 +70,14 @@
     changes: tuple[replica.EntryChange, ...]
     revision: int
     is_snapshot: bool
+    era: int = 0
+
+
+class _Answer(NamedTuple):
+    """The decoded body of an answer, and its era."""
+
+    body: Any
+    era: int
 
 
 def _make_change(item: _StoreItem) -> replica.EntryChange:
@@ -96,6 +109,8 @@
 class StoreClient:
     """A client of the store; `calls` is the number of HTTP calls made.
 
+    An answer without a readable era is taken for one of the last known era.
+
     Raises PlatformUnavailable and PlatformMalformed.
     """
 
@@ -104,6 +119,8 @@
         self._clock = clock or clocks.SystemClock()
         self._address = address
         self._pool = self._make_pool()
+        # The latest era that an answer named or a caller knew.
+        self._known_era = 0
 
     def _make_pool(self) -> urllib3.HTTPConnectionPool:
         host, port = self._address.rsplit(':', 1)
@@ -115,25 +132,33 @@
             socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
         )
 
-    def read_all(self) -> PlatformStoreUpdate:
-        """Return a snapshot of all entries."""
+    def read_all(self, era: int = 0) -> PlatformStoreUpdate:
+        """Return a snapshot of all entries; `era` is the last known era."""
+        self._known_era = max(self._known_era, era)
         changes: list[replica.EntryChange] = []
-        after, revision = None, None
+        after, revision, snapshot_era = None, None, None
         for _ in range(PAGE_LIMIT):
             fields = {'prefix': entry_decoding.KEY_PREFIX}
             if after is not None:
                 fields['after'] = after
-            page = self._fetch(
+            page, page_era = self._fetch(
                 _RANGE, fields, RESPONSE_TIMEOUT, _RangeResponse
             )
+            if after is not None and page_era != snapshot_era:
+                # The earlier pages are of another era.
+                changes.clear()
+                after = revision = None
+                continue
             items = tuple(_decode_items(page.items))
             changes += [_make_change(item) for item in items]
             if revision is None:
                 # Later pages may be newer. A watch from the revision of the
                 # first page returns the changes since then once more.
-                revision = page.current_rev
+                revision, snapshot_era = page.current_rev, page_era
             if not page.has_more:
-                return PlatformStoreUpdate(tuple(changes), revision, True)
+                return PlatformStoreUpdate(
+                    tuple(changes), revision, True, snapshot_era
+                )
             if not items:
                 # The next page begins after a key, and a snapshot without
                 # the remaining pages would remove their entries.
@@ -144,27 +169,31 @@
         raise errors.make_error('platform_malformed', 'no last page')
 
     def wait_for_changes(
-        self, revision: int, wait: datetime.timedelta
+        self, revision: int, wait: datetime.timedelta, era: int = 0
     ) -> PlatformStoreUpdate:
-        """Wait for changes after a revision and return them.
+        """Wait for changes after a revision of an era and return them.
 
-        Returns all entries if the store no longer has these changes.
+        Returns all entries if the store no longer has these changes or is in
+        another era, where the same revision has other content.
         """
+        self._known_era = max(self._known_era, era)
         fields = {
             'prefix': entry_decoding.KEY_PREFIX,
             'after': str(revision),
             'wait-ms': str(int(wait.total_seconds() * 1000)),
         }
         try:
-            response = self._fetch(
+            response, answer_era = self._fetch(
                 _WATCH, fields, wait + WATCH_SLACK, _WatchResponse
             )
         except _RevisionTooOld:
             return self.read_all()
+        if answer_era != era:
+            return self.read_all()
         changes = tuple(
             _make_change(event) for event in _decode_items(response.events)
         )
-        return PlatformStoreUpdate(changes, response.current_rev, False)
+        return PlatformStoreUpdate(changes, response.current_rev, False, era)
 
     def _fetch(
         self,
@@ -172,7 +201,7 @@
         fields: dict[str, str],
         timeout: datetime.timedelta,
         response_type: type,
-    ):
+    ) -> _Answer:
         self.calls += 1
         seconds = timeout.total_seconds()
         try:
@@ -192,15 +221,23 @@
             raise errors.make_error(
                 'platform_unavailable', type(error).__name__
             ) from error
+        era = self._read_era(response.headers.get(_ERA_HEADER, ''))
         if response.status == _STATUS_GONE:
             raise _RevisionTooOld(path)
         if response.status != 200:
             raise errors.make_error('platform_unavailable', response.status)
         try:
-            return msgspec.json.decode(body, type=response_type)
+            return _Answer(msgspec.json.decode(body, type=response_type), era)
         except (msgspec.MsgspecError, RecursionError, ValueError) as error:
             raise errors.make_error('platform_malformed', error) from error
 
+    def _read_era(self, value: str) -> int:
+        """Return the era of an answer, by default the last known one."""
+        if not _ERA.fullmatch(value.strip()):
+            return self._known_era
+        self._known_era = max(self._known_era, int(value))
+        return int(value)
+
     def _read_body(
         self, response: urllib3.BaseHTTPResponse, timeout: datetime.timedelta
     ) -> bytes:
--- a/cranberryscale/version/replica.py
+++ b/cranberryscale/version/replica.py
@@ -4,6 +4,11 @@
 change. Instances read the store or receive its entries from each other, in
 any order and more than once, so an entry is replaced only by one of a later
 revision.
+
+The store may come back from a copy that lacks its latest changes. It then
+starts an era, whose entries replace those of the era before also where their
+revisions are lower. What was in force stays so until its writers have had time
+to write it again, see docs/design/store-era.md.
 """
 
 from collections.abc import Callable
@@ -17,6 +22,7 @@
 
 __all__ = [
     'EntryChange',
+    'EraChange',
     'Evacuation',
     'Policy',
     'ReplicaEvent',
@@ -30,6 +36,10 @@
 REMOVAL_GRACE = datetime.timedelta(seconds=2)
 # Removed entries that are kept for instances that receive changes late.
 REMOVALS_LIMIT = 4096
+# The store drops the entry of a dead server after three heartbeats, and an
+# instance learns that within two more seconds. An entry that is still there
+# after this time belongs to a server that is alive.
+COPY_HOLD = datetime.timedelta(seconds=8)
 
 
 class EntryChange(NamedTuple):
@@ -97,11 +107,29 @@
     detail: str = ''
 
 
+class EraChange(NamedTuple):
+    """A change of the store's era, with the revision of the new entries."""
+
+    old: int
+    new: int
+    revision: int
+
+
+class _Removal(NamedTuple):
+    """The removal of an entry, and the start of the server's process.
+
+    `started_ms` is None if the entry was no server or was not known.
+    """
+
+    revision: int
+    started_ms: int | None
+
+
 class StoreReplica:
     """The known entries of the store and the configuration in force.
 
-    `decode(key, body)` returns the decoded entry, or None for a key that is
-    not used, and raises DocumentInvalid.
+    All entries are of one `era`. `decode(key, body)` returns the decoded
+    entry, or None for a key that is not used, and raises DocumentInvalid.
     """
 
     def __init__(self, decode: Callable[[str, bytes], DecodedEntry | None]):
@@ -112,8 +140,15 @@
         # Keys whose removal is deferred, and until when.
         self._deferred: dict[str, datetime.timedelta] = {}
         self._defer_until = datetime.timedelta(0)
+        # Removals of this era and earlier ones, oldest first.
+        self._removals: dict[str, _Removal] = {}
+        # Keys of removed servers that the copy contains, and until when their
+        # entries are not used.
+        self._held: dict[str, datetime.timedelta] = {}
         self._policy: Policy | None = None
+        self._policy_body = b''
         self._current_configuration = configuration.Configuration()
+        self.era = 0
         self.revision = 0
 
     @property
@@ -126,6 +161,17 @@
         """Return the configuration in force."""
         return self._current_configuration
 
+    @property
+    def removal_count(self) -> int:
+        """Return the number of removals that are known."""
+        return len(self._removals)
+
+    def is_outdated(self, revision: int, is_snapshot: bool, era: int) -> bool:
+        """Return whether an update is older than the replica."""
+        if era == self.era:
+            return is_snapshot and revision < self.revision
+        return era < self.era
+
     def list_changes_since(self, revision: int) -> tuple[EntryChange, ...]:
         """Return the changes after a revision, oldest first."""
         newer = (c for c in self._changes.values() if c.revision > revision)
@@ -136,8 +182,17 @@
         changes: Iterable[EntryChange],
         revision: int,
         now: datetime.timedelta,
-    ) -> tuple[ReplicaEvent, ...]:
-        """Apply changes that are complete up to `revision`."""
+        era: int = 0,
+    ) -> tuple[ReplicaEvent | EraChange, ...]:
+        """Apply changes that are complete up to `revision`.
+
+        Those of a later era are all of its entries; those of an earlier one
+        are ignored.
+        """
+        if era > self.era:
+            return self.replace(changes, revision, now, era)
+        if era < self.era:
+            return ()
         events = [
             event
             for change in changes
@@ -151,13 +206,17 @@
         entries: Iterable[EntryChange],
         revision: int,
         now: datetime.timedelta,
-    ) -> tuple[ReplicaEvent, ...]:
+        era: int = 0,
+    ) -> tuple[ReplicaEvent | EraChange, ...]:
         """Replace all entries by those of a revision, removing missing ones.
 
         A snapshot older than the replica is ignored.
         """
-        if revision < self.revision:
+        if self.is_outdated(revision, True, era):
             return ()
+        if era > self.era:
+            events = [*self._start_era(entries, revision, now, era)]
+            return self._rebuild_configuration(events)
         found = {entry.key: entry for entry in entries}
         missing = (
             EntryChange(key, revision)
@@ -166,7 +225,125 @@
             and key not in found
             and known.revision <= revision
         )
-        return self.apply((*missing, *found.values()), revision, now)
+        return self.apply((*missing, *found.values()), revision, now, era)
+
+    def _start_era(
+        self,
+        entries: Iterable[EntryChange],
+        revision: int,
+        now: datetime.timedelta,
+        era: int,
+    ) -> Iterable[ReplicaEvent | EraChange]:
+        """Replace all entries by the first snapshot of an era."""
+        yield EraChange(self.era, era, revision)
+        known, self._changes = self._changes, {}
+        held, self._held = self._held, {}
+        self.era, self.revision = era, revision
+        found = {entry.key: entry for entry in entries}
+        for key, entry in found.items():
+            is_unchanged = known.get(key) == entry and key not in held
+            if entry.body is None or is_unchanged:
+                self._changes[key] = entry
+            else:
+                yield from self._apply_copied(entry, known.get(key), now)
+        for key in self._decoded:
+            if key not in found or found[key].body is None:
+                yield self._keep_missing(key, now)
+
+    def _apply_copied(
+        self,
+        change: EntryChange,
+        known: EntryChange | None,
+        now: datetime.timedelta,
+    ) -> Iterable[ReplicaEvent]:
+        """Apply an entry of the copy unless it would undo a later state.
+
+        The copy is older than the change that it would undo, so an entry of a
+        higher revision was written in the new era.
+        """
+        try:
+            copied = self._decode(change.key, change.body)
+        except errors.FleetError:
+            copied = None
+        in_force = self._decoded.get(change.key)
+        match copied, in_force, self._removals.get(change.key):
+            case ServerEntry(), _, _Removal(revision, started_ms) if (
+                change.revision < revision
+                and (started_ms is None or copied.started_ms <= started_ms)
+            ):
+                yield self._hold(change, now, 'removed')
+            case ServerEntry(), ServerEntry(), None if (
+                known is not None
+                and change.revision <= known.revision
+                and copied.started_ms < in_force.started_ms
+            ):
+                self._record_removal(known)
+                self._deferred[change.key] = now + REMOVAL_GRACE
+                yield self._hold(change, now, 'later process')
+            case ServerEntry(), ServerEntry(is_draining=True), None if (
+                known is not None
+                and change.revision <= known.revision
+                and copied.started_ms == in_force.started_ms
+                and not copied.is_draining
+            ):
+                # A server does not become ready again as the same process.
+                yield self._keep(change, known.body, 'draining')
+            case _:
+                yield from self._apply_change(change, now)
+
+    def _hold(
+        self, change: EntryChange, now: datetime.timedelta, detail: str
+    ) -> ReplicaEvent:
+        self._changes[change.key] = change
+        self._held[change.key] = now + COPY_HOLD
+        return ReplicaEvent('entry_kept', change.key, change.revision, detail)
+
+    def _keep(
+        self, change: EntryChange, body: bytes, detail: str
+    ) -> ReplicaEvent:
+        """Keep an entry in force, also in what other instances receive."""
+        self._changes[change.key] = change._replace(body=body)
+        return ReplicaEvent('entry_kept', change.key, change.revision, detail)
+
+    def _keep_missing(self, key: str, now: datetime.timedelta) -> ReplicaEvent:
+        """Keep an entry that the copy lost, for a while unless a policy."""
+        change = self._changes.get(key, EntryChange(key, self.revision))
+        match self._decoded[key]:
+            case Policy():
+                return self._keep(change, self._policy_body, 'missing')
+            case Evacuation():
+                grace = COPY_HOLD
+            case ServerEntry():
+                grace = REMOVAL_GRACE
+        self._changes[key] = change
+        self._record_removal(change)
+        self._deferred.setdefault(key, now + grace)
+        return ReplicaEvent('entry_kept', key, change.revision, 'missing')
+
+    def _record_removal(self, change: EntryChange) -> None:
+        earlier = self._removals.pop(change.key, None)
+        match self._decoded.get(change.key):
+            case ServerEntry(started_ms=started_ms):
+                pass
+            case _:
+                started_ms = earlier.started_ms if earlier else None
+        self._removals[change.key] = _Removal(change.revision, started_ms)
+        while len(self._removals) > REMOVALS_LIMIT:
+            del self._removals[next(iter(self._removals))]
+
+    def release_held(
+        self, now: datetime.timedelta
+    ) -> tuple[ReplicaEvent, ...]:
+        """Use entries of removed servers that the store has kept for long.
+
+        Call this only after an answer of the store.
+        """
+        keys = [key for key, until in self._held.items() if now >= until]
+        events = []
+        for key in keys:
+            del self._held[key]
+            events += self._apply_body(self._changes[key], now)
+        return self._rebuild_configuration(events) if keys else ()
 
     def defer_removals(self, now: datetime.timedelta) -> None:
         """Defer removals of servers, since the store has just returned."""
@@ -180,7 +357,9 @@
         events = []
         for key in expired_keys:
             del self._deferred[key]
-            events += self._remove(key, self._changes[key].revision, now)
+            # The removal may have been dropped as one of too many.
+            change = self._changes.get(key, EntryChange(key, self.revision))
+            events += self._remove(key, change.revision, now)
         warm_keys = [key for key, at in self._cold_until.items() if now >= at]
         for key in warm_keys:
             del self._cold_until[key]
@@ -195,14 +374,22 @@
         if known is not None and known.revision >= change.revision:
             return
         self._changes[change.key] = change
+        self._held.pop(change.key, None)
         if change.body is None:
+            self._record_removal(change)
             decoded = self._decoded.get(change.key)
             if isinstance(decoded, ServerEntry) and now < self._defer_until:
                 self._deferred[change.key] = self._defer_until
                 return
             yield from self._remove(change.key, change.revision, now)
             return
+        yield from self._apply_body(change, now)
+
+    def _apply_body(
+        self, change: EntryChange, now: datetime.timedelta
+    ) -> Iterable[ReplicaEvent]:
         self._deferred.pop(change.key, None)
+        self._removals.pop(change.key, None)
         try:
             decoded = self._decode(change.key, change.body)
         except errors.FleetError as error:
@@ -231,6 +418,10 @@
         match decoded:
             case Policy():
                 if self._policy and decoded.version <= self._policy.version:
+                    # Instances that receive the change need the one in force.
+                    self._changes[change.key] = change._replace(
+                        body=self._policy_body
+                    )
                     yield ReplicaEvent(
                         'policy_stale',
                         change.key,
@@ -238,7 +429,7 @@
                         f'version {decoded.version}',
                     )
                     return
-                self._policy = decoded
+                self._policy, self._policy_body = decoded, change.body
                 detail = f'version {decoded.version}'
                 for assumption in decoded.assumptions:
                     yield ReplicaEvent(
@@ -286,8 +477,8 @@
                     self._cold_until[key] = now + service.warmup
 
     def _rebuild_configuration(
-        self, events: list[ReplicaEvent]
-    ) -> tuple[ReplicaEvent, ...]:
+        self, events: list[ReplicaEvent | EraChange]
+    ) -> tuple[ReplicaEvent | EraChange, ...]:
         self._drop_old_removals()
         if self._policy is not None:
             self._current_configuration = self._policy.configuration._replace(
