Play a store that returns from copies in the soak; describe eras

Changes that are checked wait until an instance can see them before the store goes away, since nothing binds that nobody has seen.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -49,6 +49,7 @@
         more_routes=(LIST_ROUTE,),
     ),
     'deadly': Load(('/read/a', '/list/a'), more_routes=(LIST_ROUTE,)),
+    'copies': Load(),
 }
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -80,6 +80,22 @@
     'store_link': 1.0,
 }
 DEADLY_INTERVAL_S = 2.5
+# Faults of the plan "copies", mostly changes that bind also if the store loses
+# them.
+COPIES_WEIGHTS = {
+    'drain': 3.0,
+    'evacuate': 2.0,
+    'withdraw_key': 2.0,
+    'reconfigure': 1.0,
+    'server_ends': 1.0,
+    'store_link': 1.0,
+    'kill': 0.5,
+    'stop': 0.5,
+    'pause': 0.5,
+}
+# A copy of the store is that old when it replaces the store.
+COPY_AGES_S = (0.5, 5.0)
+COPY_INTERVAL_S = 2.0
 # Longer than half of the time of most requests, and shorter than all of it.
 SLOW_ANSWERS_S = (0.85, 1.2)
 MAX_SLOW_TIME_S = 6.0
@@ -254,10 +270,32 @@
     yield from sorted((*deadly, *others), key=lambda fault: fault.start_s)
 
 
+def _draw_store_copies(
+    rng: random.Random, end_s: float
+) -> Iterable[ScheduledFault]:
+    at_s = rng.uniform(0.5, 2.0)
+    while at_s < end_s:
+        age_s = rng.uniform(*COPY_AGES_S)
+        yield ScheduledFault(at_s, 'store_copy', 0, age_s)
+        at_s += age_s + rng.expovariate(1 / COPY_INTERVAL_S)
+
+
+def _draw_copies(seed: int, seconds: float) -> Iterable[ScheduledFault]:
+    end_s = seconds * (1 - QUIET_RATIO) - MAX_DURATION_S
+    copies = _draw_store_copies(
+        random.Random(f'copies {seed}'), end_s - MAX_DURATION_S
+    )
+    others = _draw_handover_series(
+        random.Random(f'beside copies {seed}'), end_s, COPIES_WEIGHTS
+    )
+    yield from sorted((*copies, *others), key=lambda fault: fault.start_s)
+
+
 PLANS = {
     'mixed': _draw_mixed,
     'handovers': _draw_handovers,
     'deadly': _draw_deadly,
+    'copies': _draw_copies,
 }
 
 
@@ -269,6 +307,7 @@
     The plan "mixed" has faults of all kinds; "handovers" has slow servers and
     series of faults by which their requests pass to other servers, and holders
     and processes are replaced; "deadly" has requests that end the servers that
-    run them, while instances come and go.
+    run them, while instances come and go; "copies" has a store that comes back
+    from copies of itself, beside changes and short faults.
     """
     yield from PLANS[plan](seed, seconds)
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -25,6 +25,10 @@
 # How often a caller sends a request that ends servers.
 DEADLY_ATTEMPTS = 12
 POLL_INTERVAL_S = 0.05
+# How long the store is away before it comes back from a copy, and how long
+# writers then take to write lost entries again.
+AWAY_S = 0.4
+WRITE_AGAIN_S = 1.5
 
 
 class FaultInjector:
@@ -54,6 +58,8 @@
         self._callers = fault_callers
         self._active_targets: set[str] = set()
         self._lock = threading.Lock()
+        # Held while a change could be lost before any instance has seen it.
+        self._store_writes = threading.Lock()
 
     def apply_fault(self, fault: faults.ScheduledFault) -> None:
         """Inject a fault, unless its target is struck already."""
@@ -199,6 +205,8 @@
                 self._withdraw_key(fault.duration_s)
             case 'forget_history':
                 parts.store.compact()
+            case 'store_copy':
+                self._return_from_copy(fault.duration_s)
 
     def _await_exit(self, process: machines.Instance, instance: int) -> None:
         """Wait until a stop ends; kill the process if it does not."""
@@ -342,7 +350,8 @@
         self, server: machines.StandInServer, duration_s: float
     ) -> None:
         key = f'servers/{server.name}'
-        self.environment.store.put(key, server.make_entry('draining'))
+        with self._store_writes:
+            self.environment.store.put(key, server.make_entry('draining'))
         since_s = time.monotonic()
         time.sleep(checks.PROPAGATION_LIMIT_S + duration_s)
         self.drained.append(
@@ -350,10 +359,24 @@
         )
         self.environment.store.put(key, server.make_entry())
 
+    def _return_from_copy(self, age_s: float) -> None:
+        store = self.environment.store
+        store.take_copy()
+        time.sleep(age_s)
+        with self._store_writes:
+            time.sleep(checks.PROPAGATION_LIMIT_S)
+            store.refusal_status = 503
+            time.sleep(AWAY_S)
+            store.restore_copy()
+            store.refusal_status = 0
+            time.sleep(WRITE_AGAIN_S)
+            store.write_again()
+
     def _evacuate(self, fault: faults.ScheduledFault) -> None:
         domain = machines.DOMAINS[fault.target % len(machines.DOMAINS)]
         key = f'op/evacuate/{domain}'
-        self.environment.store.put(key, b'{}')
+        with self._store_writes:
+            self.environment.store.put(key, b'{}')
         since_s = time.monotonic()
         time.sleep(checks.PROPAGATION_LIMIT_S + fault.duration_s)
         until_s = time.monotonic()
@@ -366,8 +389,9 @@
 
     def _withdraw_key(self, duration_s: float) -> None:
         parts = self.environment
-        parts.keys['t1'].remove(WITHDRAWN_KEY)
-        parts.publish()
+        with self._store_writes:
+            parts.keys['t1'].remove(WITHDRAWN_KEY)
+            parts.publish()
         since_s = time.monotonic()
         time.sleep(checks.PROPAGATION_LIMIT_S + duration_s)
         self.withdrawn.append(
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -9,7 +9,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 PROMISES = 16
-FAULTS = 10
+FAULTS = 11
 
 
 def _read_rows():
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
 SHORT_SEED = 2
 SHORT_S = 10.0
 HANDOVER_SEED = 5
+COPIES_SEED = 3
 
 
 def make_request(**fields):
@@ -509,6 +510,19 @@
     assert kinds == {'deadly_request', *faults.DEADLY_WEIGHTS}
 
 
+def test_copies_of_the_store_are_drawn_beside_other_faults():
+    drawn = [*faults.draw_faults(7, 30, 'copies')]
+    assert drawn == [*faults.draw_faults(7, 30, 'copies')]
+    starts = [fault.start_s for fault in drawn]
+    assert starts == sorted(starts)
+    copies = [fault for fault in drawn if fault.kind == 'store_copy']
+    assert copies and max(c.start_s + c.duration_s for c in copies) < 0.8 * 30
+    kinds = {
+        f.kind for s in range(20) for f in faults.draw_faults(s, 30, 'copies')
+    }
+    assert kinds == {'store_copy', *faults.COPIES_WEIGHTS}
+
+
 def test_relay_faults_end_with_mode_but_stale_connections_stay_silent():
     """A connection opened before STALE must stay silent, without a reset.
 
@@ -542,6 +556,13 @@
     assert report.served > report.requests / 2
 
 
+def test_promises_hold_while_the_store_returns_from_copies(tmp_path):
+    """Servers that had left got requests before instances read eras."""
+    report = scenario.run_scenario(tmp_path, COPIES_SEED, plan='copies')
+    assert report.violations == ()
+    assert report.faults > 0
+
+
 def test_no_work_is_lost_in_handovers(tmp_path):
     """Slow servers answer in time while holders and processes change."""
     report = scenario.run_scenario(tmp_path, HANDOVER_SEED, plan='handovers')
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -112,7 +112,9 @@
     store_replica = make_replica()
     restore(store_replica, copied=COPIED[1:])
     assert store_replica.policy.version == 1
-    assert 'op/config' in {c.key for c in store_replica.list_changes_since(-1)}
+    joining = replica.StoreReplica(entry_decoding.decode_entry)
+    joining.apply(store_replica.list_changes_since(-1), 97, START, 4)
+    assert joining.policy.version == 1
 
 
 def test_leaving_server_stays_leaving_until_its_entry_changes():
@@ -164,10 +166,15 @@
     assert list_used(store_replica) == {'i1', 'i2'}
 
 
-def test_removed_server_is_used_if_the_store_keeps_its_entry():
+@pytest.mark.parametrize('is_restored_twice', [False, True])
+def test_removed_server_is_used_if_the_store_keeps_its_entry(
+    is_restored_twice,
+):
     """One that was cut off while it expired does not write it again."""
     store_replica = make_replica(make_change('servers/i2', 98))
     restore(store_replica)
+    if is_restored_twice:
+        store_replica.replace(COPIED, 96, START, 5)
     almost = START + replica.COPY_HOLD - SHORT
     assert store_replica.release_held(almost) == ()
     store_replica.release_held(START + replica.COPY_HOLD)
@@ -180,6 +187,20 @@
     store_replica.apply([make_change('servers/i2', 98)], 98, START, 4)
     store_replica.release_held(START + replica.COPY_HOLD)
     assert list_used(store_replica) == {'i1'}
+    # A new process, written after another copy.
+    written = make_change('servers/i2', 97, make_server(born=6))
+    store_replica.replace((*COPIED[:2], written), 97, START, 5)
+    assert list_used(store_replica) == {'i1', 'i2'}
+
+
+def test_server_that_was_removed_and_returned_before_is_used():
+    store_replica = make_replica(
+        make_change('servers/i2', 98),
+        make_change('servers/i2', 99, make_server()),
+    )
+    events = restore(store_replica)
+    assert [event.event for event in events] == ['entry_in_force']
+    assert list_used(store_replica) == {'i1', 'i2'}
 
 
 def test_entry_of_an_earlier_process_does_not_replace_that_of_a_later_one():
@@ -283,6 +304,8 @@
     assert (core.replica.era, core.replica.revision) == (4, 97)
     assert core.replica.policy.version == 7
     assert core.follower.find_staleness(START + 2 * SECOND) == SECOND
+    core.advance(START + 2 * SECOND + replica.REMOVAL_GRACE)
+    assert set(core.current_configuration.servers) == {'i1', 'i2'}
     written = make_change('servers/i6', 98, make_server())
     other.receive_store_update((written,), 98, False, 4, START + 3 * SECOND)
     pull(core, other, START + 3 * SECOND)
