--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -12,10 +12,10 @@
 import msgspec
 
 from cranberryscale import errors
+from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_statements
 from cranberryscale.process import request_crashes
 from cranberryscale.process import roster
-from cranberryscale.process import server_limits
-from cranberryscale.process import server_statements
 from cranberryscale.process import shards
 from cranberryscale.version import replica
 
@@ -426,7 +426,8 @@
 
     See dispatch_requests.DispatchRequest. `limits` are those in force at the
     shard's servers as far as the sender knows. `history` is what it knows of
-    the request, None for one that runs once.
+    the request, None for one that runs once. `customer` is empty for requests
+    without a key. `kind` names requests that are alike.
     """
 
     shard: shards.Shard
@@ -442,6 +443,8 @@
     is_new: bool = True
     limits: tuple[server_limits.ServerLimit, ...] = ()
     history: request_crashes.RequestHistory | None = None
+    customer: str = ''
+    kind: str = ''
 
 
 class ServerReply(NamedTuple):
