--- a/cranberryscale/connection/http_calls.py
+++ b/cranberryscale/connection/http_calls.py
@@ -45,6 +45,11 @@
         self.status = self._head.status
         connection.sock.set_deadline(pool.clock.read_elapsed() + timeout)
 
+    def find_header(self, name: str) -> str:
+        """Return the last value of a header in lower case, or ""."""
+        values = http_framing.find_header_values(self._head.pairs, name)
+        return values[-1] if values else ''
+
     def read1(self, _limit_bytes: int = -1) -> bytes:
         """Return the next block, b'' at the end, or raise CallFailed.
 
