Let requests wait for tokens as long as their targets allow

Cause: requests waited for a token of their customer for 0.4 s, or 0.2 s if others were more urgent, whatever their target. One with 5 s was refused after 0.2 s, while tokens that it could have left were missing to one with 0.5 s, which could wait beyond its target.

Change: requests that can wait for over 0.4 s no longer book tokens. The holder queues them by priority and latest start, and tells their instances when to ask again. A request whose turn comes too late is refused at its first ask. Every eighth token goes to the longest wait. Half of an instance's threads may wait. While neither holder nor successor answers, requests with time ask again.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -30,6 +30,7 @@
 from cranberryscale.process import roster
 from cranberryscale.process import shards
 from cranberryscale.process import store_follower
+from cranberryscale.process import token_queue
 from cranberryscale.version import configuration
 from cranberryscale.version import deployment
 from cranberryscale.version import replica
@@ -426,15 +427,27 @@
         if known is None:
             # The sender may have a newer configuration.
             raise errors.make_error('not_holder', message.customer)
+        longest_wait = datetime.timedelta(seconds=message.longest_wait_s)
+        request = None
+        if message.request_id:
+            request = token_queue.TokenRequest(
+                message.request_id,
+                longest_wait,
+                datetime.timedelta(seconds=message.late_wait_s),
+                message.priority,
+            )
         admission = self._quota_holder.admit(
             known,
             self._find_position(now),
             now,
-            datetime.timedelta(seconds=message.longest_wait_s),
+            longest_wait,
             self._holds_quota(message.customer, now),
+            request,
         )
         return messages.QuotaReply(
-            admission.is_admitted, admission.delay.total_seconds()
+            admission.is_admitted,
+            admission.delay.total_seconds(),
+            admission.is_waiting,
         )
 
     def _handle_ask_server(
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -400,22 +400,29 @@
 class AskQuota(NamedTuple):
     """A request to a customer's quota holder to admit one request.
 
-    The request can wait for its token for `longest_wait_s`.
+    The request can wait for its token for `longest_wait_s`. With a request id
+    it can ask again, and a late response is of use if it starts within
+    `late_wait_s`. `priority` orders it among the customer's requests.
     """
 
     customer: str
     longest_wait_s: float = 0.0
+    request_id: str = ''
+    late_wait_s: float = 0.0
+    priority: int = 0
 
 
 class QuotaReply(NamedTuple):
     """The decision whether to admit a request.
 
     An admitted request may start after `delay_s`; another one may be repeated
-    then.
+    then. One that `is_waiting` keeps its place in the queue if the same
+    request asks again then.
     """
 
     is_admitted: bool
     delay_s: float = 0.0
+    is_waiting: bool = False
 
 
 class AskServer(NamedTuple):
--- a/cranberryscale/process/quotas.py
+++ b/cranberryscale/process/quotas.py
@@ -28,18 +28,24 @@
   same, and a request whose wait would be too long is refused at once;
 - one customer over its rate for long. Waiting would only delay each of its
   requests, so it ends after some seconds, until the customer is well inside
-  its rate again.
+  its rate again;
+- one customer over its rate with requests that can wait for seconds, beside
+  requests that cannot. The former take no token before it has accrued: they
+  have places in a queue (see token_queue) and their instances ask again. It
+  gets at least every eighth token.
 """
 
 import datetime
 from typing import NamedTuple
 
 from cranberryscale.process import fleet_buckets
+from cranberryscale.process import token_queue
 from cranberryscale.version import configuration
 
 
 __all__ = [
     'ASSUMED_INSTANCES',
+    'BOOKING_LIMIT',
     'LocalQuota',
     'QuotaBounds',
     'QuotaDecision',
@@ -62,6 +68,14 @@
 # How long after the first wait for a token further ones are given, which is
 # enough for the demand that returns after a loss of all instances.
 WAITING_TIME = datetime.timedelta(seconds=3)
+# Requests that can wait for longer queue instead of booking a token, which
+# requests with less time could not wait for.
+BOOKING_LIMIT = datetime.timedelta(milliseconds=400)
+# Part of its wait after which a request expects its turn if it queues, since
+# more urgent requests will arrive meanwhile.
+NEW_WAIT_RATIO = 0.5
+# Part of the rate from which on bookings count as competing with the queue.
+COMPETING_RATIO = 0.1
 # Part of the burst from which on a customer is well inside its rate.
 RECOVERED_RATIO = 0.5
 
@@ -70,11 +84,12 @@
     """Decision whether a request is within the rate.
 
     An admitted request may start after `delay`; another one may be repeated
-    then.
+    then. One that `is_waiting` keeps its place if it is.
     """
 
     is_admitted: bool
     delay: datetime.timedelta = datetime.timedelta(0)
+    is_waiting: bool = False
 
 
 class QuotaBounds(NamedTuple):
@@ -115,30 +130,147 @@
         self.admitted_at: datetime.timedelta | None = None
         # When the first request found no token since the last recovery.
         self._short_since: datetime.timedelta | None = None
+        self._queue = token_queue.TokenQueue()
 
     def spend(
         self,
         limits: fleet_buckets.BucketLimits,
         now: datetime.timedelta,
         longest_wait: datetime.timedelta,
+        request: token_queue.TokenRequest | None = None,
     ) -> QuotaDecision:
-        """Spend a token for a request that can wait for it."""
+        """Spend a token for a request that can wait for it.
+
+        With `request`, it can also ask again.
+        """
+        self._queue.remove_abandoned(now)
         if self.tokens >= limits.burst * RECOVERED_RATIO:
             self._short_since = None
-        if self.tokens >= 1:
+        if request is None:
+            return self._book(limits, now, longest_wait)
+        if (
+            request.request_id in self._queue
+            or request.longest_wait > BOOKING_LIMIT
+        ):
+            return self._wait(limits, now, request)
+        decision = self._book(limits, now, longest_wait)
+        if decision.is_admitted or decision.delay > request.late_wait:
+            return decision
+        return self._wait(limits, now, request)
+
+    def _book(
+        self,
+        limits: fleet_buckets.BucketLimits,
+        now: datetime.timedelta,
+        longest_wait: datetime.timedelta,
+    ) -> QuotaDecision:
+        """Spend a token of those that the queue leaves, or the next one."""
+        free = self.tokens - self._queue.reserved
+        if free >= 1:
+            self._queue.record_token(token_queue.BOOKING_RANK, now)
             return self._admit(now)
         if limits.rate_per_s <= 0:
             return QuotaDecision(False, HANDOVER_TIME)
+        delay = self._find_delay(1 - free, limits.rate_per_s, now)
+        if self._is_short_lately(now, WAITING_TIME) and delay <= longest_wait:
+            self._queue.record_token(token_queue.BOOKING_RANK, now)
+            return self._admit(now, delay)
+        return QuotaDecision(False, max(delay, MIN_RETRY_AFTER))
+
+    def _find_delay(
+        self, tokens: float, rate_per_s: float, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Return how long the tokens take to accrue."""
+        accrual = datetime.timedelta(seconds=tokens / rate_per_s)
+        return max(self.updated_at - now, datetime.timedelta(0)) + accrual
+
+    def _is_short_lately(
+        self, now: datetime.timedelta, limit: datetime.timedelta
+    ) -> bool:
+        """Return whether tokens have been short for less than `limit`."""
         if self._short_since is None:
             self._short_since = now
-        may_wait = now - self._short_since < WAITING_TIME
-        accrual = datetime.timedelta(
-            seconds=(1 - self.tokens) / limits.rate_per_s
+        return now - self._short_since < limit
+
+    def _wait(
+        self,
+        limits: fleet_buckets.BucketLimits,
+        now: datetime.timedelta,
+        request: token_queue.TokenRequest,
+    ) -> QuotaDecision:
+        """Spend a token if it is the request's turn, or give it a place."""
+        request_id = request.request_id
+        is_new = request_id not in self._queue
+        is_late = request.longest_wait <= BOOKING_LIMIT
+        ahead = self._queue.add(request, now, is_late)
+        if self.tokens - max(ahead, self._queue.reserved) >= 1:
+            return self._serve(request_id, now)
+        if limits.rate_per_s <= 0:
+            self._queue.remove(request_id)
+            can_return = request.longest_wait > HANDOVER_TIME
+            return QuotaDecision(False, HANDOVER_TIME, can_return)
+        if self._queue.has_credit(request_id):
+            delay = self._find_delay(1 - self.tokens, limits.rate_per_s, now)
+            if now + delay <= self._queue.find_start_limit(request_id):
+                return self._serve(request_id, now, delay)
+        delay = self._find_turn(request_id, limits, now)
+        margin = 1.0
+        if is_new:
+            margin = NEW_WAIT_RATIO * self._may_queue(request, limits, now)
+        limit = self._queue.find_start_limit(request_id) - now
+        if delay > limit * margin:
+            self._queue.remove(request_id)
+            return QuotaDecision(False, max(delay, MIN_RETRY_AFTER))
+        delay = self._queue.postpone(request_id, delay, now)
+        return QuotaDecision(False, delay, True)
+
+    def _serve(
+        self,
+        request_id: str,
+        now: datetime.timedelta,
+        delay: datetime.timedelta = datetime.timedelta(0),
+    ) -> QuotaDecision:
+        decision = self._admit(now, delay)
+        self._queue.serve(request_id, now)
+        return decision
+
+    def _may_queue(
+        self,
+        request: token_queue.TokenRequest,
+        limits: fleet_buckets.BucketLimits,
+        now: datetime.timedelta,
+    ) -> bool:
+        """Return whether a new request may queue for a token.
+
+        In a lasting shortage a queue serves no more requests, but it lets
+        more urgent ones go first.
+        """
+        before = self._queue.find_rate_before(request.priority, now)
+        return (
+            self._is_short_lately(now, WAITING_TIME)
+            or before > limits.rate_per_s * COMPETING_RATIO
         )
-        delay = max(self.updated_at - now, datetime.timedelta(0)) + accrual
-        if may_wait and delay <= longest_wait:
-            return self._admit(now, delay)
-        return QuotaDecision(False, max(delay, MIN_RETRY_AFTER))
+
+    def _find_turn(
+        self,
+        request_id: str,
+        limits: fleet_buckets.BucketLimits,
+        now: datetime.timedelta,
+    ) -> datetime.timedelta:
+        """Return when a request's turn is expected.
+
+        One that would be late goes behind all that can be on time.
+        """
+        ahead = max(self.updated_at - now, datetime.timedelta(0))
+        while True:
+            turn_s = self._queue.find_turn(
+                request_id, self.tokens, limits.rate_per_s, now
+            )
+            delay = ahead + datetime.timedelta(seconds=max(0.0, turn_s))
+            if now + delay <= self._queue.find_start_limit(request_id):
+                return delay
+            if not self._queue.move_back(request_id):
+                return delay
 
     def _admit(
         self,
@@ -169,6 +301,7 @@
         """Keep only a start, since another instance is the holder now."""
         self.is_held = False
         self.tokens = min(self.tokens, self.start)
+        self._queue.clear()
 
     def hold(self, since: datetime.timedelta) -> None:
         """Let tokens accrue from an elapsed time on, if not held before."""
@@ -224,10 +357,12 @@
         now: datetime.timedelta,
         longest_wait: datetime.timedelta = datetime.timedelta(0),
         is_holder: bool = True,
+        request: token_queue.TokenRequest | None = None,
     ) -> QuotaDecision:
         """Spend a token for one request, which can wait for it.
 
-        An instance that is not the holder by its own records admits a start.
+        With `request`, it can also ask again. An instance that is not the
+        holder by its own records admits a start.
         """
         if customer.rate_per_s <= 0:
             return QuotaDecision(True)
@@ -244,7 +379,7 @@
             delay = HANDOVER_TIME * position.has_predecessor
             bucket.hold(now + delay)
         bucket.accrue(limits, now)
-        return bucket.spend(limits, now, longest_wait)
+        return bucket.spend(limits, now, longest_wait, request)
 
     def list_held(self) -> tuple[str, ...]:
         """Return the customers of which this instance was the holder."""
--- a/cranberryscale/request/actions.py
+++ b/cranberryscale/request/actions.py
@@ -87,13 +87,18 @@
     """Action: obtain a token of the customer's rate budget.
 
     `remaining` is the time until the request's deadline. `is_urgent` is set
-    if none of the customer's requests is more urgent.
+    if none of the customer's requests is more urgent. `target` is the latency
+    objective, counted from the arrival of the request `waited` ago; zero for
+    none.
     """
 
     customer: str
     once_key: str
     remaining: datetime.timedelta = datetime.timedelta(0)
     is_urgent: bool = True
+    target: datetime.timedelta = datetime.timedelta(0)
+    waited: datetime.timedelta = datetime.timedelta(0)
+    priority: int = 0
 
 
 class AskPermit(NamedTuple):
@@ -156,6 +161,7 @@
     """Action: return a permit and report how the server behaved.
 
     `statement` is what the server's answer says of it, None without answer.
+    `target` is the latency objective of the request.
     """
 
     service: str
@@ -166,6 +172,7 @@
     cold: bool = False
     statement: server_statements.ServerStatement | None = None
     digest: bytes = b''
+    target: datetime.timedelta = datetime.timedelta(0)
 
 
 class ReportOverdue(NamedTuple):
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -18,12 +18,16 @@
 from cranberryscale import messages
 from cranberryscale.process import metrics
 from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import load_statistics
 from cranberryscale.process.pool import server_limits
+from cranberryscale.process import quotas
 from cranberryscale.process import request_crashes
 from cranberryscale.process import shards
 from cranberryscale.process import shutdown
+from cranberryscale.process import token_queue
 from cranberryscale.request import actions
 from cranberryscale.request import routes
+from cranberryscale.request import token_waits
 from cranberryscale.version import configuration
 from cranberryscale.version import keys
 
@@ -38,19 +42,10 @@
 # Longest delay until a starting instance repeats a token request. Holders that
 # start at the same time know their rate within some tenths of a second.
 STARTUP_RETRY_DELAY = datetime.timedelta(milliseconds=100)
-# Longest wait of a request for a token of its customer's rate, also as a part
-# of its remaining time: waiting must leave time to serve it.
-TOKEN_WAIT_LIMIT = datetime.timedelta(milliseconds=400)
-TOKEN_WAIT_RATIO = 1 / 3
-# The same while the instance has just started. If all instances started
-# together, the callers bring the demand of the seconds without service.
-STARTUP_TOKEN_WAIT_LIMIT = datetime.timedelta(milliseconds=1500)
-STARTUP_TOKEN_WAIT_RATIO = 1 / 2
-STARTUP_DEMAND_TIME = datetime.timedelta(seconds=2)
-# Part of this time for requests that are not the most urgent. Tokens are
-# waited for in the order of arrival, so otherwise requests with much time
-# would take the tokens that urgent ones with little time cannot wait for.
-LESS_URGENT_WAIT_RATIO = 1 / 2
+# How often a request asks for a token at most, where holders change meanwhile.
+TOKEN_ASK_LIMIT = token_queue.ASK_LIMIT + 3
+# Requests that may wait for tokens at a time: half of the threads for callers.
+TOKEN_WAITER_LIMIT = 24
 # A second queue is tried if the first one refuses the request after all.
 MAX_QUEUES_TRIED = 2
 
@@ -166,6 +161,8 @@
         self._clock = clock
         self._metrics = registry
         self._started_by = started_by
+        self._latencies = load_statistics.LatencyEstimator()
+        self._token_waiters = token_waits.WaitLimiter(TOKEN_WAITER_LIMIT)
 
     # Rate limits of customers
 
@@ -178,53 +175,73 @@
         )
         if customer is not None and customer.rate_per_s <= 0:
             return self._grant_tokens()
+        # A request that finds all places taken can still book a token.
+        can_wait = self._token_waiters.try_acquire()
+        try:
+            return self._wait_for_token(action, request_id, can_wait)
+        finally:
+            if can_wait:
+                self._token_waiters.release()
+
+    def _wait_for_token(
+        self, action: actions.AskTokens, request_id: str, can_wait: bool
+    ) -> actions.TokensGranted | actions.AdmissionDenied:
         asked_at = self._clock.read_elapsed()
+        asks_left = TOKEN_ASK_LIMIT
         while True:
-            now = self._clock.read_elapsed()
-            remaining = action.remaining - (now - asked_at)
-            longest_wait = self._find_token_wait(remaining)
-            if not action.is_urgent:
-                longest_wait *= LESS_URGENT_WAIT_RATIO
-            reply = self._request_quota(
-                action.customer, request_id, longest_wait
-            )
+            elapsed = self._clock.read_elapsed() - asked_at
+            wait = self._find_token_wait(action, elapsed)
+            reply = self._request_quota(action, request_id, wait, can_wait)
             delay = datetime.timedelta(seconds=reply.delay_s)
             if reply.is_admitted:
                 self._clock.sleep(delay)
                 return self._grant_tokens()
             time_left = self._started_by - self._clock.read_elapsed()
-            if time_left <= datetime.timedelta(0):
+            if time_left > datetime.timedelta(0):
+                self._clock.sleep(min(delay, time_left, STARTUP_RETRY_DELAY))
+                continue
+            asks_left -= 1
+            if not (reply.is_waiting and asks_left):
                 return actions.AdmissionDenied('rate_exceeded', delay)
-            self._clock.sleep(min(delay, time_left, STARTUP_RETRY_DELAY))
+            self._clock.sleep(delay)
 
     def _find_token_wait(
-        self, remaining: datetime.timedelta
-    ) -> datetime.timedelta:
-        """Return how long a request can wait for a token."""
-        since_start = self._clock.read_elapsed() - self._started_by
-        if since_start < datetime.timedelta(0):
-            # Holders that start do not know their rate yet, so the waits that
-            # they would grant are too long. Tokens are asked for again.
-            return datetime.timedelta(0)
-        if since_start < STARTUP_DEMAND_TIME:
-            return min(
-                STARTUP_TOKEN_WAIT_LIMIT, remaining * STARTUP_TOKEN_WAIT_RATIO
-            )
-        return min(TOKEN_WAIT_LIMIT, remaining * TOKEN_WAIT_RATIO)
+        self, action: actions.AskTokens, elapsed: datetime.timedelta
+    ) -> token_waits.TokenWait:
+        target_left = None
+        if action.target:
+            target_left = action.target - action.waited - elapsed
+        return token_waits.find_token_wait(
+            target_left,
+            action.remaining - elapsed,
+            self._latencies.estimate_latency(action.target),
+            self._clock.read_elapsed() - self._started_by,
+            action.is_urgent,
+        )
 
     def _request_quota(
         self,
-        customer: str,
+        action: actions.AskTokens,
         request_id: str,
-        longest_wait: datetime.timedelta,
+        wait: token_waits.TokenWait,
+        can_wait: bool,
     ) -> messages.QuotaReply:
-        reply, holder = self._query_quota_holder(customer, longest_wait)
+        customer = action.customer
+        message = messages.AskQuota(customer, wait.on_time.total_seconds())
+        if can_wait and wait.late:
+            message = message._replace(
+                request_id=request_id,
+                late_wait_s=wait.late.total_seconds(),
+                priority=action.priority,
+            )
+        reply, holder = self._query_quota_holder(message)
         logs.log_event(
             'quota',
             request_id=request_id,
             customer=customer,
             holder=holder,
             admitted=reply.is_admitted,
+            waiting=reply.is_waiting,
             delay_s=round(reply.delay_s, 3),
             **self._core.describe_configuration(self._clock.read_elapsed()),
         )
@@ -237,10 +254,9 @@
         return actions.TokensGranted(until, covers_repeats=True)
 
     def _query_quota_holder(
-        self, customer: str, longest_wait: datetime.timedelta
+        self, message: messages.AskQuota
     ) -> tuple[messages.QuotaReply, str]:
-        message = messages.AskQuota(customer, longest_wait.total_seconds())
-        for holder in self._list_quota_holders(customer):
+        for holder in self._list_quota_holders(message.customer):
             if self._driver.is_unresponsive(holder):
                 continue
             try:
@@ -249,14 +265,23 @@
                 )
                 return reply, holder
             except errors.FleetError as error:
-                self._record_missing_holder(customer, holder, error)
+                self._record_missing_holder(message.customer, holder, error)
         self._record_local_decision('quota')
+        longest_wait = datetime.timedelta(seconds=message.longest_wait_s)
         with self._driver.lock:
             decision = self._core.admit_locally(
-                customer, self._clock.read_elapsed(), longest_wait
+                message.customer,
+                self._clock.read_elapsed(),
+                min(longest_wait, quotas.BOOKING_LIMIT),
             )
-        delay_s = decision.delay.total_seconds()
-        return messages.QuotaReply(decision.is_admitted, delay_s), LOCAL_HOLDER
+        # The next holder is known soon.
+        can_return = message.request_id and decision.delay < longest_wait
+        reply = messages.QuotaReply(
+            decision.is_admitted,
+            decision.delay.total_seconds(),
+            not decision.is_admitted and bool(can_return),
+        )
+        return reply, LOCAL_HOLDER
 
     def _list_quota_holders(self, customer: str) -> Iterator[str]:
         """Yield the holder and its successor, each found when asked for."""
@@ -555,6 +580,8 @@
         """
         now = self._clock.read_elapsed()
         with self._driver.lock:
+            if action.outcome == 'ok' and action.target:
+                self._latencies.record(action.target, action.latency)
             self._core.fallback.record_end(action.server, action.outcome, now)
             self._core.statements.record_own(
                 action.server, action.statement, now - action.latency, now
--- a/cranberryscale/request/flow.py
+++ b/cranberryscale/request/flow.py
@@ -32,7 +32,13 @@
     # The idempotency key was recorded with the first request for tokens.
     once_key = '' if state.has_idempotency_record else state.request.once_key
     action = actions.AskTokens(
-        state.customer, once_key, state.remaining, state.is_most_urgent
+        state.customer,
+        once_key,
+        state.remaining,
+        state.is_most_urgent,
+        state.route.target,
+        state.context.read_elapsed() - state.request.received,
+        state.priority,
     )
     match (yield action):
         case actions.TokensGranted(valid_until=until, covers_repeats=covers):
@@ -81,6 +87,7 @@
         state.context.read_elapsed() - exchange.started_at,
         response is not None and response.cold,
         None if response is None else response.statement,
+        target=state.route.target,
     )
 
 
--- a/cranberryscale_bench/report_mutants.py
+++ b/cranberryscale_bench/report_mutants.py
@@ -66,6 +66,14 @@
         ('quotas',),
         'a token that is waited for is taken from the bucket',
     ),
+    mutants.Mutation(
+        'queued-token-debt-forgotten',
+        'cranberryscale/process/quotas.py',
+        'decision = self._admit(now, delay)',
+        'decision = QuotaDecision(True, delay)',
+        ('token_waits',),
+        'a token that is queued for is taken from the bucket',
+    ),
     mutants.Mutation(
         'token-not-waited-for',
         'cranberryscale/request/core_admission.py',
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -201,6 +201,64 @@
     assert waits == pytest.approx([0.4, 0.2])
 
 
+WITH_TIME = actions.AskTokens('c', '', 9 * SECOND, False, 5 * SECOND)
+
+
+def test_request_with_time_asks_again_when_the_holder_says():
+    """It keeps its id and tells what is left of its wait."""
+    replies = [
+        messages.QuotaReply(False, 0.5, True),
+        messages.QuotaReply(False, 0.2, True),
+        messages.QuotaReply(True),
+    ]
+    driver, admission = make_admission(
+        started_by=START - 5 * SECOND, AskQuota=replies
+    )
+    began = admission.context.read_elapsed()
+    result = admission.ask_tokens(WITH_TIME, 'r')
+    assert isinstance(result, actions.TokensGranted)
+    assert admission.context.read_elapsed() - began == 0.7 * SECOND
+    assert {call.request_id for call in driver.calls} == {'r'}
+    waits = [call.longest_wait_s for call in driver.calls]
+    assert waits[0] > 2
+    assert waits == sorted(waits, reverse=True)
+    assert len(set(waits)) == len(waits)
+
+
+def test_request_with_time_asks_the_next_holder_while_there_is_none():
+    """Guards against refusals in the second until a loss is known."""
+    core = test_core.make_core()
+    others = [test_core.make_core(n).roster.own_record for n in range(2, 60)]
+    core.roster.merge(others, START)
+    error = errors.make_error('peer_unreachable')
+    driver, admission = make_admission(
+        core,
+        started_by=START - 5 * SECOND,
+        AskQuota=[error, error, messages.QuotaReply(True)],
+    )
+    core.admit_locally('c', START)
+    result = admission.ask_tokens(WITH_TIME, 'r')
+    assert isinstance(result, actions.TokensGranted)
+    assert len(driver.calls) == 3
+
+
+def test_half_of_the_threads_at_most_wait_for_tokens():
+    """Others book a token, or are refused at once."""
+    driver, admission = make_admission(
+        started_by=START - 5 * SECOND,
+        AskQuota=messages.QuotaReply(False, 1.0),
+    )
+    limiter = admission._token_waiters
+    while limiter.try_acquire():
+        pass
+    result = admission.ask_tokens(WITH_TIME, 'r')
+    assert result == actions.AdmissionDenied('rate_exceeded', SECOND)
+    assert [call.request_id for call in driver.calls] == ['']
+    limiter.release()
+    admission.ask_tokens(WITH_TIME, 'r')
+    assert driver.calls[-1].request_id == 'r'
+
+
 def test_startup_retry_delay_is_bounded():
     """Holders that are starting return a delay for a divided rate.
 
