Give a pool's queue and its refusals modules of their own

Cause: the order of the queue and the decision to refuse were spread over ServerPool and could not be tested without one.

Change: request_queue.py keeps the waiting requests and their order, refusals.py decides from numbers alone how long a request may wait and when a refused one may return. Usual latencies are read through one function. No decision changes: the tests of dispatching, of limited servers and of the spread pass unchanged.

--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -18,12 +18,13 @@
 import heapq
 import itertools
 from typing import NamedTuple
-import zlib
 
 from cranberryscale.process import fleet_buckets
 from cranberryscale.process.pool import dispatch_requests
 from cranberryscale.process.pool import health
 from cranberryscale.process.pool import load_statistics
+from cranberryscale.process.pool import refusals
+from cranberryscale.process.pool import request_queue
 from cranberryscale.process.pool import retry_budgets
 from cranberryscale.process.pool import return_schedule
 from cranberryscale.process.pool import server_limits
@@ -41,17 +42,9 @@
 # is gone.
 POLL_TIMEOUT = datetime.timedelta(milliseconds=600)
 QUEUE_LIMIT = 512
-MIN_RETRY_AFTER = datetime.timedelta(milliseconds=100)
-# Above this utilization, arrivals count as a surge.
-SURGE_UTILIZATION = 0.95
 # Above this utilization of the healthy servers, unhealthy ones are used as
 # well.
 UNHEALTHY_UTILIZATION = 0.95
-# Part of its remaining time that a request that will miss its target may wait
-# for the requests ahead of it. New requests that can meet their target
-# overtake it meanwhile.
-LATE_WAIT_RATIO = 0.6
-SURGE_WAIT_RATIO = 0.4
 
 
 class _RunningRequest(NamedTuple):
@@ -65,33 +58,6 @@
     is_overdue: bool = False
 
 
-class _QueuedRequest:
-    """A request that waits for a free slot.
-
-    Its target latency ends at `target_at`, its remaining time at `deadline`.
-    The instance last polled for it at `polled_at`.
-    """
-
-    def __init__(
-        self,
-        request: dispatch_requests.DispatchRequest,
-        now: datetime.timedelta,
-    ):
-        self.request = request
-        self.target_at = now + request.target - request.waited
-        self.deadline = now + request.remaining
-        self.polled_at = now
-
-    def make_current_request(
-        self, now: datetime.timedelta
-    ) -> dispatch_requests.DispatchRequest:
-        """Return the request with its times brought up to now."""
-        waited = self.request.target - (self.target_at - now)
-        return self.request._replace(
-            waited=waited, remaining=self.deadline - now
-        )
-
-
 def _find_whole_position(
     now: datetime.timedelta,
 ) -> fleet_buckets.FleetPosition:
@@ -125,12 +91,12 @@
         )
         self._ranker = server_ranking.ServerRanker(service, budget)
         self._running: dict[int, _RunningRequest] = {}
-        self._queued: dict[str, _QueuedRequest] = {}
         self._granted: dict[
             str, tuple[dispatch_requests.DispatchPermit, datetime.timedelta]
         ] = {}
         self._denied: dict[str, dispatch_requests.DispatchDenial] = {}
         self._latencies = load_statistics.LatencyEstimator()
+        self._queue = request_queue.RequestQueue(self._estimate_latency)
         self._arrivals = load_statistics.ArrivalCounter()
         self._permit_ids = itertools.count(1)
 
@@ -192,7 +158,7 @@
     @property
     def queue_length(self) -> int:
         """Return the number of queued requests."""
-        return len(self._queued)
+        return len(self._queue)
 
     @property
     def running_count(self) -> int:
@@ -236,7 +202,7 @@
         denied = self._denied.pop(request.request_id, None)
         if denied is not None:
             return denied
-        queued = self._queued.get(request.request_id)
+        queued = self._queue.get(request.request_id)
         if queued is not None:
             queued.polled_at = now
             return dispatch_requests.QueuePlace()
@@ -250,7 +216,8 @@
         self._expire(now)
         if not any(self._ranker.list_usable(request, now)):
             return dispatch_requests.DispatchDenial(
-                'no_backend_server', max(MIN_RETRY_AFTER, request.target / 4)
+                'no_backend_server',
+                max(refusals.MIN_RETRY_AFTER, request.target / 4),
             )
         self._ranker.record_arrival(request, now)
         if not request.may_wait:
@@ -259,8 +226,8 @@
             return dispatch_requests.DispatchDenial(
                 'repeats_spent', request.target
             )
-        queued = _QueuedRequest(request, now)
-        if not self._count_ahead(queued):
+        queued = request_queue.QueuedRequest(request, now)
+        if not self._queue.count_ahead(queued):
             server = self._choose_server(request, now)
             if server is not None:
                 return self._grant(request, server, now)
@@ -270,11 +237,11 @@
             server = self._ranker.pick_any(request, now)
             if server is not None:
                 return self._grant(request, server, now)
-        if wait is None or len(self._queued) >= QUEUE_LIMIT:
+        if wait is None or len(self._queue) >= QUEUE_LIMIT:
             if request.is_repeat:
                 self._retry_budget.refund()
             return self._make_denial(request, now)
-        self._queued[request.request_id] = queued
+        self._queue.add(queued)
         return dispatch_requests.QueuePlace()
 
     def _record_arrival(
@@ -296,8 +263,8 @@
         now: datetime.timedelta,
     ) -> dispatch_requests.DispatchResult:
         """Return a permit for a healthy server, or the expected wait."""
-        queued = _QueuedRequest(request, now)
-        if not self._count_ahead(queued):
+        queued = request_queue.QueuedRequest(request, now)
+        if not self._queue.count_ahead(queued):
             server = self._ranker.pick_healthy(request, now)
             if server is not None:
                 if not self._record_arrival(request, now):
@@ -306,7 +273,7 @@
                     )
                 return self._grant(request, server, now)
         wait = self._estimate_wait(queued, now)
-        if wait is None or len(self._queued) >= QUEUE_LIMIT:
+        if wait is None or len(self._queue) >= QUEUE_LIMIT:
             return self._make_denial(request, now)
         return dispatch_requests.QueuePlace(
             wait, self._ranker.grade_best_server(request, now)
@@ -416,34 +383,29 @@
         """Grant free slots to queued requests and deny the expired ones."""
         self._apply_statements(now)
         self._expire(now)
-        if not self._queued:
+        if not self._queue:
             return
-        for queued in tuple(self._queued.values()):
+        for queued in self._queue:
             self._drop_or_deny(queued, now)
-        for queued in sorted(
-            self._queued.values(), key=lambda q: self._find_queue_order(q, now)
-        ):
+        for queued in self._queue.list_in_order(now):
             if not any(s.has_free_slot for s in self._ranker.tracked.values()):
                 return
             request = queued.make_current_request(now)
             server = self._choose_server(request, now)
             if server is not None:
-                del self._queued[request.request_id]
+                self._queue.remove(request.request_id)
                 permit = self._grant(request, server, now)
                 self._granted[request.request_id] = (permit, now)
 
     def _drop_or_deny(
-        self, queued: _QueuedRequest, now: datetime.timedelta
+        self, queued: request_queue.QueuedRequest, now: datetime.timedelta
     ) -> None:
         """Remove a queued request that can no longer be served here."""
         request = queued.request
         if now - queued.polled_at > POLL_TIMEOUT:
             # The instance stopped polling: it is gone, or needs no server.
             self._remove_queued(request)
-        elif (
-            queued.deadline - now
-            < self._latencies.estimate_latency(request.target) / 2
-        ):
+        elif queued.deadline - now < self._estimate_latency(request) / 2:
             self._deny(
                 request,
                 self._make_denial(queued.make_current_request(now), now),
@@ -452,7 +414,9 @@
             # The queue of another pool may still lead to a healthy server.
             self._deny(
                 request,
-                dispatch_requests.DispatchDenial('pool_busy', MIN_RETRY_AFTER),
+                dispatch_requests.DispatchDenial(
+                    'pool_busy', refusals.MIN_RETRY_AFTER
+                ),
             )
 
     def _deny(
@@ -467,7 +431,7 @@
         self, request: dispatch_requests.DispatchRequest
     ) -> None:
         """Remove a request that got no server; refund its repeat."""
-        del self._queued[request.request_id]
+        self._queue.remove(request.request_id)
         if request.is_repeat:
             self._retry_budget.refund()
 
@@ -508,24 +472,11 @@
         if server is not None:
             server.finish_request(permit_id, has_started)
 
-    def _find_queue_order(
-        self, queued: _QueuedRequest, now: datetime.timedelta
-    ):
-        """Return the sort key of a request in the queue.
-
-        Higher priorities go first; within a priority, requests that can still
-        meet their target.
-        """
-        usual = self._latencies.estimate_latency(queued.request.target)
-        is_late = now + usual > queued.target_at
-        return (queued.request.priority, is_late, queued.target_at)
-
-    def _count_ahead(self, queued: _QueuedRequest) -> int:
-        place = (queued.request.priority, queued.target_at)
-        return sum(
-            (other.request.priority, other.target_at) < place
-            for other in self._queued.values()
-        )
+    def _estimate_latency(
+        self, request: dispatch_requests.DispatchRequest
+    ) -> datetime.timedelta:
+        """Return how long a request usually takes."""
+        return self._latencies.estimate_latency(request.target)
 
     def _choose_server(
         self,
@@ -549,7 +500,7 @@
         waits for a healthy server while it can still meet its target and the
         healthy servers keep up with the arrivals.
         """
-        usual = self._latencies.estimate_latency(request.target)
+        usual = self._estimate_latency(request)
         if not self._ranker.is_failure_costly(request):
             return True
         if request.waited + usual >= request.target:
@@ -571,47 +522,27 @@
             for run in self._running.values()
         ]
         usual = sum(busy, ZERO) / len(busy) if busy else None
-        usual = usual or self._latencies.estimate_latency(request.target)
+        usual = usual or self._estimate_latency(request)
         return sum(
             server.estimate_rate(usual)
             for server in self._ranker.list_usable(request, now)
         )
 
     def _estimate_wait(
-        self, queued: _QueuedRequest, now: datetime.timedelta
+        self, queued: request_queue.QueuedRequest, now: datetime.timedelta
     ) -> datetime.timedelta | None:
-        """Return the expected wait for a slot, or None if it is too long.
-
-        A request that can meet its target waits for the requests ahead of it
-        and for those of higher priority that arrive meanwhile. A request that
-        will miss its target is served from the capacity that all others leave.
-        During a surge only a few of these are queued, to be served when the
-        surge ends, and none where servers are at their limit: limits last for
-        longer than a request can wait.
-        """
+        """Return the expected wait for a slot, or None if it is too long."""
         request = queued.request
-        usual = self._latencies.estimate_latency(request.target)
-        capacity = self._estimate_capacity(request, now)
-        ahead = self._count_ahead(queued) + 1
-        spare = capacity - self._arrivals.find_rate(request.priority - 1, now)
-        if spare <= 0:
-            return None
-        wait = datetime.timedelta(seconds=ahead / spare)
-        if now + wait + usual <= queued.target_at:
-            return wait
-        ahead = len(self._queued) + 1
-        wait = datetime.timedelta(seconds=ahead / spare)
-        is_surge = (
-            self._arrivals.find_rate(request.priority, now)
-            > capacity * SURGE_UTILIZATION
-        )
-        if is_surge and self._is_limited(request, now):
-            return None
-        spare_time = request.remaining - usual
-        limit = spare_time * (
-            SURGE_WAIT_RATIO if is_surge else LATE_WAIT_RATIO
+        load = refusals.PoolLoad(
+            self._estimate_capacity(request, now),
+            self._arrivals.find_rate(request.priority - 1, now),
+            self._arrivals.find_rate(request.priority, now),
+            self._queue.count_ahead(queued),
+            len(self._queue),
+            not self._is_limited(request, now),
         )
-        return wait if wait <= limit else None
+        usual = self._estimate_latency(request)
+        return refusals.find_wait(request, usual, load)
 
     def _is_limited(
         self,
@@ -635,7 +566,10 @@
                 'pool_limited', self._schedule_return(request, now)
             )
         return dispatch_requests.DispatchDenial(
-            'pool_busy', self._find_retry_after(request)
+            'pool_busy',
+            refusals.find_retry_after(
+                request, self._estimate_latency(request)
+            ),
         )
 
     def _schedule_return(
@@ -644,7 +578,7 @@
         now: datetime.timedelta,
     ) -> datetime.timedelta:
         """Return after what time the servers can take a denied request."""
-        usual = self._latencies.estimate_latency(request.target)
+        usual = self._estimate_latency(request)
         starts = heapq.merge(
             *(
                 server.list_starts(usual)
@@ -653,21 +587,8 @@
         )
         # Without any start, another instance is the holder.
         delay = self._returns.find_delay(
-            starts, len(self._queued), now, server_limits.HANDOVER_TIME
+            starts, len(self._queue), now, server_limits.HANDOVER_TIME
         )
         if request.may_wait and delay <= request.remaining:
             self._returns.add(now + delay)
         return delay
-
-    def _find_retry_after(
-        self, request: dispatch_requests.DispatchRequest
-    ) -> datetime.timedelta:
-        """Return when a denied request may be retried.
-
-        That is after about the time of one request. Requests that are denied
-        together must not return together, so the time is spread evenly by a
-        hash of the request id.
-        """
-        jitter = zlib.crc32(request.request_id.encode()) / 2**32
-        usual = self._latencies.estimate_latency(request.target)
-        return max(MIN_RETRY_AFTER, usual * (0.5 + jitter))
