Wake only the queued requests that have a result

Cause: a queued request holds a thread of the shard's holder for up to 0.25 s. Each freed slot woke all of these threads; each answered "still queued", and its sender asked again at once. With a hundred queued requests and a hundred freed slots a second that is thousands of calls a second, and more threads than the holder has.

Change: the driver wakes a queued request when it has a result. Queued requests occupy half of the threads at most; the senders of further ones pause for the same 0.25 s.

The test of the queue reads list_results in place of has_results and names the request that has one.

--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -22,6 +22,7 @@
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale import messages
+from cranberryscale.process.pool import server_pool
 from cranberryscale.process import roster
 from cranberryscale.process import store_follower
 from cranberryscale.version import replica
@@ -35,6 +36,9 @@
 # How long a queued request occupies a thread of the holder before its sender
 # has to repeat the message.
 QUEUE_WAIT = datetime.timedelta(milliseconds=250)
+# Threads that queued requests occupy at most. The senders of further ones
+# pause themselves, so that the holder always answers.
+QUEUE_THREADS = PEER_THREADS // 2
 # A call between failure domains takes 2 ms. The retransmission of a lost
 # packet takes 200 ms, which is too long to wait for.
 HOLDER_TIMEOUT = datetime.timedelta(milliseconds=150)
@@ -86,7 +90,8 @@
         self.lock = threading.RLock()
         self.store = store
         self._clock = clock
-        self._changed = threading.Condition(self.lock)
+        # Wakes the threads of queued requests, by request id.
+        self._queued: dict[str, threading.Condition] = {}
         self._stopping = threading.Event()
         self._unresponsive_until: dict[str, datetime.timedelta] = {}
         self._store_is_up: bool | None = None
@@ -232,20 +237,46 @@
         return self._handle_locally(frame.sender, message)
 
     def _handle_locally(self, sender: str, message: Any) -> Any:
-        with self._changed:
+        with self.lock:
             reply = self._handle_message(sender, message)
             match message:
                 case messages.AskServer():
                     is_queued = not (reply.server or reply.code)
                     if is_queued and message.may_wait:
-                        self._changed.wait(QUEUE_WAIT.total_seconds())
-                        reply = self._handle_message(sender, message)
+                        reply = self._wait_in_queue(sender, message, reply)
                 case messages.FinishRequest():
-                    self._changed.notify_all()
+                    self._wake_queued(self.core.pools.get(message.shard))
         if isinstance(message, messages.AskServer):
             self._log_dispatch(sender, message, reply)
         return reply
 
+    def _wait_in_queue(
+        self,
+        sender: str,
+        message: messages.AskServer,
+        reply: messages.ServerReply,
+    ) -> messages.ServerReply:
+        """Return the reply once there is a result or QUEUE_WAIT is over."""
+        request_id = message.request_id
+        if len(self._queued) >= QUEUE_THREADS:
+            return reply
+        condition = threading.Condition(self.lock)
+        self._queued[request_id] = condition
+        condition.wait(QUEUE_WAIT.total_seconds())
+        if self._queued.get(request_id) is condition:
+            del self._queued[request_id]
+        return self._handle_message(sender, message)
+
+    def _wake_queued(self, pool: server_pool.ServerPool | None) -> None:
+        """Wake the threads of requests that have a result.
+
+        Waking all would let each of them ask again whenever a slot is freed.
+        """
+        for request_id in pool.list_results() if pool and self._queued else ():
+            condition = self._queued.get(request_id)
+            if condition is not None:
+                condition.notify_all()
+
     def _log_dispatch(
         self,
         sender: str,
@@ -286,12 +317,12 @@
 
     def _tick(self) -> None:
         while not self._stopping.wait(TICK_INTERVAL.total_seconds()):
-            with self._changed:
+            with self.lock:
                 now = self._clock.read_elapsed()
                 events = self.core.advance(now)
                 changes = tuple(self.core.statements.collect_changes(now))
-                if any(p.has_results for p in self.core.pools.values()):
-                    self._changed.notify_all()
+                for pool in self.core.pools.values():
+                    self._wake_queued(pool)
                 histories = tuple(self.core.collect_histories(now))
                 targets = ()
                 if self.core.roster.has_updates:
--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -435,10 +435,9 @@
         if request.is_repeat:
             self._retry_budget.refund()
 
-    @property
-    def has_results(self) -> bool:
-        """Return whether results of queued requests wait for a poll."""
-        return bool(self._granted or self._denied)
+    def list_results(self) -> tuple[str, ...]:
+        """Return the queued requests whose results wait for a poll."""
+        return (*self._granted, *self._denied)
 
     def _expire(self, now: datetime.timedelta) -> None:
         """Release the permits of requests that are past their deadline.
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -46,6 +46,8 @@
 TOKEN_ASK_LIMIT = token_queue.ASK_LIMIT + 3
 # Requests that may wait for tokens at a time: half of the threads for callers.
 TOKEN_WAITER_LIMIT = 24
+# How soon a pause ends once an exchange of the request has a response.
+PAUSE_STEP = datetime.timedelta(milliseconds=50)
 # A second queue is tried if the first one refuses the request after all.
 MAX_QUEUES_TRIED = 2
 
@@ -393,15 +395,27 @@
         self, query: _ServerQuery, is_answered: Callable[[], bool]
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         while True:
+            asked_at = self._clock.read_elapsed()
             shard_reply = self._query_shard_holder(query)
             if shard_reply is None:
                 self._record_local_decision('pool')
                 return self._choose_locally(query.action, query.request_id)
             if shard_reply.reply.server or shard_reply.reply.code:
                 return self._make_event(query, shard_reply)
+            self._pause_until(asked_at + core_driver.QUEUE_WAIT, is_answered)
             if is_answered():
                 return actions.AdmissionDenied('pool_busy')
 
+    def _pause_until(
+        self, until: datetime.timedelta, is_answered: Callable[[], bool]
+    ) -> None:
+        """Wait if a holder that has many queued requests answers at once."""
+        while not is_answered():
+            time_left = until - self._clock.read_elapsed()
+            if time_left <= datetime.timedelta(0):
+                return
+            self._clock.sleep(min(time_left, PAUSE_STEP))
+
     def _query_shard_holder(self, query: _ServerQuery) -> _ShardReply | None:
         """Return the reply of the shard's holder, or None without one."""
         action = query.action
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -8,6 +8,7 @@
 import test_published
 
 from cranberryscale import clock
+from cranberryscale import core_driver
 from cranberryscale import errors
 from cranberryscale import messages
 from cranberryscale.process import metrics
@@ -291,6 +292,17 @@
     assert (sent.permit_id, sent.outcome) == (3, 'ok')
 
 
+def test_queued_request_pauses_when_the_holder_answers_at_once():
+    """The holder of a long queue keeps no thread for each of its requests."""
+    # The first reply is to the offer of a free slot.
+    replies = [messages.ServerReply()] * 3 + [messages.ServerReply(3, 'i1')]
+    _, admission = make_admission(AskServer=replies)
+    began = admission.context.read_elapsed()
+    assert admission.ask_permit(ASK_PERMIT, 'r').server == 'i1'
+    waited = admission.context.read_elapsed() - began
+    assert waited == 2 * core_driver.QUEUE_WAIT
+
+
 def test_unreachable_server_is_excluded_in_requests_to_the_holder():
     granted = messages.ServerReply(3, 'i1', 0.2)
     driver, admission = make_admission(AskServer=granted)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -614,7 +614,7 @@
     pool.request_permit(make_request(2), START)
     later = START + 200 * MS
     pool.finish_permit(first.permit_id, 'ok', WORK, later)
-    assert pool.has_results
+    assert pool.list_results() == ('r2',)
     assert isinstance(
         pool.request_permit(make_request(2), later),
         dispatch_requests.DispatchPermit,
