--- a/cranberryscale_bench/report_mutants.py
+++ b/cranberryscale_bench/report_mutants.py
@@ -13,7 +13,7 @@
     mutants.Mutation(
         'entry-nesting-untyped',
         'cranberryscale/platform/entry_decoding.py',
-        '        # Nested too deeply.\n        RecursionError,\n',
+        '    # Nested too deeply.\n    RecursionError,\n',
         '',
         ('odd_entries',),
         'an entry that is nested too deeply is refused alone',
@@ -66,6 +66,14 @@
         ('quotas',),
         'a token that is waited for is taken from the bucket',
     ),
+    mutants.Mutation(
+        'queued-token-debt-forgotten',
+        'cranberryscale/process/quotas.py',
+        'decision = self._admit(now, delay)',
+        'decision = QuotaDecision(True, delay)',
+        ('token_waits',),
+        'a token that is queued for is taken from the bucket',
+    ),
     mutants.Mutation(
         'token-not-waited-for',
         'cranberryscale/request/core_admission.py',
