Queue at the nearest shard for a short while; count how fast a core is

Each request of a surge asked the holders of all three shards for a free slot before it queued.

Change: the first question names the wait, a tenth of the time to the target, for which the request takes a place in the nearest queue at once. The weight of an instance is its part of a core times the core's speed.

Measured: tests of dispatch, conversations, roster, limits and machines pass.

--- a/cranberryscale/core.py
+++ b/cranberryscale/core.py
@@ -65,6 +65,7 @@
         message.is_new,
         message.customer,
         message.kind,
+        datetime.timedelta(seconds=message.longest_wait_s),
     )
 
 
@@ -107,7 +108,7 @@
             int(roster.InstanceState.STARTING),
             instance_settings.domain,
             instance_settings.addresses.callers,
-            instance_settings.cores,
+            instance_settings.capacity,
         )
         self.roster = roster.Roster(own, instance_settings.seeds, rng, now)
         self.follower = store_follower.StoreFollower(self.roster, rng, now)
@@ -559,13 +560,14 @@
                     limits=limits,
                     history=history,
                 )
-            case dispatch_requests.QueuePlace(wait, doubt):
+            case dispatch_requests.QueuePlace(wait, doubt, is_queued):
                 return messages.ServerReply(
                     ejected=ejected,
                     limits=limits,
                     wait_s=wait.total_seconds(),
                     doubt=doubt,
                     history=history,
+                    is_queued=is_queued,
                 )
 
     def _merge_history(
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -435,7 +435,9 @@
     See dispatch_requests.DispatchRequest. `limits` are those in force at the
     shard's servers as far as the sender knows. `history` is what it knows of
     the request, None for one that runs once. `customer` is empty for requests
-    without a key. `kind` names requests that are alike.
+    without a key. `kind` names requests that are alike. A request that may not
+    wait is queued all the same if it expects to wait for at most
+    `longest_wait_s`.
     """
 
     shard: shards.Shard
@@ -453,17 +455,19 @@
     history: request_crashes.RequestHistory | None = None
     customer: str = ''
     kind: str = ''
+    longest_wait_s: float = 0.0
 
 
 class ServerReply(NamedTuple):
     """A server to use, or a refusal with a code of the error table.
 
     With neither, a request that may wait is queued and the sender repeats the
-    message. Without `may_wait` it is not queued, and `wait_s` is the expected
-    wait in the queue. `doubt` is that of dispatch_requests.QueuePlace.
-    `ejected` lists the servers that are ejected. `limits` are those in force
-    at the shard's servers, and those of the request that have ended. `history`
-    is set if servers ended under the request.
+    message. Without `may_wait` it is queued only if `is_queued`, and `wait_s`
+    is the expected wait in the queue. `doubt` is that of
+    dispatch_requests.QueuePlace. `ejected` lists the servers that are ejected.
+    `limits` are those in force at the shard's servers, and those of the
+    request that have ended. `history` is set if servers ended under the
+    request.
     """
 
     permit_id: int = 0
@@ -476,6 +480,7 @@
     doubt: int = 0
     limits: tuple[server_limits.ServerLimit, ...] = ()
     history: request_crashes.RequestHistory | None = None
+    is_queued: bool = False
 
 
 class FinishRequest(NamedTuple):
--- a/cranberryscale/process/pool/dispatch_requests.py
+++ b/cranberryscale/process/pool/dispatch_requests.py
@@ -25,8 +25,9 @@
     `target` is the latency within which the response is on time, counted from
     the arrival of the request `waited` ago; `remaining` is the time left.
     Unless it `may_wait`, the request is for a free slot at a healthy server
-    only. `customer` is empty for requests without a key; `kind` names requests
-    that are alike.
+    only, or for a place in the queue where the expected wait is at most
+    `longest_wait`. `customer` is empty for requests without a key; `kind`
+    names requests that are alike.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     is_new: bool = True
     customer: str = ''
     kind: str = ''
+    longest_wait: datetime.timedelta = ZERO
 
 
 class DispatchPermit(NamedTuple):
@@ -71,11 +73,12 @@
 
     A request that may not wait is only offered one: `wait` is the expected
     wait and `doubt` the health state of the best server, 0 if the request
-    would get a healthy one.
+    would get a healthy one. It has the place if `is_queued`.
     """
 
     wait: datetime.timedelta = ZERO
     doubt: int = 0
+    is_queued: bool = False
 
 
 class ResultNotice(NamedTuple):
--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -285,9 +285,15 @@
         wait = self._estimate_wait(queued, now)
         if wait is None or len(self._queue) >= QUEUE_LIMIT:
             return self._make_denial(request, now)
-        return dispatch_requests.QueuePlace(
-            wait, self._ranker.grade_best_server(request, now)
-        )
+        doubt = self._ranker.grade_best_server(request, now)
+        is_queued = not doubt and wait <= request.longest_wait
+        if is_queued:
+            if not self._record_arrival(request, now):
+                return dispatch_requests.DispatchDenial(
+                    'repeats_spent', request.target
+                )
+            self._queue.add(queued)
+        return dispatch_requests.QueuePlace(wait, doubt, is_queued)
 
     def _grant(
         self,
--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -52,6 +52,9 @@
 QUEUE_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 # How soon the answer to an earlier attempt ends the wait in a queue.
 ANSWER_POLL_INTERVAL = datetime.timedelta(milliseconds=20)
+# Part of the time to its target that a request waits in the nearest queue
+# without asking for a free slot elsewhere.
+SHORT_WAIT_RATIO = 0.1
 # A second queue is tried if the first one refuses the request after all.
 MAX_QUEUES_TRIED = 2
 
@@ -69,6 +72,7 @@
     may_wait: bool
     # Whether another queue was tried before.
     is_second_queue: bool = False
+    longest_wait: datetime.timedelta = datetime.timedelta(0)
 
     @property
     def message_id(self) -> str:
@@ -367,21 +371,64 @@
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         with self._driver.lock:
             shards_to_ask = self._core.list_shards(action.service, request_id)
-        shard_replies = []
+        # The request waits briefly in the nearest shard instead of asking all.
+        # Otherwise a surge multiplies the messages that holders handle.
+        longest_wait = (action.target - action.waited) * SHORT_WAIT_RATIO
+        shard_replies, denied = [], None
         for shard in shards_to_ask:
-            # A free slot in another domain is preferred to waiting in a queue.
-            query = _ServerQuery(action, request_id, started_at, shard, False)
-            shard_reply = self._query_shard_holder(query)
-            if shard_reply is not None and (
+            # A free slot in another domain is preferred to a longer queue.
+            query = _ServerQuery(
+                action,
+                request_id,
+                started_at,
+                shard,
+                False,
+                False,
+                longest_wait,
+            )
+            longest_wait = datetime.timedelta(0)
+            with self._driver.follow_result(query.message_id) as ready:
+                shard_reply = self._query_shard_holder(query)
+                if shard_reply is None:
+                    continue
+                if shard_reply.reply.is_queued:
+                    result = self._wait_in_queue(query, ready, is_answered)
+                    if self._is_final(result) or is_answered():
+                        return result
+                    denied = result
+                    continue
+            if (
                 shard_reply.reply.server
                 or shard_reply.reply.code == 'request_crashes'
             ):
                 return self._make_event(query, shard_reply)
-            if shard_reply is not None:
-                shard_replies.append(shard_reply)
+            shard_replies.append(shard_reply)
+        if denied is not None and not shard_replies:
+            return denied
         if shards_to_ask and not shard_replies:
             self._record_local_decision('pool')
             return self._choose_locally(action, request_id)
+        return self._try_queues(
+            action, request_id, started_at, shard_replies, is_answered
+        )
+
+    def _is_final(
+        self, result: actions.PermitGranted | actions.AdmissionDenied
+    ) -> bool:
+        """Return whether no other queue should be tried."""
+        return (
+            isinstance(result, actions.PermitGranted)
+            or result.code == 'request_crashes'
+        )
+
+    def _try_queues(
+        self,
+        action: actions.AskPermit,
+        request_id: str,
+        started_at: datetime.timedelta,
+        shard_replies: list[_ShardReply],
+        is_answered: Callable[[], bool],
+    ) -> actions.PermitGranted | actions.AdmissionDenied:
         result = actions.AdmissionDenied(
             'no_backend_server', action.target / 4
         )
@@ -395,26 +442,32 @@
                 True,
                 number > 0,
             )
-            result = self._wait_in_queue(query, is_answered)
+            with self._driver.follow_result(query.message_id) as ready:
+                ready.set()
+                result = self._wait_in_queue(query, ready, is_answered)
             if isinstance(result, actions.PermitGranted) or is_answered():
                 return result
         return result
 
     def _wait_in_queue(
-        self, query: _ServerQuery, is_answered: Callable[[], bool]
+        self,
+        query: _ServerQuery,
+        ready: threading.Event,
+        is_answered: Callable[[], bool],
     ) -> actions.PermitGranted | actions.AdmissionDenied:
-        with self._driver.follow_result(query.message_id) as ready:
-            while True:
-                ready.clear()
-                shard_reply = self._query_shard_holder(query)
-                if shard_reply is None:
-                    self._record_local_decision('pool')
-                    return self._choose_locally(query.action, query.request_id)
-                if shard_reply.reply.server or shard_reply.reply.code:
-                    return self._make_event(query, shard_reply)
-                self._wait_for_result(query, ready, is_answered)
-                if is_answered():
-                    return actions.AdmissionDenied('pool_busy')
+        """Ask until there is a result, at once if `ready` is set."""
+        query = query._replace(may_wait=True)
+        while True:
+            self._wait_for_result(query, ready, is_answered)
+            if is_answered():
+                return actions.AdmissionDenied('pool_busy')
+            ready.clear()
+            shard_reply = self._query_shard_holder(query)
+            if shard_reply is None:
+                self._record_local_decision('pool')
+                return self._choose_locally(query.action, query.request_id)
+            if shard_reply.reply.server or shard_reply.reply.code:
+                return self._make_event(query, shard_reply)
 
     def _wait_for_result(
         self,
@@ -472,6 +525,7 @@
             history,
             action.customer,
             action.kind,
+            max(0.0, query.longest_wait.total_seconds()),
         )
         try:
             reply = self._driver.call_instance(
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -79,8 +79,9 @@
     """Settings of one instance; unknown fields are ignored.
 
     `name` is the peer address, as in `seeds`. `label` is the machine's name
-    in logs. `cores` is the number of processors available to the instance
-    and its weight when work is distributed over instances of unequal size.
+    in logs. `cores` is the part of a processor that is available to the
+    instance, and `core_speed` how fast this processor is compared with that
+    of the smallest instances.
     """
 
     name: settings.Address
@@ -90,6 +91,7 @@
     platform: StoreEndpoint
     label: str = ''
     cores: Positive = 1.0
+    core_speed: Positive = 1.0
     memory_mb: Positive = 300
     seeds: tuple[settings.Address, ...] = ()
     terms: OperatorBounds = OperatorBounds()
@@ -105,6 +107,11 @@
         sender_s=20, connect_s=0.12, shutdown_s=0.2
     )
 
+    @property
+    def capacity(self) -> float:
+        """Return the weight in the distribution of work over instances."""
+        return self.cores * self.core_speed
+
 
 def _convert_durations(data: dict[str, Any]) -> dict[str, Any]:
     # msgspec only parses ISO 8601 durations, so values such as "1500ms" are
--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -128,6 +128,7 @@
             granted.append(ask_server(driver, number).permit_id)
         finish_request(driver, granted.pop(0))
         assert result.result(5).server == 'i1'
-        # Two to get a place, those of the others, and one to collect.
+        # Two for a place in a long queue, those of the others, and one to
+        # collect the result.
         assert counter.asked == 2 + 58 + 1
     driver.close()
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -39,7 +39,8 @@
     """Return the settings of an instance with these bounds."""
     values = {f'bounds.{name}': value for name, value in bounds.items()} | {
         'listen.control': '127.0.0.1:1',
-        'limits.cpu-share': 0.43,
+        'limits.cpu-share': 0.4,
+        'limits.cores': 3,
         'limits.memory-mb': 200,
         'seeds|json': json.dumps(['127.0.0.1:9']),
     }
@@ -93,3 +94,9 @@
     assert settings.terms.quota_slack == 0
     assert settings.terms.repeat_slack == 168
     assert settings.terms.longest_answer.total_seconds() == 5
+
+
+def test_fast_cores_count_for_the_share_of_work():
+    settings = deployment.parse_deployment(render_template(BOUNDS), 'test')
+    assert settings.capacity == pytest.approx(1.2)
+    assert start_core(settings).roster.own_record.cores == settings.capacity
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -739,3 +739,18 @@
         pool.advance(now)
         if not is_granted:
             pool.finish_permit(busy.permit_id, 'ok', WORK, now)
+
+
+@pytest.mark.parametrize(
+    ('longest_wait', 'is_queued'), [(400 * MS, True), (5 * MS, False)]
+)
+def test_request_is_queued_where_its_wait_is_short(longest_wait, is_queued):
+    """Load pattern: a surge, in which each request asks every shard."""
+    pool = make_pool(make_configuration(1, slots=1))
+    first = pool.request_permit(make_request(1), START)
+    request = make_request(2, may_wait=False, longest_wait=longest_wait)
+    place = pool.request_permit(request, START)
+    assert place.is_queued == is_queued
+    assert pool.queue_length == is_queued
+    pool.finish_permit(first.permit_id, 'ok', WORK, START + 100 * MS)
+    assert len(pool.collect_results()) == is_queued
