Place requests by their work and the speed of servers

Cause: a holder counted running requests. A server with six short requests counted as busy as one with six long ones, one median stood for all kinds with equal targets, and the load that servers state was not read.

Change: histograms of work by kind (by target while a kind is unknown), speeds relative to the median server, and the remaining work of a server from the ages of its requests and X-Upstream-Load. They take the place of running requests per slot in the cost of a server; all rules stay. With one kind of request and no stated load, or nothing learned, the cost is as before. Second attempts are due while they are likely to be on time.

--- a/cranberryscale/connection/backend_headers.py
+++ b/cranberryscale/connection/backend_headers.py
@@ -28,9 +28,11 @@
     header `cold` states a cold start, `limit` how many requests per second the
     server takes from the whole fleet, `leaving` that it leaves, and `rest`,
     in responses with status 503, for how many seconds it wants no further
-    request from the instance. `has_decimal_retry_after` allows
-    fractions of a second in Retry-After. `adds_forwarding` adds Forwarded,
-    X-Forwarded-* and Via to requests, and Via to responses.
+    request from the instance. `load` states how many requests the server runs,
+    how many wait there, and its slots, separated by commas.
+    `has_decimal_retry_after` allows fractions of a second in Retry-After.
+    `adds_forwarding` adds Forwarded, X-Forwarded-* and Via to requests, and
+    Via to responses.
     """
 
     not_run: str = 'x-not-run'
@@ -43,6 +45,7 @@
     limit: str = ''
     leaving: str = ''
     rest: str = ''
+    load: str = ''
     has_decimal_retry_after: bool = False
     adds_forwarding: bool = True
 
@@ -72,6 +75,7 @@
             http_framing.find_header_values(pairs, self.rest)
             if turns_away
             else (),
+            http_framing.find_header_values(pairs, self.load),
         )
 
     def is_signed(self, pairs: http_framing.HeaderPairs) -> bool:
--- a/cranberryscale/platform/header_names.py
+++ b/cranberryscale/platform/header_names.py
@@ -17,6 +17,7 @@
     limit='server-limit',
     leaving='server-leaving',
     rest='retry-after',
+    load='x-upstream-load',
     has_decimal_retry_after=True,
     adds_forwarding=False,
 )
--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -321,9 +321,15 @@
         permit = dispatch_requests.DispatchPermit(
             next(self._permit_ids),
             server.definition.name,
-            self._latencies.find_first_byte_timeout(request.target),
+            self._ranker.work.find_first_byte_timeout(
+                server,
+                request,
+                self._latencies,
+                self._retry_budget.has_reserve(now),
+            ),
         )
         server.start_request(permit.permit_id, now)
+        self._ranker.work.start(server, permit.permit_id, request)
         self._running[permit.permit_id] = _RunningRequest(
             server.definition.name,
             request.sender,
@@ -365,6 +371,10 @@
                 self._statements.record(
                     running.server, statement, granted_at, now
                 )
+            self._ranker.work.record(
+                server, permit_id, outcome, latency, statement, now
+            )
+            self._ranker.work.update_speeds(self._ranker.tracked.values())
             server.finish_request(
                 permit_id, outcome not in ('unused', 'refused')
             )
--- a/cranberryscale/process/pool/server_ranking.py
+++ b/cranberryscale/process/pool/server_ranking.py
@@ -13,6 +13,8 @@
 from cranberryscale.process.pool import health
 from cranberryscale.process.pool import retry_budgets
 from cranberryscale.process.pool import tracked_servers
+from cranberryscale.process.pool import work_estimates
+from cranberryscale.process.pool import work_placement
 from cranberryscale.version import configuration
 
 
@@ -45,6 +47,7 @@
     def __init__(self, service: str, budget: retry_budgets.RetryBudget):
         self.tracked: dict[str, tracked_servers.TrackedServer] = {}
         self.published_service = configuration.Service(service)
+        self.work = work_placement.WorkPlacement()
         self._retry_budget = budget
         # Set while no idempotent requests arrive, so that non-idempotent ones
         # have to do the trials.
@@ -239,15 +242,39 @@
             for server in servers
             if server.has_free_slot and server.can_start_request(rate, now)
         )
+        known = self.work.find_work(request)
         return min(
             free,
             key=lambda s: (
-                self._find_cost(s, request, now),
+                self._find_load_cost(s, known, now)
+                + self._find_cost(s, request, now),
                 not s.is_unused(now),
             ),
             default=None,
         )
 
+    def _find_load_cost(
+        self,
+        server: tracked_servers.TrackedServer,
+        known: work_estimates.WorkDistribution | None,
+        now: datetime.timedelta,
+    ) -> float:
+        """Return the cost of the load and speed of a server.
+
+        The speed of an unused server may have changed, so it counts as one of
+        the fastest.
+        """
+        is_unused = server.is_unused(now)
+        if known is not None:
+            slowness = server.work.slowness
+            if is_unused:
+                slowness = self.work.best_slowness
+            return self.work.find_cost(server, slowness, now)
+        cost = len(server.running) / server.definition.slots
+        if not is_unused:
+            cost += max(0.0, server.health.latency_ratio - 1.0)
+        return cost
+
     def _list_trial_candidates(
         self,
         request: dispatch_requests.DispatchRequest,
@@ -289,10 +316,7 @@
         request: dispatch_requests.DispatchRequest,
         now: datetime.timedelta,
     ) -> float:
-        cost = len(server.running) / server.definition.slots
-        cost += SHED_COST * server.health.find_shed_ratio(now)
-        if not server.is_unused(now):
-            cost += max(0.0, server.health.latency_ratio - 1.0)
+        cost = SHED_COST * server.health.find_shed_ratio(now)
         if self._is_unproven_risk(server, request, now):
             cost += UNPROVEN_COST
         if server.definition.is_cold:
--- a/cranberryscale/process/pool/server_statements.py
+++ b/cranberryscale/process/pool/server_statements.py
@@ -25,6 +25,7 @@
 
 
 __all__ = [
+    'LoadStatement',
     'ServerStatement',
     'StatementChange',
     'StatementTable',
@@ -34,20 +35,32 @@
 ZERO = datetime.timedelta(0)
 # A server that asks for more is tried again after this time.
 MAX_REST = datetime.timedelta(seconds=60)
+# Longer numbers in a load are not those of a server.
+MAX_LOAD_DIGITS = 5
 # Changes that are kept until they are logged.
 MAX_CHANGES = 100
 
 
+class LoadStatement(NamedTuple):
+    """How many requests a server runs, how many wait there, its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 class ServerStatement(NamedTuple):
     """What one answer says of its server.
 
-    `limit` is None if its statement cannot be read. With `rest_s` the server
-    wants nothing from the instance for so many seconds.
+    `limit` is None if its statement cannot be read, `load` if it states none.
+    With `rest_s` the server wants nothing from the instance for so many
+    seconds.
     """
 
     limit: server_limits.LimitStatement | None
     is_leaving: bool = False
     rest_s: float = 0.0
+    load: LoadStatement | None = None
 
 
 class StatementChange(NamedTuple):
@@ -58,20 +71,39 @@
     value: float | bool | None
 
 
+def _read_load(values: Iterable[str]) -> LoadStatement | None:
+    """Return the load that a header's only value states, or None."""
+    match tuple(values):
+        case (value,):
+            fields = [field.strip(' \t') for field in value.split(',')]
+            if len(fields) == len(LoadStatement._fields) and all(
+                field.isascii()
+                and field.isdigit()
+                and len(field) <= MAX_LOAD_DIGITS
+                for field in fields
+            ):
+                return LoadStatement(*map(int, fields))
+    return None
+
+
 def read_statement(
-    limits: Iterable[str], leaving: Iterable[str], rests: Iterable[str]
+    limits: Iterable[str],
+    leaving: Iterable[str],
+    rests: Iterable[str],
+    loads: Iterable[str] = (),
 ) -> ServerStatement:
-    """Return what the values of the three headers say.
+    """Return what the values of the headers say.
 
     A server is leaving if a value is 1. Of several times to rest the longest
     counts, up to MAX_REST; dates, negative numbers and other values are
-    ignored.
+    ignored, and so is a load that is stated twice or not in three numbers.
     """
     rest_s = max(server_limits.read_numbers(rests), default=0.0)
     return ServerStatement(
         server_limits.read_statement(limits),
         any(value.strip() == '1' for value in leaving),
         min(rest_s, MAX_REST.total_seconds()),
+        _read_load(loads),
     )
 
 
--- a/cranberryscale/process/pool/tracked_servers.py
+++ b/cranberryscale/process/pool/tracked_servers.py
@@ -8,6 +8,7 @@
 from cranberryscale.process import fleet_buckets
 from cranberryscale.process.pool import health
 from cranberryscale.process.pool import server_limits
+from cranberryscale.process.pool import server_work
 from cranberryscale.version import configuration
 
 
@@ -43,6 +44,7 @@
         self.running: dict[int, datetime.timedelta] = {}
         self.limit: server_limits.LimitedStarts | None = None
         self.is_leaving = False
+        self.work = server_work.ServerWork()
         self.start_times: collections.deque[datetime.timedelta] = (
             collections.deque()
         )
@@ -53,8 +55,13 @@
         return len(self.running) < self.definition.slots
 
     def estimate_rate(self, latency: datetime.timedelta) -> float:
-        """Return how many requests of a latency complete in a second."""
-        rate_per_s = self.definition.slots / latency.total_seconds()
+        """Return how many requests of a latency complete in a second.
+
+        `latency` is the usual one; servers differ in speed.
+        """
+        rate_per_s = self.definition.slots / (
+            latency.total_seconds() * self.work.slowness
+        )
         if self.limit is not None:
             return min(rate_per_s, self.limit.rate_per_s)
         return rate_per_s
@@ -129,6 +136,7 @@
     def finish_request(self, permit_id: int, has_started: bool) -> None:
         """Free the slot; `has_started` unless nothing reached the server."""
         self.running.pop(permit_id, None)
+        self.work.finish(permit_id)
         if self.limit is not None:
             self.limit.finish(permit_id, has_started)
 
