--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -274,8 +274,17 @@
             statements = self.core.statements
             limited_count = len(statements.limits.list_rates())
             avoided = statements.list_avoided(self.clock.read_elapsed())
+            works = [
+                (shard.service, kind, known.median_s, known.unusual_s)
+                for shard, pool in self.core.pools.items()
+                for kind, known in pool.list_work()
+            ]
         self.metrics.set_gauge('servers_limited', limited_count)
         self.metrics.set_gauge('servers_avoided', len(avoided))
+        for service, kind, median_s, unusual_s in works:
+            labels = {'service': service, 'kind': kind}
+            self.metrics.set_gauge('work_median_seconds', median_s, **labels)
+            self.metrics.set_gauge('work_p90_seconds', unusual_s, **labels)
         for event, count in tuple(self.driver.event_counts.items()):
             self.metrics.set_gauge('store_events', count, event=event)
         return self.metrics.render()
--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -266,6 +266,8 @@
             server=reply.server,
             health=pool.describe_health(reply.server, now),
             limit=self.core.statements.limits.find_rate(reply.server),
+            kind=message.kind,
+            **pool.describe_work(reply.server, message.kind),
             code=reply.code,
             idempotent=message.is_idempotent,
             waited_ms=round(message.waited_s * 1000),
--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -30,6 +30,7 @@
 from cranberryscale.process.pool import server_ranking
 from cranberryscale.process.pool import server_statements
 from cranberryscale.process.pool import tracked_servers
+from cranberryscale.process.pool import work_estimates
 from cranberryscale.version import configuration
 
 
@@ -216,6 +217,27 @@
         server = self._ranker.tracked.get(name)
         return server.health.classify(now).name.lower() if server else ''
 
+    def describe_work(self, name: str, kind: str) -> dict[str, float]:
+        """Return the usual work of a kind and a server's slowness.
+
+        They are log fields, the work in milliseconds. A kind or server that
+        is not known has none.
+        """
+        fields = {}
+        known = self._ranker.work.estimator.find_kind(kind)
+        if known is not None:
+            fields['work_ms'] = round(known.mean_s * 1e3)
+        server = self._ranker.tracked.get(name)
+        if server is not None:
+            fields['slowness'] = round(server.work.slowness, 2)
+        return fields
+
+    def list_work(
+        self,
+    ) -> tuple[tuple[str, work_estimates.WorkDistribution], ...]:
+        """Return the kinds of requests whose work is known."""
+        return self._ranker.work.estimator.list_known()
+
     def request_permit(
         self,
         request: dispatch_requests.DispatchRequest,
--- a/cranberryscale/process/pool/server_work.py
+++ b/cranberryscale/process/pool/server_work.py
@@ -38,7 +38,8 @@
     """The speed of a server and the work that it still has to do.
 
     `slowness` is the time a request takes there over its usual time, and
-    `log_ratio` the mean logarithm of `count` such ratios.
+    `log_ratio` the mean logarithm of `count` such ratios. `other_requests`
+    is how many requests others run there, as of the last `find_remaining`.
     """
 
     def __init__(self) -> None:
@@ -46,7 +47,8 @@
         self.running: dict[int, RunningWork] = {}
         self.log_ratio = 0.0
         self.count = 0
-        self._other_requests = 0.0
+        self.other_requests = 0.0
+        self._told_requests = 0.0
         self._told_at = datetime.timedelta(0)
         self._remaining = 0.0
         self._valid_until: datetime.timedelta | None = None
@@ -80,7 +82,7 @@
     ) -> None:
         """Record the load that the answer to a running request states."""
         others = load.running + load.waiting - len(self.running)
-        self._other_requests = float(max(0, others))
+        self._told_requests = float(max(0, others))
         self._told_at = now
         self._valid_until = None
 
@@ -98,7 +100,8 @@
         """
         if self._valid_until is not None and now < self._valid_until:
             return self._remaining
-        self._remaining = self._find_others(mean_s, now)
+        self.other_requests = self._find_others(mean_s, now)
+        self._remaining = self.other_requests * self.slowness
         for permit_id, running in self.running.items():
             if running.known is None or not mean_s:
                 self._remaining += 1.0
@@ -110,14 +113,14 @@
         return self._remaining
 
     def _find_others(self, mean_s: float, now: datetime.timedelta) -> float:
-        """Return the work that others started there, by the server's word.
+        """Return how many requests of others run there, by its own word.
 
-        It was true for about the time of a request.
+        That was true for about the time of a request.
         """
-        if not self._other_requests or not mean_s:
+        if not self._told_requests or not mean_s:
             return 0.0
         age = (now - self._told_at).total_seconds() / mean_s
-        return self._other_requests * self.slowness * 0.5**age
+        return self._told_requests * 0.5**age
 
 
 def normalize_speeds(servers: Collection[ServerWork]) -> float:
--- a/cranberryscale/process/pool/work_estimates.py
+++ b/cranberryscale/process/pool/work_estimates.py
@@ -160,10 +160,16 @@
         self, kind: str, target: datetime.timedelta
     ) -> WorkDistribution | None:
         """Return the distribution for a request, None if none is known."""
-        for known in (self._kinds.get(kind), self._targets.get(target)):
-            if known is not None and known.is_known:
-                return known
-        return None
+        known = self.find_kind(kind)
+        if known is not None:
+            return known
+        known = self._targets.get(target)
+        return known if known is not None and known.is_known else None
+
+    def find_kind(self, kind: str) -> WorkDistribution | None:
+        """Return the distribution of a kind, None if it is not known."""
+        known = self._kinds.get(kind)
+        return known if known is not None and known.is_known else None
 
     @property
     def has_several_kinds(self) -> bool:
--- a/cranberryscale/process/pool/work_placement.py
+++ b/cranberryscale/process/pool/work_placement.py
@@ -19,6 +19,8 @@
 
 # Outcomes of requests that ended before their server was done.
 CUT_OUTCOMES = frozenset(('cancelled', 'silent'))
+# Wait at a server whose slots are in use, in usual requests.
+FULL_COST = 1.0
 
 
 class WorkPlacement:
@@ -64,11 +66,16 @@
 
         That is the remaining work for each slot, in requests of mean work, and
         the time that this request takes at a server of this slowness beyond
-        its usual time.
+        its usual time. At a server that is full by its own word it waits there
+        as well.
         """
         mean_s = self.estimator.mean_s
         remaining = server.work.find_remaining(server.running, mean_s, now)
-        return remaining / server.definition.slots + slowness - 1.0
+        cost = remaining / server.definition.slots + slowness - 1.0
+        others = server.work.other_requests
+        if others and len(server.running) + others >= server.definition.slots:
+            cost += FULL_COST
+        return cost
 
     def start(
         self,
@@ -133,12 +140,14 @@
         the retry budget it has to be unusually long for its server.
         """
         known = self.find_work(request)
+        usual_timeout = latencies.find_first_byte_timeout(request.target)
         if known is None:
-            return latencies.find_first_byte_timeout(request.target)
+            return usual_timeout
         likely = datetime.timedelta(seconds=known.likely_s)
         unusual = datetime.timedelta(seconds=known.unusual_s)
         slowness = server.work.slowness
         timeout = request.target - request.waited - likely
+        timeout = min(timeout, usual_timeout)
         if has_reserve:
             return max(timeout, likely * min(1.0, slowness))
         return max(timeout, unusual * max(1.0, slowness))
