--- a/cranberryscale/errors.py
+++ b/cranberryscale/errors.py
@@ -243,6 +243,12 @@
         RETRY_NOW,
         'the instance runs as many requests as it may',
     ),
+    (
+        'callers_full',
+        _S.SERVICE_UNAVAILABLE,
+        RETRY_NOW,
+        'callers hold as much of the instance as they may',
+    ),
     (
         'backend_refused',
         _S.SERVICE_UNAVAILABLE,
--- a/cranberryscale/process/__init__.py
+++ b/cranberryscale/process/__init__.py
@@ -3,8 +3,8 @@
 Only a `core` uses dispatch, dispatch_requests, fallback, fleet_buckets,
 health, load_statistics, quotas, rendezvous, retry_budgets, return_schedule,
 roster, server_limits, server_ranking, shards, store_follower and
-tracked_servers. Both programs use metrics; all other modules belong to a
-`node`.
+tracked_servers. Both programs use caller_account and metrics; all other
+modules belong to a `node`.
 
 Terms:
 
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -21,7 +21,6 @@
 ]
 
 Ratio = Annotated[float, msgspec.Meta(ge=0)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
 
 
 class DeploymentListenAddresses(msgspec.Struct, frozen=True):
@@ -77,6 +76,7 @@
     `name` is the peer address, as in `seeds`. `label` is the machine's name
     in logs. `cores` is the number of processors available to the instance
     and its weight when work is distributed over instances of unequal size.
+    `memory_mb` and `max_fds` are the limits of its process.
     """
 
     name: settings.Address
@@ -85,8 +85,9 @@
     addresses: DeploymentListenAddresses
     platform: StoreEndpoint
     label: str = ''
-    cores: Positive = 1.0
-    memory_mb: Positive = 300
+    cores: settings.Positive = 1.0
+    memory_mb: settings.Positive = 300
+    max_fds: settings.Count = 4100
     seeds: tuple[settings.Address, ...] = ()
     terms: OperatorBounds = OperatorBounds()
     # Names of the bounds that the operators do not set.
--- a/cranberryscale/version/settings.py
+++ b/cranberryscale/version/settings.py
@@ -13,6 +13,7 @@
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = Annotated[int, msgspec.Meta(gt=0)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
 Address = Annotated[
     str, msgspec.Meta(pattern=r'^[A-Za-z0-9.:\[\]-]+:[0-9]{1,5}\Z')
 ]
@@ -60,12 +61,23 @@
 
 
 class ListenerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits of the listener for callers."""
+    """Limits of the listener for callers.
+
+    `connections` and `held_mb` bound what all callers hold together. The
+    memory and descriptors of the machine bound them further, and `held_mb`
+    follows from the memory if it is not set. A caller that moves fewer than
+    `pace_bytes_per_s` for `stall_s` is disconnected if others wait for its
+    thread.
+    """
 
     header_bytes: Count = 32768
     body_bytes: Count = 10485760
     threads: Count = 32
     queued_connections: Count = 256
+    connections: Count = 1280
+    held_mb: Positive | None = None
+    stall_s: Seconds = 3.0
+    pace_bytes_per_s: Count = 1024
 
 
 class Timeouts(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -94,7 +106,7 @@
     `secret` is shared by the fleet and signs messages between instances.
     `seeds` maps names to peer addresses: an instance that starts while the
     platform is unavailable fetches the instance list and the configuration
-    from them.
+    from them. `memory_mb` and `max_fds` are the limits of the process.
     """
 
     name: str
@@ -105,6 +117,8 @@
     leases: LeaseSettings = LeaseSettings()
     limits: ListenerLimits = ListenerLimits()
     timeouts: Timeouts = Timeouts()
+    memory_mb: Positive = 300
+    max_fds: Count = 4100
     seeds: dict[str, str] = {}
 
 
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import re
+import types
 
 import pytest
 
@@ -35,9 +36,10 @@
 )
 
 
-def render_template(bounds):
+def render_template(bounds, more=types.MappingProxyType({})):
     """Return the settings of an instance with these bounds."""
-    values = {f'bounds.{name}': value for name, value in bounds.items()} | {
+    values = {f'bounds.{name}': value for name, value in bounds.items()}
+    values |= more | {
         'listen.control': '127.0.0.1:1',
         'limits.cpu-share': 0.43,
         'limits.memory-mb': 200,
@@ -88,6 +90,13 @@
     assert getattr(settings.terms, NAMES[name]) == default
 
 
+def test_descriptors_of_the_machine_reach_the_settings():
+    text = render_template(BOUNDS, {'limits.max-fds': 512})
+    assert deployment.parse_deployment(text, 'test').max_fds == 512
+    text = render_template(BOUNDS)
+    assert deployment.parse_deployment(text, 'test').max_fds == 4100
+
+
 def test_terms_of_the_template_reach_the_settings():
     settings = deployment.parse_deployment(render_template(BOUNDS), 'test')
     assert settings.terms.quota_slack == 0
