Bound what all callers of an instance hold together

Cause: of 51 small crowds of misbehaving callers (17 forms, at a route, at no route and at the readiness check; 40 threads, 64 callers, 110 MB), 23 broke the instance before. Resident memory reached 152 MB with heads of many fields at a route, 128 MB without one, 239 MB with a body and 236 MB with a head without end at the readiness check, whose listener had no limits and read whole bodies; 224 descriptors were open with 200 silent callers (24 in calm). With heads and bodies that stop half-way or are sent slowly, nobody else got an answer while the crowd stayed, and the readiness check failed. 20 bodies that stop short took all connections to a server: 51 of 51 ordinary requests got 503.

Change: listeners for callers and for pages charge connections and heads to an account. Over its limits, a new connection replaces a silent one and a head gets 503 callers_full; stalled callers are interrupted while others wait or are refused for want of room at servers. Pages are read with the same strict parser, but for Host; their heads are received by the accepting thread and bodies are not read. A body that is kept for a repeat lies in one buffer. The head of a request is freed with its end: a cycle left it to the garbage collector (peaks of 82 to 87 MB, 56 to 68 MB without the cycle).

--- a/cranberryscale/connection/caller_requests.py
+++ b/cranberryscale/connection/caller_requests.py
@@ -25,6 +25,11 @@
 __all__ = ['CallerBody', 'CallerRequest']
 
 REFUSAL_TIMEOUT = datetime.timedelta(seconds=0.1)
+# Memory of a field beside its bytes: as a pair, in the dictionary of headers,
+# as a WSGI variable and as a header to forward.
+FIELD_BYTES = 450
+# Copies of the bytes of a head that exist at a time.
+HEAD_COPIES = 4
 _TARGET = re.compile(rb'[!-~]+')
 _METHOD = re.compile(rb'[A-Z][A-Z_-]{0,31}')
 _VERSIONS = (b'HTTP/1.0', b'HTTP/1.1')
@@ -43,22 +48,21 @@
     pairs: http_framing.HeaderPairs = ()
     framing = http_framing.Framing(0, False)
 
-
-class _HeaderReader(cheroot_server.HeaderReader):
-    """Strict reader of header lines."""
-
-    def __call__(self, rfile, hdict=None) -> _Headers:
-        hdict = _Headers() if hdict is None else hdict
-        hdict.pairs = http_framing.read_header_pairs(rfile)
-        for name, value in hdict.pairs:
+    def add_pairs(self, pairs: http_framing.HeaderPairs) -> None:
+        """Add header lines; lines of the same name are joined."""
+        self.pairs = pairs
+        repeated: dict[bytes, list[bytes]] = {}
+        for name, value in pairs:
             # X_A and X-A would become the same WSGI variable.
             if '_' in name:
                 continue
             key, data = name.title().encode(), value.encode('latin-1')
-            hdict[key] = (
-                b', '.join((hdict[key], data)) if key in hdict else (data)
-            )
-        return hdict
+            if key in self:
+                repeated.setdefault(key, [self[key]]).append(data)
+            else:
+                self[key] = data
+        for key, values in repeated.items():
+            self[key] = b', '.join(values)
 
 
 class CallerBody(http_framing.EmptyBody):
@@ -118,7 +122,7 @@
 class CallerRequest(cheroot_server.HTTPRequest):
     """Strictly parsed request of a caller."""
 
-    header_reader = _HeaderReader()
+    requires_host = True
 
     def __init__(self, server, conn):
         super().__init__(server, conn, proxy_mode=True, strict_mode=True)
@@ -167,9 +171,11 @@
     def read_request_headers(self) -> bool:
         """Read the headers and determine the body framing."""
         is_11 = self.request_protocol == b'HTTP/1.1'
-        self.header_reader(self.rfile, self.inheaders)
+        self.inheaders.add_pairs(
+            http_framing.read_header_pairs(self.rfile, self._charge_fields)
+        )
         self.inheaders.framing = http_framing.check_request_framing(
-            self.pairs, is_11
+            self.pairs, is_11, self.requires_host
         )
         self.chunked_read = self.inheaders.framing.chunked
         if self.inheaders.framing.length > self.server.body_limit_bytes:
@@ -185,6 +191,11 @@
         )
         return True
 
+    def _charge_fields(self, count: int, size: int) -> None:
+        self.server.account.charge(
+            self.conn, count * FIELD_BYTES + size * HEAD_COPIES
+        )
+
     def _check_absolute_form(self) -> None:
         parts = urllib.parse.urlsplit(self.uri)
         hosts = http_framing.find_header_values(self.pairs, 'host')
@@ -232,6 +243,9 @@
         self.conn.may_receive_more = not self.rfile.finished or (
             self.close_connection and not self._is_last
         )
+        # The body refers to this request. Without this cycle the head is freed
+        # now, and not by the next full run of the garbage collector.
+        self.rfile, self.inheaders = self.conn.rfile, _Headers()
 
     def send_headers(self) -> None:
         """Write status and headers; close the connection after unread bodies.
@@ -242,8 +256,15 @@
             self.close_connection = True
         super().send_headers()
 
-    def refuse(self, error: errors.FleetError) -> None:
-        """Respond with a typed error and close the connection."""
+    def refuse(
+        self,
+        error: errors.FleetError,
+        timeout: datetime.timedelta = REFUSAL_TIMEOUT,
+    ) -> None:
+        """Respond with a typed error and close the connection.
+
+        The response is cut off if the caller does not read it in time.
+        """
         error_response = error_responses.make_error_response(
             error, self.request_id
         )
@@ -251,7 +272,7 @@
         lines += [f'{name}: {value}' for name, value in error_response.headers]
         head = '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
         sock = self.conn.wrapped_socket
-        sock.set_deadline(self.server.clock.read_elapsed() + REFUSAL_TIMEOUT)
+        sock.set_deadline(self.server.clock.read_elapsed() + timeout)
         self.conn.may_receive_more = True
         self.close_connection = self.sent_headers = True
         with contextlib.suppress(OSError):
--- a/cranberryscale/connection/deadline_socket.py
+++ b/cranberryscale/connection/deadline_socket.py
@@ -6,6 +6,7 @@
 has disconnected.
 """
 
+import contextlib
 import datetime
 import io
 import math
@@ -45,7 +46,8 @@
     """Connected socket whose operations share one deadline.
 
     `stream` is a buffered reader. `sent_bytes` and `received_bytes` count
-    from the last call of `start_exchange`.
+    from the last call of `start_exchange`, `moved_bytes` counts all bytes in
+    both directions.
     """
 
     def __init__(self, sock: socket.socket, clock: clocks.Clock):
@@ -53,6 +55,11 @@
         self.sock = sock
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.moved_bytes = 0
+        self._waiting_poll = None
+        self._is_interrupted = False
+        # Bytes that were received in advance, which the stream reads first.
+        self._received = bytearray()
         self._stops_when_readable = False
         self._clock = clock
         self._deadline = datetime.timedelta.max
@@ -100,8 +107,10 @@
         wait_ms = remaining.total_seconds() * 1000
         if wait_ms <= 0:
             raise DeadlinePassed(self._deadline)
+        self._waiting_poll = poll
         ready = dict(poll.poll(min(math.ceil(wait_ms), 2**30)))
-        if not ready:
+        self._waiting_poll = None
+        if not ready or self._is_interrupted:
             raise DeadlinePassed(self._deadline)
         if self._watched in ready:
             raise OtherReady(self._watched)
@@ -111,9 +120,15 @@
         """Read into the buffer; return 0 at the end, None while paused."""
         if self._is_paused:
             return None
+        if self._received:
+            count = min(len(buffer), len(self._received))
+            buffer[:count] = self._received[:count]
+            del self._received[:count]
+            return count
         self._wait(self._read_poll)
         count = self.sock.recv_into(buffer)
         self.received_bytes += count
+        self.moved_bytes += count
         return count
 
     def sendall(self, data) -> None:
@@ -128,8 +143,26 @@
                 self._wait(self._write_poll)
             else:
                 self.sent_bytes += count
+                self.moved_bytes += count
                 view = view[count:]
 
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether a thread waits for the peer."""
+        return self._waiting_poll is not None
+
+    def interrupt(self) -> None:
+        """Make the wait of another thread end as if its deadline had passed.
+
+        A thread that waits for bytes can still send an error response.
+        """
+        self._is_interrupted = True
+        is_sending = self._waiting_poll is self._write_poll
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(
+                socket.SHUT_RDWR if is_sending else socket.SHUT_RD
+            )
+
     def wait_readable(self) -> bool:
         """Wait until this or the watched socket is ready; False on timeout."""
         try:
@@ -163,12 +196,32 @@
 
     def has_buffered_data(self) -> bool:
         """Return whether the stream has buffered bytes, without reading."""
+        return bool(self._received or self._peek_buffered())
+
+    def _peek_buffered(self) -> bytes:
         self._is_paused = True
         try:
-            return bool(self.stream.peek(1))
+            return self.stream.peek(1)
         finally:
             self._is_paused = False
 
+    def receive_until(self, end: bytes, limit: int) -> bool:
+        """Receive what has arrived; return False if `end` may still follow.
+
+        Also returns True once `limit` bytes are buffered and at the end of
+        the connection. Does not wait.
+        """
+        try:
+            data = self.sock.recv(limit)
+        except BlockingIOError:
+            data = None
+        except OSError:
+            data = b''
+        self._received += data or b''
+        self.moved_bytes += len(data or b'')
+        buffered = self._peek_buffered() + self._received
+        return data == b'' or len(buffered) >= limit or end in buffered
+
     def fileno(self) -> int:
         """Return the file descriptor."""
         return self.sock.fileno()
--- a/cranberryscale/connection/http_framing.py
+++ b/cranberryscale/connection/http_framing.py
@@ -4,6 +4,7 @@
 every ambiguous form is refused and never interpreted.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import re
 import sys
@@ -37,6 +38,8 @@
 MAX_TRAILER_BYTES = 8192
 # A body up to this size is buffered, so that the request can be sent again.
 MAX_REPLAY_BYTES = 65536
+# Fields of a head that are read before they are charged.
+CHARGED_FIELDS = 64
 
 _TOKEN = re.compile(rb'[!#$%&\'*+\-.^_`|~0-9A-Za-z]+')
 _CONTROL = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
@@ -197,8 +200,10 @@
 
     def __init__(self, body: EmptyBody):
         self._body = body
-        self._blocks: list[bytes] = []
-        self._next_block = 0
+        # One buffer, since a list of small blocks would need many times the
+        # memory of their bytes.
+        self._kept = bytearray()
+        self._position = 0
         self._total_bytes = 0
         self.limit_bytes = sys.maxsize
 
@@ -209,7 +214,7 @@
 
     def rewind(self) -> None:
         """Return to the first byte."""
-        self._next_block = 0
+        self._position = 0
 
     def watch(self, other: int) -> None:
         """Make reads raise OtherReady once the other socket is readable."""
@@ -221,19 +226,20 @@
 
     def read_some(self) -> bytes:
         """Return the next bytes, b'' at the end."""
-        if self._next_block < len(self._blocks):
-            self._next_block += 1
-            return self._blocks[self._next_block - 1]
+        if self._position < len(self._kept):
+            data = bytes(self._kept[self._position :])
+            self._position = len(self._kept)
+            return data
         data = self._body.read_some()
         self._total_bytes += len(data)
         if self._total_bytes > self.limit_bytes:
             raise errors.make_error('body_too_large', self.limit_bytes)
         if not self.can_resend:
-            self._blocks.clear()
-            self._next_block = 0
+            self._kept = bytearray()
+            self._position = 0
         elif data:
-            self._blocks.append(data)
-            self._next_block += 1
+            self._kept += data
+            self._position = len(self._kept)
         return data
 
 
@@ -256,13 +262,24 @@
     return name.decode('ascii'), value.strip(b' \t').decode('latin-1')
 
 
-def read_header_pairs(stream: Any) -> HeaderPairs:
-    """Read header lines up to the empty line, or raise BadRequest."""
-    pairs = []
+def read_header_pairs(
+    stream: Any, charge: Callable[[int, int], None] = lambda fields, size: None
+) -> HeaderPairs:
+    """Read header lines up to the empty line, or raise BadRequest.
+
+    `charge` is called with the number and the bytes of the fields that were
+    read since its last call, and may raise.
+    """
+    pairs, size = [], 0
     while (line := stream.readline()) != b'\r\n':
         if not line:
             raise errors.make_error('bad_request', 'headers cut short')
         pairs.append(parse_header_line(line))
+        size += len(line)
+        if len(pairs) % CHARGED_FIELDS == 0:
+            charge(CHARGED_FIELDS, size)
+            size = 0
+    charge(len(pairs) % CHARGED_FIELDS, size)
     return tuple(pairs)
 
 
@@ -273,17 +290,19 @@
     return [value for key, value in pairs if key.lower() == name]
 
 
-def _check_host(pairs: HeaderPairs, is_http_11: bool) -> None:
+def _check_host(pairs: HeaderPairs, is_required: bool) -> None:
     hosts = find_header_values(pairs, 'host')
-    if len(hosts) > 1 or (is_http_11 and not hosts):
+    if len(hosts) > 1 or (is_required and not hosts):
         raise errors.make_error('bad_request', f'{len(hosts)} Host headers')
     if hosts and not _HOST.fullmatch(hosts[0]):
         raise errors.make_error('bad_request', 'Host')
 
 
-def check_request_framing(pairs: HeaderPairs, is_http_11: bool) -> Framing:
+def check_request_framing(
+    pairs: HeaderPairs, is_http_11: bool, requires_host: bool = True
+) -> Framing:
     """Return the body framing, or raise AmbiguousLength or BadRequest."""
-    _check_host(pairs, is_http_11)
+    _check_host(pairs, is_http_11 and requires_host)
     lengths = find_header_values(pairs, 'content-length')
     codings = find_header_values(pairs, 'transfer-encoding')
     if len(lengths) + len(codings) > 1:
--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -13,6 +13,7 @@
 import struct
 import sys
 import threading
+from typing import NamedTuple
 
 from absl import logging
 from cheroot import server as cheroot_server
@@ -25,17 +26,26 @@
 from cranberryscale.connection import listeners
 from cranberryscale import errors
 from cranberryscale import logs
+from cranberryscale.process import caller_account
+from cranberryscale.version import deployment
 from cranberryscale.version import settings
 
 
 __all__ = ['CallerServer', 'PageServer', 'ServerThread']
 
-MAX_IDLE_CONNECTIONS = 1024
 # Bounds of reading from a caller that may still be sending, a body or further
 # requests, when the connection is closed. Without it, a reset could discard
 # the part of the response that the caller has not received.
 LINGER_TIME = datetime.timedelta(seconds=0.5)
 MAX_LINGER_BYTES = 1024 * 1024
+# Threads that linger while others wait, as a part of all.
+LINGERING_RATIO = 0.5
+END_OF_HEAD = b'\r\n\r\n'
+# Limits of a listener for pages.
+PAGE_CONNECTIONS = 256
+PAGE_CONNECTIONS_RATIO = 1 / 16
+PAGE_HELD_RATIO = 1 / 16
+PAGE_SENDER_TIMEOUT = datetime.timedelta(seconds=5)
 
 
 class _SocketReader:
@@ -112,6 +122,11 @@
         self._queued_count = self._served_count = 0
         self._local = threading.local()
 
+    @property
+    def waiting_count(self) -> int:
+        """Return the number of connections that wait for a thread."""
+        return self._queue.qsize()
+
     def put(self, obj) -> None:
         """Queue a connection; raise queue.Full if too many wait."""
         self._queue.put(obj)
@@ -170,11 +185,28 @@
             else _BufferedWriter(self.wrapped_socket)
         )
 
+    def communicate(self) -> bool:
+        """Serve one request; return whether to keep the connection."""
+        self.server.running.add(self)
+        try:
+            return super().communicate()
+        finally:
+            self.server.running.discard(self)
+
     def abort(self) -> None:
         """Make `close` reset the connection, so that truncation is visible."""
         self.is_aborted = True
 
     def _linger(self) -> None:
+        account = self.server.account
+        if not account.start_lingering(self.server.requests.waiting_count):
+            return
+        try:
+            self._discard_received()
+        finally:
+            account.end_lingering()
+
+    def _discard_received(self) -> None:
         clock = self.server.clock
         self.wrapped_socket.stop_watching()
         self.wrapped_socket.start_exchange(clock.read_elapsed() + LINGER_TIME)
@@ -186,6 +218,7 @@
 
     def close(self) -> None:
         """Close the socket; never raise, which would end a cheroot thread."""
+        self.server.account.close(self)
         with contextlib.suppress(OSError, ValueError):
             if self.is_aborted:
                 linger = struct.pack('ii', 1, 0)
@@ -223,39 +256,59 @@
         logs.log_event('http_fault', logging.WARNING, reason=reason)
 
 
-class CallerServer(_LoggingServer):
-    """HTTP server for callers whose idle connections use no thread.
+class _ServerLimits(NamedTuple):
+    """Limits of a listener; `idle_timeout` is that of silent connections."""
 
-    At most `limits.threads` requests run at a time, up to
-    `limits.queued_connections` more wait, and further ones are refused.
+    header_bytes: int
+    body_bytes: int
+    threads: int
+    queued_connections: int
+    idle_timeout: datetime.timedelta
+    sender_timeout: datetime.timedelta
+    stop_timeout: datetime.timedelta
+
+
+class _GuardedServer(_LoggingServer):
+    """HTTP server with limits on what its callers hold together.
+
+    Connections without a request use no thread.
     """
 
     ConnectionClass = CallerConnection
-    keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+    finishes_accepted = True
+    # Whether the thread that accepts connections also receives heads, so that
+    # slow callers occupy no thread.
+    buffers_heads = False
 
     def __init__(
         self,
-        instance_settings: settings.Settings,
-        clock: clocks.Clock,
+        address: str,
         app: Callable,
+        clock: clocks.Clock,
+        limits: _ServerLimits,
+        account: caller_account.CallerAccount,
     ):
-        limits, timeouts = instance_settings.limits, instance_settings.timeouts
         super().__init__(
-            _split_address(instance_settings.addresses.callers),
+            _split_address(address),
             app,
             server_name='cranberryscale',
             request_queue_size=limits.queued_connections,
-            timeout=timeouts.sender_s,
-            shutdown_timeout=timeouts.shutdown_s,
+            timeout=limits.idle_timeout.total_seconds(),
+            shutdown_timeout=limits.stop_timeout.total_seconds(),
         )
         self.max_request_header_size = limits.header_bytes
+        self.keep_alive_conn_limit = account.limits.connections
         self.gateway = CallerGateway
         self.requests = _CallerThreadPool(
             self, limits.threads, limits.queued_connections
         )
         self.clock = clock
-        self.sender_timeout = datetime.timedelta(seconds=timeouts.sender_s)
+        self.sender_timeout = limits.sender_timeout
         self.body_limit_bytes = limits.body_bytes
+        self.account = account
+        # Connections on a thread.
+        self.running: set[CallerConnection] = set()
+        self._reported: dict[str, int] = {}
 
     def prepare(self) -> None:
         """Bind the port and start the threads."""
@@ -271,51 +324,209 @@
         """
         if not self.ready:
             return
-        self._connections.finish_accepting()
-        # cheroot would connect to the listener to wake up its loop.
-        self.socket = None
+        if self.finishes_accepted:
+            self._connections.finish_accepting()
+            # cheroot would connect to the listener to wake up its loop.
+            self.socket = None
+        else:
+            self._connections.interrupt()
         super().stop()
 
     def process_conn(self, conn: CallerConnection) -> None:
-        """Queue a readable connection, or refuse it if the queue is full."""
+        """Queue a readable connection, or refuse it at a limit."""
         if conn is self._connections.wakeup:
             return
         conn.received = self.clock.read_elapsed()
-        is_new = conn.last_used is None
-        if is_new and self.can_add_keepalive_connection:
-            # cheroot would block a thread until the first byte arrives.
-            self._connections.put(conn)
+        if conn.last_used is None:
+            self._add_connection(conn)
             return
+        if self.buffers_heads and not self._receive_head(conn):
+            return
+        self.account.set_active(conn)
         try:
-            if is_new:
-                raise queue.Full
             self.requests.put(conn)
         except queue.Full:
-            request = caller_requests.CallerRequest(self, conn)
-            request.refuse(errors.make_error('instance_busy'))
-            conn.may_receive_more = False
-            conn.close()
+            self._refuse(conn, 'instance_busy')
+
+    def _add_connection(self, conn: CallerConnection) -> None:
+        match self.account.open(conn, conn.remote_addr or ''):
+            case caller_account.Full():
+                self._refuse(conn, 'callers_full')
+                return
+            case caller_account.Opened(replaced=replaced):
+                if replaced is not None:
+                    self._connections.close_silent(replaced)
+        # cheroot would block a thread until the first byte arrives.
+        self._connections.put(conn)
+
+    def _receive_head(self, conn: CallerConnection) -> bool:
+        """Return whether a thread can read a request without waiting."""
+        wrapped = conn.wrapped_socket
+        moved_before = wrapped.moved_bytes
+        is_whole = wrapped.receive_until(
+            END_OF_HEAD, self.max_request_header_size
+        )
+        try:
+            self.account.charge(conn, wrapped.moved_bytes - moved_before)
+        except errors.FleetError as error:
+            self._refuse(conn, error.code)
+            return False
+        if not is_whole:
+            self._connections.wait_for_rest(conn)
+        return is_whole
+
+    def _refuse(self, conn: CallerConnection, code: str) -> None:
+        request = conn.RequestHandlerClass(self, conn)
+        # The thread that accepts connections must not wait for a caller.
+        request.refuse(errors.make_error(code), datetime.timedelta(0))
+        conn.may_receive_more = False
+        conn.close()
+
+    def interrupt_stalled(self) -> None:
+        """Interrupt connections that are stalled while others wait."""
+        stalled = self.account.find_stalled(
+            [
+                caller_account.Progress(
+                    conn,
+                    conn.wrapped_socket.moved_bytes,
+                    conn.wrapped_socket.is_waiting,
+                )
+                for conn in tuple(self.running)
+            ],
+            self.requests.waiting_count,
+            self.clock.read_elapsed(),
+        )
+        for conn in stalled:
+            conn.wrapped_socket.interrupt()
+        counts = dict(self.account.counts)
+        if counts != self._reported:
+            self._reported = counts
+            logs.log_event(
+                'callers_limited',
+                logging.WARNING,
+                port=self.bind_addr[1],
+                connections=self.account.connection_count,
+                held_bytes=self.account.held_bytes,
+                **{f'{name}_total': n for name, n in sorted(counts.items())},
+            )
 
 
-class PageServer(_LoggingServer):
+class CallerServer(_GuardedServer):
+    """HTTP server for the requests of callers.
+
+    At most `limits.threads` requests run at a time, up to
+    `limits.queued_connections` more wait, and further ones are refused.
+    """
+
+    def __init__(
+        self,
+        instance_settings: settings.Settings | deployment.Deployment,
+        clock: clocks.Clock,
+        app: Callable,
+    ):
+        limits, timeouts = instance_settings.limits, instance_settings.timeouts
+        sender_timeout = datetime.timedelta(seconds=timeouts.sender_s)
+        held_bytes = caller_account.derive_held_bytes(
+            instance_settings.memory_mb
+        )
+        if limits.held_mb is not None:
+            held_bytes = int(limits.held_mb * caller_account.MIB)
+        super().__init__(
+            instance_settings.addresses.callers,
+            app,
+            clock,
+            _ServerLimits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.threads,
+                limits.queued_connections,
+                sender_timeout,
+                sender_timeout,
+                datetime.timedelta(seconds=timeouts.shutdown_s),
+            ),
+            caller_account.CallerAccount(
+                caller_account.AccountLimits(
+                    caller_account.derive_connections(
+                        limits.connections,
+                        instance_settings.max_fds,
+                        held_bytes,
+                    ),
+                    held_bytes,
+                    datetime.timedelta(seconds=limits.stall_s),
+                    limits.pace_bytes_per_s,
+                    max(1, int(limits.threads * LINGERING_RATIO)),
+                )
+            ),
+        )
+
+
+class _PageRequest(caller_requests.CallerRequest):
+    """Request for a page, which may lack the header Host."""
+
+    requires_host = False
+
+
+class _PageConnection(CallerConnection):
+    """Connection of a caller that asks for pages."""
+
+    RequestHandlerClass = _PageRequest
+
+
+class PageServer(_GuardedServer):
     """HTTP server for small pages with a few threads.
 
-    Connections wait for the request on a thread, so one is not enough.
+    Bodies of requests are not read.
     """
 
+    ConnectionClass = _PageConnection
+    # Nobody loses a request when a page is refused.
+    finishes_accepted = False
+    buffers_heads = True
+
     def __init__(
         self,
         address: str,
         app: Callable,
         threads: int,
         stop_limit: datetime.timedelta,
+        instance_settings: settings.Settings | deployment.Deployment,
+        clock: clocks.Clock,
     ):
+        limits = instance_settings.limits
+        held_bytes = caller_account.derive_held_bytes(
+            instance_settings.memory_mb, PAGE_HELD_RATIO
+        )
+        connections = caller_account.derive_connections(
+            PAGE_CONNECTIONS,
+            instance_settings.max_fds,
+            held_bytes,
+            PAGE_CONNECTIONS_RATIO,
+        )
         super().__init__(
-            _split_address(address),
+            address,
             app,
-            shutdown_timeout=stop_limit.total_seconds(),
+            clock,
+            _ServerLimits(
+                limits.header_bytes,
+                limits.body_bytes,
+                threads,
+                connections,
+                datetime.timedelta(
+                    seconds=instance_settings.timeouts.sender_s
+                ),
+                PAGE_SENDER_TIMEOUT,
+                stop_limit,
+            ),
+            caller_account.CallerAccount(
+                caller_account.AccountLimits(
+                    connections,
+                    held_bytes,
+                    datetime.timedelta(seconds=limits.stall_s),
+                    limits.pace_bytes_per_s,
+                    1,
+                )
+            ),
         )
-        self.requests = _ThreadPool(self, threads, MAX_IDLE_CONNECTIONS)
 
 
 def _split_address(address: str) -> tuple[str, int]:
--- a/cranberryscale/connection/listeners.py
+++ b/cranberryscale/connection/listeners.py
@@ -31,6 +31,10 @@
 # How long the connections that were accepted last may take to send a request.
 LAST_REQUESTS_TIME = datetime.timedelta(milliseconds=100)
 POLL_INTERVAL_S = 0.002
+# Errors of accept() for want of descriptors or memory.
+_EXHAUSTED = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
 
 # Of Linux; the socket module lacks it.
 _SO_ATTACH_FILTER = 26
@@ -106,6 +110,86 @@
             self.wakeup.fileno(), selectors.EVENT_READ, data=self.wakeup
         )
 
+    def put(self, conn) -> None:
+        """Wait for the next request of a connection."""
+        conn.last_used = time.time()
+        if conn.rfile.has_data():
+            self.server.account.release(conn)
+            self.server.process_conn(conn)
+        else:
+            self._register_silent(conn)
+
+    def _register_silent(self, conn) -> None:
+        # Once it is registered, the selector thread may see a request.
+        self.server.account.set_silent(conn)
+        self._selector.register(
+            conn.socket.fileno(), selectors.EVENT_READ, data=conn
+        )
+
+    def wait_for_rest(self, conn) -> None:
+        """Wait for further bytes of a request that has begun.
+
+        The connection still counts as silent, since when it was put here.
+        """
+        self._selector.register(
+            conn.socket.fileno(), selectors.EVENT_READ, data=conn
+        )
+
+    def _run(self, expiration_interval: float) -> None:
+        """Serve until a stop is requested.
+
+        Unlike the loop of cheroot, this one accepts after it has handled all
+        other events. The new connection may replace one of the selector, which
+        must not have an event that is yet to be handled.
+        """
+        checked_at = time.time()
+        while not self._stop_requested:
+            try:
+                active = list(self._selector.select(expiration_interval))
+            except OSError:
+                self._remove_invalid_sockets()
+                continue
+            is_accepting = False
+            for descriptor, connection in active:
+                if connection is self.server:
+                    is_accepting = True
+                else:
+                    self._selector.unregister(descriptor)
+                    self.server.process_conn(connection)
+            if is_accepting:
+                self._accept()
+            now = time.time()
+            if now - checked_at > expiration_interval:
+                checked_at = now
+                self._expire(now - self.server.timeout)
+                self.server.interrupt_stalled()
+
+    def _accept(self) -> None:
+        try:
+            connection = self._from_server_socket(self.server.socket)
+        except OSError as error:
+            if error.errno not in _EXHAUSTED:
+                raise
+            silent = self.server.account.remove_silent()
+            if silent is None:
+                # The listener stays readable, so the loop would spin.
+                time.sleep(POLL_INTERVAL_S)
+            else:
+                self.close_silent(silent)
+            return
+        if connection is not None:
+            self.server.process_conn(connection)
+
+    def close_silent(self, connection) -> None:
+        """Close a connection that waits for a request."""
+        try:
+            self._selector.unregister(connection.socket.fileno())
+        except (KeyError, ValueError):
+            # A thread is about to register it, and finds it closed then.
+            connection.wrapped_socket.interrupt()
+        else:
+            connection.close()
+
     def run(self, expiration_interval: float) -> None:
         """Serve until `finish_accepting`; return once `close` was called."""
         super().run(expiration_interval)
@@ -113,12 +197,16 @@
             # cheroot would start the loop again until its server is closed.
             self._closed.wait()
 
+    def interrupt(self) -> None:
+        """Make the loop end without waiting for the next event."""
+        self._stop_requested = True
+        self.wakeup.send()
+
     def finish_accepting(self) -> None:
         """Close the listener; queue the requests on open connections."""
         listener = self.server.socket
         reject_handshakes(listener)
-        self._stop_requested = True
-        self.wakeup.send()
+        self.interrupt()
         self.stop()
         self._accept_waiting(listener)
         self._selector.unregister(listener.fileno())
--- a/cranberryscale/core_daemon.py
+++ b/cranberryscale/core_daemon.py
@@ -22,6 +22,7 @@
 from cranberryscale import core_driver
 from cranberryscale import errors
 from cranberryscale import logs
+from cranberryscale.process import caller_account
 from cranberryscale.process import metrics
 from cranberryscale.process import roster
 from cranberryscale.process import shutdown
@@ -137,6 +138,8 @@
         self._leaving = threading.Event()
         self._reload_requested = threading.Event()
         self._is_stop_logged = False
+        # By the name of the listener.
+        self._accounts: dict[str, caller_account.CallerAccount] = {}
         self._server_threads = tuple(self._make_server_threads())
 
     def serve(self) -> None:
@@ -249,26 +252,43 @@
         pages = core_pages.CorePages(
             self.driver, self.decision_context, self._render_metrics
         )
-        yield http_servers.ServerThread(
-            http_servers.CallerServer(
-                self.instance_settings, self.clock, self.gateway
-            ),
-            self.shut_down,
+        caller_server = http_servers.CallerServer(
+            self.instance_settings, self.clock, self.gateway
         )
-        for address, app in (
-            (addresses.health, endpoints),
-            (addresses.directory, endpoints),
-            (addresses.operators, pages),
+        self._accounts['callers'] = caller_server.account
+        yield http_servers.ServerThread(caller_server, self.shut_down)
+        for name, address, app in (
+            ('health', addresses.health, endpoints),
+            ('directory', addresses.directory, endpoints),
+            ('operators', addresses.operators, pages),
         ):
-            yield http_servers.ServerThread(
-                http_servers.PageServer(
-                    address, app, PAGE_THREADS, STOP_TIMEOUT
-                ),
-                self.shut_down,
+            page_server = http_servers.PageServer(
+                address,
+                app,
+                PAGE_THREADS,
+                STOP_TIMEOUT,
+                self.instance_settings,
+                self.clock,
+            )
+            self._accounts[name] = page_server.account
+            yield http_servers.ServerThread(page_server, self.shut_down)
+
+    def _set_account_gauges(self) -> None:
+        for name, account in self._accounts.items():
+            self.metrics.set_gauge(
+                'caller_connections', account.connection_count, listener=name
+            )
+            self.metrics.set_gauge(
+                'caller_held_bytes', account.held_bytes, listener=name
             )
+            for reason, count in tuple(account.counts.items()):
+                self.metrics.set_gauge(
+                    'callers_limited', count, listener=name, reason=reason
+                )
 
     def _render_metrics(self) -> bytes:
         self.metrics.set_gauge('requests_running', self.gateway.running)
+        self._set_account_gauges()
         self.metrics.set_gauge('store_calls', self.driver.store.calls)
         with self.driver.lock:
             statements = self.core.statements
--- a/cranberryscale/node_daemon.py
+++ b/cranberryscale/node_daemon.py
@@ -33,6 +33,7 @@
 ADVANCE_INTERVAL_S = 0.05
 DROP_IDLE_INTERVAL_S = 5.0
 OPERATOR_THREADS = 4
+OPERATOR_REQUEST_BYTES = 65536
 
 
 def _write_audit(line: str) -> None:
@@ -132,6 +133,8 @@
             cherrypy.Application(pages.OperatorPages(self)),
             numthreads=OPERATOR_THREADS,
         )
+        operator_server.max_request_header_size = OPERATOR_REQUEST_BYTES
+        operator_server.max_request_body_size = OPERATOR_REQUEST_BYTES
         servers.ServerAdapter(
             cherrypy.engine, operator_server, (host, int(port))
         ).subscribe()
--- a/cranberryscale/process/caller_account.py
+++ b/cranberryscale/process/caller_account.py
@@ -186,13 +186,13 @@
             self._silent.pop(address, None)
 
     def set_silent(self, connection: Hashable) -> None:
-        """Record that a connection waits for a request or the rest of one.
+        """Record that a connection waits for a request and holds nothing.
 
-        It keeps its place if it was recorded before, so that the slowest
-        connections come first.
+        It counts as silent until `set_active`.
         """
         with self._lock:
             if connection in self._connections:
+                self._release(connection)
                 address = self._connections[connection].address
                 self._silent.setdefault(address, {})[connection] = None
 
@@ -229,6 +229,11 @@
         of_address = self._address_bytes[address] + size_bytes
         return total <= limit and of_address <= limit * ADDRESS_RATIO
 
+    def record_refusal(self) -> None:
+        """Record that a request found no room that others may hold."""
+        with self._lock:
+            self._refused_count += 1
+
     def release(self, connection: Hashable) -> None:
         """Release what the request of a connection holds."""
         with self._lock:
--- a/cranberryscale/request/proxied_requests.py
+++ b/cranberryscale/request/proxied_requests.py
@@ -33,6 +33,9 @@
 # Part of a request's time that it waits for an instance that is starting. With
 # all of it, requests with 0.8 s ended unserved at the end of the wait.
 START_WAIT_RATIO = 0.5
+# Refusals for want of slots of or connections to backend servers, which
+# stalled callers may occupy.
+SHORT_OF_ROOM_CODES = frozenset(('backend_refused', 'pool_busy'))
 
 _PORT = re.compile(r':[0-9]*$')
 
@@ -404,6 +407,8 @@
         )
         if refusal.error.code == 'caller_gone':
             self._caller_request.conn.abort()
+        if refusal.error.code in SHORT_OF_ROOM_CODES:
+            self._caller_request.server.account.record_refusal()
         if refusal.error.code == 'shutting_down':
             self._caller_request.close_connection = True
         self._start_response(error_response.status, error_response.headers)
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -8,6 +8,7 @@
 
 import base64
 from collections.abc import Iterable
+from collections.abc import Mapping
 from concurrent import futures
 import contextlib
 import http.server
@@ -22,6 +23,7 @@
 import sys
 import threading
 import time
+import types
 from typing import Any
 from typing import NamedTuple
 import urllib.parse
@@ -557,14 +559,21 @@
     ).encode()
 
 
+def _format_settings(values: Mapping[str, float]) -> str:
+    return '\n'.join(f'{name} = {value}' for name, value in values.items())
+
+
 class Instance:
     """One instance as a process, with addresses on loopback.
 
     Its settings file and log are in `folder`. `program` holds the arguments
-    of the interpreter.
+    of the interpreter. `machine` and `limits` hold further settings of the
+    top level and of the table `limits`.
     """
 
     program = ('-m', 'cranberryscale.platform.program')
+    machine: Mapping[str, float] = types.MappingProxyType({})
+    limits: Mapping[str, float] = types.MappingProxyType({})
 
     def __init__(self, number: int, folder: pathlib.Path, store_address: str):
         self.label = f'i{number:02}'
@@ -585,12 +594,17 @@
         addresses = '\n'.join(
             f'{name} = "{address}"' for name, address in self.addresses.items()
         )
+        # Without the table, the defaults of a deployment apply.
+        limits = _format_settings(self.limits)
+        limits = f'[limits]\n{limits}' if limits else ''
         self.settings_path.write_text(
             f'name = "{self.addresses["peers"]}"\n'
             f'label = "{self.label}"\n'
             f'domain = "{self.domain}"\n'
             'region = "r"\n'
             f'seeds = [{quoted_seeds}]\n'
+            f'{_format_settings(self.machine)}\n'
+            f'{limits}\n'
             f'[addresses]\n{addresses}\n'
             f'[platform]\naddress = "{self._store_address}"\n'
         )
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -140,6 +140,14 @@
     assert find_stalled(account, 4, 0, make_progress(1, 0)) == []
 
 
+def test_request_without_room_at_servers_counts_as_waiting():
+    account = make_account()
+    account.open(1, 'a')
+    find_stalled(account, 0, 0, make_progress(1, 0))
+    account.record_refusal()
+    assert find_stalled(account, 3, 0, make_progress(1, 0)) == [1]
+
+
 def test_wait_for_a_server_does_not_count_as_stalled():
     account = make_account()
     account.open(1, 'a')
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -8,7 +8,7 @@
 
 
 ROOT = pathlib.Path(__file__).parent.parent
-PROMISES = 16
+PROMISES = 17
 FAULTS = 10
 
 
