Close connections that send ahead when no more fit

Change: at the limit on connections, a connection with further requests ahead is closed after its answer. Bytes that were received in advance are freed with the connection.

--- a/cranberryscale/connection/deadline_socket.py
+++ b/cranberryscale/connection/deadline_socket.py
@@ -222,6 +222,10 @@
         buffered = self._peek_buffered() + self._received
         return data == b'' or len(buffered) >= limit or end in buffered
 
+    def discard_received(self) -> None:
+        """Free the bytes that were received in advance."""
+        self._received = bytearray()
+
     def fileno(self) -> int:
         """Return the file descriptor."""
         return self.sock.fileno()
--- a/cranberryscale/connection/http_servers.py
+++ b/cranberryscale/connection/http_servers.py
@@ -219,6 +219,9 @@
     def close(self) -> None:
         """Close the socket; never raise, which would end a cheroot thread."""
         self.server.account.close(self)
+        # cheroot's connections refer to themselves, so they are freed only by
+        # the garbage collector.
+        self.wrapped_socket.discard_received()
         with contextlib.suppress(OSError, ValueError):
             if self.is_aborted:
                 linger = struct.pack('ii', 1, 0)
@@ -510,7 +513,7 @@
                 limits.header_bytes,
                 limits.body_bytes,
                 threads,
-                connections,
+                PAGE_CONNECTIONS,
                 datetime.timedelta(
                     seconds=instance_settings.timeouts.sender_s
                 ),
--- a/cranberryscale/connection/listeners.py
+++ b/cranberryscale/connection/listeners.py
@@ -114,8 +114,11 @@
         """Wait for the next request of a connection."""
         conn.last_used = time.time()
         if conn.rfile.has_data():
-            self.server.account.release(conn)
-            self.server.process_conn(conn)
+            if self.server.account.continue_ahead(conn):
+                self.server.process_conn(conn)
+            else:
+                conn.may_receive_more = True
+                conn.close()
         else:
             self._register_silent(conn)
 
--- a/cranberryscale/process/caller_account.py
+++ b/cranberryscale/process/caller_account.py
@@ -234,11 +234,20 @@
         with self._lock:
             self._refused_count += 1
 
-    def release(self, connection: Hashable) -> None:
-        """Release what the request of a connection holds."""
+    def continue_ahead(self, connection: Hashable) -> bool:
+        """Release the request of a connection that has sent the next one.
+
+        Returns False if the connection is to be closed instead, since it
+        would never be silent and thus never give way.
+        """
         with self._lock:
-            if connection in self._connections:
-                self._release(connection)
+            if connection not in self._connections:
+                return False
+            self._release(connection)
+            if len(self._connections) < self.limits.connections:
+                return True
+            self.counts['ahead'] += 1
+            return False
 
     def _release(self, connection: Hashable) -> None:
         held = self._connections[connection]
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -49,6 +49,18 @@
     assert account.open(3, 'a') == caller_account.Opened(None)
 
 
+def test_requests_ahead_do_not_keep_a_connection_at_the_limit():
+    account = make_account(connections=2)
+    account.open(1, 'a')
+    account.charge(1, 10)
+    assert account.continue_ahead(1)
+    assert account.held_bytes == 0
+    account.open(2, 'a')
+    assert not account.continue_ahead(1)
+    account.close(1)
+    assert account.continue_ahead(2)
+
+
 def test_connection_that_is_served_again_is_not_closed():
     account = make_account(connections=1)
     open_silent(account, 1)
@@ -68,7 +80,7 @@
         account.charge(2, 1)
     assert raised.value.entry.ran == errors.NOT_RUN
     assert raised.value.entry.status == 503
-    account.release(1)
+    account.set_silent(1)
     account.charge(2, 1)
     assert account.held_bytes == 501
 
@@ -201,7 +213,7 @@
                     assert error.code == 'callers_full'
                     assert account.held_bytes == before
             case 4:
-                account.release(name)
+                account.continue_ahead(name)
             case 5:
                 account.close(name)
         assert account.connection_count <= 8
