--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -22,7 +22,6 @@
 ]
 
 Ratio = Annotated[float, msgspec.Meta(ge=0)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
 LISTENER_LIMITS = settings.ListenerLimits(
     header_bytes=65536, body_bytes=64 * 1024 * 1024, threads=48
 )
@@ -81,7 +80,8 @@
     `name` is the peer address, as in `seeds`. `label` is the machine's name
     in logs. `cores` is the part of a processor that is available to the
     instance, and `core_speed` how fast this processor is compared with that
-    of the smallest instances.
+    of the smallest instances. `memory_mb` and `max_fds` are the limits of its
+    process.
     """
 
     name: settings.Address
@@ -90,9 +90,10 @@
     addresses: DeploymentListenAddresses
     platform: StoreEndpoint
     label: str = ''
-    cores: Positive = 1.0
-    core_speed: Positive = 1.0
-    memory_mb: Positive = 300
+    cores: settings.Positive = 1.0
+    core_speed: settings.Positive = 1.0
+    memory_mb: settings.Positive = 300
+    max_fds: settings.Count = 4100
     seeds: tuple[settings.Address, ...] = ()
     terms: OperatorBounds = OperatorBounds()
     # Names of the bounds that the operators do not set.
