Share a full pool among customers, and let no kind starve

Cause: customers were not told apart in a pool's queue, so one that sends many times its usual took the slots of the others. Requests of lower priority were refused while those before them took all capacity for two seconds, also with seconds left until their target.

Change: within a priority, requests of customers over their max-min fair share of the recent work go last and get no late service in a surge; a full queue refuses one of them first. Then the latest start decides in place of the target. Every eighth slot goes to the longest wait that can still be on time, and a request whose target leaves time for this share waits for it. The token queue counts its turns in whole tokens.

--- a/cranberryscale/process/pool/refusals.py
+++ b/cranberryscale/process/pool/refusals.py
@@ -10,6 +10,7 @@
 import zlib
 
 from cranberryscale.process.pool import dispatch_requests
+from cranberryscale.process.pool import request_queue
 
 
 __all__ = ['MIN_RETRY_AFTER', 'PoolLoad', 'find_retry_after', 'find_wait']
@@ -30,7 +31,8 @@
     The servers complete `capacity`. Requests of higher priority arrive at
     `rate_before`, and with those of the same priority at `rate`. `ahead`
     requests of the `queued` ones go first. Without `has_room_at_limits`,
-    limits keep servers from starting the request.
+    limits keep servers from starting the request. `is_over_share` tells
+    whether its customer got more than its share.
     """
 
     capacity: float
@@ -39,6 +41,7 @@
     ahead: int
     queued: int
     has_room_at_limits: bool = True
+    is_over_share: bool = False
 
 
 def find_wait(
@@ -53,17 +56,21 @@
     will miss its target is served from the capacity that all others leave.
     During a surge only a few of these are queued, to be served when the
     surge ends, and none where servers are at their limit: limits last for
-    longer than a request can wait.
+    longer than a request can wait. Those of a customer over its share are
+    the first to be refused then.
     """
     spare = load.capacity - load.rate_before
-    if spare <= 0:
+    least = load.capacity * request_queue.MIN_SHARE
+    if max(spare, least) <= 0:
         return None
-    wait = datetime.timedelta(seconds=(load.ahead + 1) / spare)
+    wait = datetime.timedelta(seconds=(load.ahead + 1) / max(spare, least))
     if request.waited + wait + usual <= request.target:
         return wait
+    if spare <= 0:
+        return None
     wait = datetime.timedelta(seconds=(load.queued + 1) / spare)
     is_surge = load.rate > load.capacity * SURGE_UTILIZATION
-    if is_surge and not load.has_room_at_limits:
+    if is_surge and (load.is_over_share or not load.has_room_at_limits):
         return None
     spare_time = request.remaining - usual
     ratio = SURGE_WAIT_RATIO if is_surge else LATE_WAIT_RATIO
--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -20,6 +20,7 @@
 from typing import NamedTuple
 
 from cranberryscale.process import fleet_buckets
+from cranberryscale.process.pool import customer_work
 from cranberryscale.process.pool import dispatch_requests
 from cranberryscale.process.pool import health
 from cranberryscale.process.pool import load_statistics
@@ -42,6 +43,7 @@
 # is gone.
 POLL_TIMEOUT = datetime.timedelta(milliseconds=600)
 QUEUE_LIMIT = 512
+SHARES_INTERVAL = datetime.timedelta(milliseconds=100)
 # Above this utilization of the healthy servers, unhealthy ones are used as
 # well.
 UNHEALTHY_UTILIZATION = 0.95
@@ -96,8 +98,10 @@
         ] = {}
         self._denied: dict[str, dispatch_requests.DispatchDenial] = {}
         self._latencies = load_statistics.LatencyEstimator()
-        self._queue = request_queue.RequestQueue(self._estimate_latency)
+        self._queue = request_queue.RequestQueue()
         self._arrivals = load_statistics.ArrivalCounter()
+        self._work = customer_work.CustomerWork()
+        self._shares_at = ZERO
         self._permit_ids = itertools.count(1)
 
     def load_servers(self, published: configuration.Configuration) -> None:
@@ -220,16 +224,19 @@
                 max(refusals.MIN_RETRY_AFTER, request.target / 4),
             )
         self._ranker.record_arrival(request, now)
+        self._update_shares(now)
         if not request.may_wait:
             return self._offer(request, now)
         if not self._record_arrival(request, now):
             return dispatch_requests.DispatchDenial(
                 'repeats_spent', request.target
             )
-        queued = request_queue.QueuedRequest(request, now)
+        usual = self._estimate_latency(request)
+        queued = request_queue.QueuedRequest(request, usual, now)
         if not self._queue.count_ahead(queued):
             server = self._choose_server(request, now)
             if server is not None:
+                self._queue.start(queued, now)
                 return self._grant(request, server, now)
         wait = self._estimate_wait(queued, now)
         if wait is None:
@@ -237,13 +244,45 @@
             server = self._ranker.pick_any(request, now)
             if server is not None:
                 return self._grant(request, server, now)
-        if wait is None or len(self._queue) >= QUEUE_LIMIT:
+        if wait is None or not self._make_room(queued, now):
             if request.is_repeat:
                 self._retry_budget.refund()
             return self._make_denial(request, now)
         self._queue.add(queued)
         return dispatch_requests.QueuePlace()
 
+    def _update_shares(self, now: datetime.timedelta) -> None:
+        """Find the customers over their shares while requests queue."""
+        if not self._queue:
+            self._queue.over_share = frozenset()
+        elif now - self._shares_at >= SHARES_INTERVAL:
+            self._shares_at = now
+            slots = sum(
+                server.definition.slots
+                for server in self._ranker.tracked.values()
+                if server.health.classify(now) != health.HealthState.OUT
+            )
+            self._queue.over_share = self._work.list_over_share(slots, now)
+
+    def _make_room(
+        self, queued: request_queue.QueuedRequest, now: datetime.timedelta
+    ) -> bool:
+        """Return whether the queue has room for a request.
+
+        A full queue refuses one of a customer that is over its share instead.
+        """
+        if len(self._queue) < QUEUE_LIMIT:
+            return True
+        over_share = self._queue.over_share
+        if queued.request.customer in over_share:
+            return False
+        for last in reversed(self._queue.list_in_order(now)):
+            if last.request.customer in over_share:
+                request = last.make_current_request(now)
+                self._deny(request, self._make_denial(request, now))
+                return True
+        return False
+
     def _record_arrival(
         self,
         request: dispatch_requests.DispatchRequest,
@@ -251,6 +290,9 @@
     ) -> bool:
         """Record an arrival; return False if the retry budget is spent."""
         self._arrivals.record(request.priority, now)
+        self._work.record_demand(
+            request.customer, self._estimate_latency(request), now
+        )
         if request.is_repeat:
             return self._retry_budget.try_spend(now)
         if request.is_new:
@@ -263,7 +305,8 @@
         now: datetime.timedelta,
     ) -> dispatch_requests.DispatchResult:
         """Return a permit for a healthy server, or the expected wait."""
-        queued = request_queue.QueuedRequest(request, now)
+        usual = self._estimate_latency(request)
+        queued = request_queue.QueuedRequest(request, usual, now)
         if not self._queue.count_ahead(queued):
             server = self._ranker.pick_healthy(request, now)
             if server is not None:
@@ -271,6 +314,7 @@
                     return dispatch_requests.DispatchDenial(
                         'repeats_spent', request.target
                     )
+                self._queue.start(queued, now)
                 return self._grant(request, server, now)
         wait = self._estimate_wait(queued, now)
         if wait is None or len(self._queue) >= QUEUE_LIMIT:
@@ -290,6 +334,9 @@
             server.definition.name,
             self._latencies.find_first_byte_timeout(request.target),
         )
+        self._work.record_grant(
+            request.customer, self._estimate_latency(request), now
+        )
         server.start_request(permit.permit_id, now, request.sender)
         self._running[permit.permit_id] = _RunningRequest(
             server.definition.name,
@@ -385,6 +432,7 @@
         self._expire(now)
         if not self._queue:
             return
+        self._update_shares(now)
         for queued in self._queue:
             self._drop_or_deny(queued, now)
         for queued in self._queue.list_in_order(now):
@@ -393,7 +441,7 @@
             request = queued.make_current_request(now)
             server = self._choose_server(request, now)
             if server is not None:
-                self._queue.remove(request.request_id)
+                self._queue.start(queued, now)
                 permit = self._grant(request, server, now)
                 self._granted[request.request_id] = (permit, now)
 
@@ -405,7 +453,7 @@
         if now - queued.polled_at > POLL_TIMEOUT:
             # The instance stopped polling: it is gone, or needs no server.
             self._remove_queued(request)
-        elif queued.deadline - now < self._estimate_latency(request) / 2:
+        elif queued.deadline - now < queued.usual / 2:
             self._deny(
                 request,
                 self._make_denial(queued.make_current_request(now), now),
@@ -539,9 +587,9 @@
             self._queue.count_ahead(queued),
             len(self._queue),
             not self._is_limited(request, now),
+            request.customer in self._queue.over_share,
         )
-        usual = self._estimate_latency(request)
-        return refusals.find_wait(request, usual, load)
+        return refusals.find_wait(request, queued.usual, load)
 
     def _is_limited(
         self,
--- a/cranberryscale/process/token_queue.py
+++ b/cranberryscale/process/token_queue.py
@@ -21,11 +21,11 @@
 ASK_GRACE = datetime.timedelta(milliseconds=500)
 MIN_INTERVAL = datetime.timedelta(milliseconds=50)
 SWEEP_INTERVAL = datetime.timedelta(milliseconds=200)
-# Part of a token that is credited to the requests that have waited longest
-# for each token that another request gets. While requests wait, at least
-# every eighth token goes to these, so no rank starves.
-CREDIT_PER_TOKEN = 1 / 7
-MIN_SHARE = CREDIT_PER_TOKEN / (1 + CREDIT_PER_TOKEN)
+# Tokens that other requests may get for each one of those that have waited
+# longest. While requests wait, every eighth token goes to these, so no rank
+# starves.
+TOKENS_PER_TURN = 7
+MIN_SHARE = 1 / (1 + TOKENS_PER_TURN)
 # Tokens that are kept for requests that have not asked again yet.
 RESERVE_LIMIT = 1
 RATE_TIME = datetime.timedelta(seconds=1)
@@ -95,7 +95,8 @@
         self._late_by: dict[str, datetime.timedelta] = {}
         self._intervals: dict[str, datetime.timedelta] = {}
         self._number = 0
-        self._credit = 0.0
+        # Tokens that others got beside the longest waits.
+        self._others = 0
         self._rates: dict[int, _RateEstimate] = {}
         self._swept_at = ZERO
 
@@ -105,10 +106,15 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._place_of
 
+    @property
+    def _turns(self) -> int:
+        """Return the tokens that the longest waits may take out of rank."""
+        return min(self._others // TOKENS_PER_TURN, len(self._arrivals))
+
     @property
     def reserved(self) -> int:
         """Return the tokens that only requests with credit may take."""
-        return min(int(self._credit), len(self._arrivals), RESERVE_LIMIT)
+        return min(self._turns, RESERVE_LIMIT)
 
     def has_credit(self, request_id: str) -> bool:
         """Return whether a request may take a token out of its rank.
@@ -119,14 +125,14 @@
         if place.is_late:
             return False
         index = bisect.bisect_left(self._arrivals, place.by_arrival)
-        return index < int(self._credit)
+        return index < self._turns
 
     def record_token(self, rank: int, now: datetime.timedelta) -> None:
         """Record a token that is given to a request outside of the queue."""
         self._rates.setdefault(rank, _RateEstimate()).record(now)
         if self._arrivals:
-            credit = self._credit + CREDIT_PER_TOKEN
-            self._credit = min(credit, len(self._arrivals))
+            most = TOKENS_PER_TURN * len(self._arrivals)
+            self._others = min(self._others + 1, most)
 
     def find_rate_before(self, rank: int, now: datetime.timedelta) -> float:
         """Return the tokens per second that more urgent ranks get."""
@@ -234,14 +240,15 @@
         self.remove(request_id)
         self.record_token(place.priority, now)
         if has_credit:
-            self._credit = max(0.0, self._credit - 1)
+            self._others = max(0, self._others - TOKENS_PER_TURN)
 
     def remove(self, request_id: str) -> None:
         """Remove a request that gets no token."""
         self._remove_place(self._place_of.pop(request_id))
         del self._ask_by[request_id], self._late_by[request_id]
         del self._intervals[request_id]
-        self._credit = min(self._credit, len(self._arrivals))
+        if not self._arrivals:
+            self._others = 0
 
     def _remove_place(self, place: _Place) -> None:
         del self._places[bisect.bisect_left(self._places, place)]
