--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -6,8 +6,10 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 from collections.abc import Mapping
 from concurrent import futures
+import contextlib
 import datetime
 import threading
 from typing import Any
@@ -22,7 +24,7 @@
 from cranberryscale import errors
 from cranberryscale import logs
 from cranberryscale import messages
-from cranberryscale.process.pool import server_pool
+from cranberryscale.process.pool import dispatch_requests
 from cranberryscale.process import roster
 from cranberryscale.process import store_follower
 from cranberryscale.version import replica
@@ -33,12 +35,6 @@
 PEER_THREADS = 96
 WORKERS = 12
 TICK_INTERVAL = datetime.timedelta(milliseconds=100)
-# How long a queued request occupies a thread of the holder before its sender
-# has to repeat the message.
-QUEUE_WAIT = datetime.timedelta(milliseconds=250)
-# Threads that queued requests occupy at most. The senders of further ones
-# pause themselves, so that the holder always answers.
-QUEUE_THREADS = PEER_THREADS // 2
 # A call between failure domains takes 2 ms. The retransmission of a lost
 # packet takes 200 ms, which is too long to wait for.
 HOLDER_TIMEOUT = datetime.timedelta(milliseconds=150)
@@ -61,6 +57,7 @@
     changes: tuple[replica.EntryChange, ...]
     revision: int
     is_snapshot: bool
+    era: int
 
 
 class KeyValueStore(Protocol):
@@ -68,13 +65,13 @@
 
     calls: int
 
-    def read_all(self) -> StoreUpdate:
-        """Return a snapshot of all entries."""
+    def read_all(self, era: int = 0) -> StoreUpdate:
+        """Return a snapshot of all entries; `era` is the last known era."""
 
     def wait_for_changes(
-        self, revision: int, wait: datetime.timedelta
+        self, revision: int, wait: datetime.timedelta, era: int = 0
     ) -> StoreUpdate:
-        """Wait for changes after a revision and return them."""
+        """Wait for changes after a revision of an era and return them."""
 
 
 class CoreDriver:
@@ -90,8 +87,9 @@
         self.lock = threading.RLock()
         self.store = store
         self._clock = clock
-        # Wakes the threads of queued requests, by request id.
-        self._queued: dict[str, threading.Condition] = {}
+        # Set when a holder tells that a queued request has a result, by the
+        # request's id in messages.
+        self._results_ready: dict[str, threading.Event] = {}
         self._stopping = threading.Event()
         self._unresponsive_until: dict[str, datetime.timedelta] = {}
         self._store_is_up: bool | None = None
@@ -237,45 +235,48 @@
         return self._handle_locally(frame.sender, message)
 
     def _handle_locally(self, sender: str, message: Any) -> Any:
+        if isinstance(message, messages.ResultReady):
+            self._set_ready(message.request_id)
+            return messages.Done()
         with self.lock:
             reply = self._handle_message(sender, message)
-            match message:
-                case messages.AskServer():
-                    is_queued = not (reply.server or reply.code)
-                    if is_queued and message.may_wait:
-                        reply = self._wait_in_queue(sender, message, reply)
-                case messages.FinishRequest():
-                    self._wake_queued(self.core.pools.get(message.shard))
-        if isinstance(message, messages.AskServer):
-            self._log_dispatch(sender, message, reply)
+            notices = self.core.collect_results()
+        match message:
+            case messages.AskServer():
+                self._log_dispatch(sender, message, reply)
+        self._send_notices(notices)
         return reply
 
-    def _wait_in_queue(
-        self,
-        sender: str,
-        message: messages.AskServer,
-        reply: messages.ServerReply,
-    ) -> messages.ServerReply:
-        """Return the reply once there is a result or QUEUE_WAIT is over."""
-        request_id = message.request_id
-        if len(self._queued) >= QUEUE_THREADS:
-            return reply
-        condition = threading.Condition(self.lock)
-        self._queued[request_id] = condition
-        condition.wait(QUEUE_WAIT.total_seconds())
-        if self._queued.get(request_id) is condition:
-            del self._queued[request_id]
-        return self._handle_message(sender, message)
-
-    def _wake_queued(self, pool: server_pool.ServerPool | None) -> None:
-        """Wake the threads of requests that have a result.
-
-        Waking all would let each of them ask again whenever a slot is freed.
+    # Queued requests
+
+    @contextlib.contextmanager
+    def follow_result(self, request_id: str) -> Iterator[threading.Event]:
+        """Yield an event that is set when a queued request has a result."""
+        ready = self._results_ready[request_id] = threading.Event()
+        try:
+            yield ready
+        finally:
+            del self._results_ready[request_id]
+
+    def _set_ready(self, request_id: str) -> None:
+        ready = self._results_ready.get(request_id)
+        if ready is not None:
+            ready.set()
+
+    def _send_notices(
+        self, notices: tuple[dispatch_requests.ResultNotice, ...]
+    ) -> None:
+        """Tell the senders of queued requests that these have results.
+
+        A sender that does not get the notice collects the result later.
         """
-        for request_id in pool.list_results() if pool and self._queued else ():
-            condition = self._queued.get(request_id)
-            if condition is not None:
-                condition.notify_all()
+        for notice in notices:
+            if notice.sender == self.core.instance_settings.name:
+                self._set_ready(notice.request_id)
+            else:
+                self.send(
+                    notice.sender, messages.ResultReady(notice.request_id)
+                )
 
     def _log_dispatch(
         self,
@@ -297,6 +298,8 @@
             server=reply.server,
             health=pool.describe_health(reply.server, now),
             limit=self.core.statements.limits.find_rate(reply.server),
+            kind=message.kind,
+            **pool.describe_work(reply.server, message.kind),
             code=reply.code,
             idempotent=message.is_idempotent,
             waited_ms=round(message.waited_s * 1000),
@@ -321,13 +324,13 @@
                 now = self._clock.read_elapsed()
                 events = self.core.advance(now)
                 changes = tuple(self.core.statements.collect_changes(now))
-                for pool in self.core.pools.values():
-                    self._wake_queued(pool)
+                notices = self.core.collect_results()
                 histories = tuple(self.core.collect_histories(now))
                 targets = ()
                 if self.core.roster.has_updates:
                     targets = self.core.roster.choose_update_targets()
                     check = self._make_check()
+            self._send_notices(notices)
             self.log_events(events)
             for change in changes:
                 logs.log_event(
@@ -428,7 +431,8 @@
                 now = self._clock.read_elapsed()
                 interval = self.core.follower.find_pull_interval(now)
                 source = self.core.follower.choose_source(now)
-                message = messages.PullChanges(self.core.replica.revision)
+                known = self.core.replica
+                message = messages.PullChanges(known.revision, known.era)
             if source is not None:
                 self._pull_changes(source, message, now)
 
@@ -447,16 +451,9 @@
                     source, self._clock.read_elapsed()
                 )
             return
-        age = None
-        if reply.age_s >= 0:
-            age = datetime.timedelta(seconds=reply.age_s)
         with self.lock:
-            now = self._clock.read_elapsed()
-            is_after_outage = self.core.follower.record_pull_reply(
-                age, sent_at, source
-            )
-            events = self.core.apply_store_update(
-                reply.changes, reply.revision, False, is_after_outage, now
+            events = self.core.receive_changes_reply(
+                source, reply, sent_at, self._clock.read_elapsed()
             )
         self.log_events(events, source)
 
@@ -476,13 +473,14 @@
                 self._stopping.wait(pause.total_seconds())
 
     def _read_store(self) -> None:
-        revision = self.core.replica.revision
+        with self.lock:
+            revision, era = self.core.replica.revision, self.core.replica.era
         try:
             if revision == 0:
-                update = self.store.read_all()
+                update = self.store.read_all(era)
             else:
                 update = self.store.wait_for_changes(
-                    revision, store_follower.STORE_POLL_WAIT
+                    revision, store_follower.STORE_POLL_WAIT, era
                 )
         except errors.FleetError as error:
             with self.lock:
@@ -492,16 +490,12 @@
             self._log_store_state(False, error.code, error.value)
             return
         with self.lock:
-            now = self._clock.read_elapsed()
-            is_after_outage = self.core.follower.record_store_answer(
-                now, bool(update.changes)
-            )
-            events = self.core.apply_store_update(
+            events = self.core.receive_store_update(
                 update.changes,
                 update.revision,
                 update.is_snapshot,
-                is_after_outage,
-                now,
+                update.era,
+                self._clock.read_elapsed(),
             )
         self._log_store_state(True)
         self.log_events(events, 'store')
@@ -524,18 +518,24 @@
         logs.log_event(event, code=code, reason=value)
 
     def log_events(
-        self, events: tuple[replica.ReplicaEvent, ...], source: str = 'clock'
+        self,
+        events: tuple[replica.ReplicaEvent | replica.EraChange, ...],
+        source: str = 'clock',
     ) -> None:
         """Log and count changes of the replica with their source."""
         for event in events:
-            self.event_counts[event.event] += 1
-            logs.log_event(
-                event.event,
-                subject=event.subject,
-                revision=event.revision,
-                detail=event.detail,
-                source=source,
-            )
+            match event:
+                case replica.EraChange(old, new, revision):
+                    name = 'era_changed'
+                    fields = {'old': old, 'new': new, 'revision': revision}
+                case replica.ReplicaEvent(name, subject, revision, detail):
+                    fields = {
+                        'subject': subject,
+                        'revision': revision,
+                        'detail': detail,
+                    }
+            self.event_counts[name] += 1
+            logs.log_event(name, **fields, source=source)
 
     def announce_leaving(self) -> None:
         """Announce to the other instances that this instance is leaving."""
--- a/cranberryscale/messages.py
+++ b/cranberryscale/messages.py
@@ -53,6 +53,7 @@
     'PoolSummaryReply',
     'PullChanges',
     'QuotaReply',
+    'ResultReady',
     'ReturnTokens',
     'ServerReply',
     'ServerSummary',
@@ -380,21 +381,24 @@
 
 
 class PullChanges(NamedTuple):
-    """A request for changes of the store after a revision."""
+    """A request for changes of the store after a revision of an era."""
 
     revision: int
+    era: int = 0
 
 
 class ChangesReply(NamedTuple):
     """Changes of the store, complete up to `revision`.
 
     `age_s` is the time since the store last confirmed them, negative if this
-    instance has received nothing from the store yet.
+    instance has received nothing from the store yet. If `era` is later than
+    that of the request, they are all entries; if earlier, there are none.
     """
 
     revision: int
     age_s: float
     changes: tuple[replica.EntryChange, ...] = ()
+    era: int = 0
 
 
 class AskQuota(NamedTuple):
@@ -431,7 +435,9 @@
     See dispatch_requests.DispatchRequest. `limits` are those in force at the
     shard's servers as far as the sender knows. `history` is what it knows of
     the request, None for one that runs once. `customer` is empty for requests
-    without a key. `kind` names requests that are alike.
+    without a key. `kind` names requests that are alike. A request that may not
+    wait is queued all the same if it expects to wait for at most
+    `longest_wait_s`.
     """
 
     shard: shards.Shard
@@ -449,17 +455,19 @@
     history: request_crashes.RequestHistory | None = None
     customer: str = ''
     kind: str = ''
+    longest_wait_s: float = 0.0
 
 
 class ServerReply(NamedTuple):
     """A server to use, or a refusal with a code of the error table.
 
     With neither, a request that may wait is queued and the sender repeats the
-    message. Without `may_wait` it is not queued, and `wait_s` is the expected
-    wait in the queue. `doubt` is that of dispatch_requests.QueuePlace.
-    `ejected` lists the servers that are ejected. `limits` are those in force
-    at the shard's servers, and those of the request that have ended. `history`
-    is set if servers ended under the request.
+    message. Without `may_wait` it is queued only if `is_queued`, and `wait_s`
+    is the expected wait in the queue. `doubt` is that of
+    dispatch_requests.QueuePlace. `ejected` lists the servers that are ejected.
+    `limits` are those in force at the shard's servers, and those of the
+    request that have ended. `history` is set if servers ended under the
+    request.
     """
 
     permit_id: int = 0
@@ -472,6 +480,7 @@
     doubt: int = 0
     limits: tuple[server_limits.ServerLimit, ...] = ()
     history: request_crashes.RequestHistory | None = None
+    is_queued: bool = False
 
 
 class FinishRequest(NamedTuple):
@@ -491,6 +500,15 @@
     history: request_crashes.RequestHistory | None = None
 
 
+class ResultReady(NamedTuple):
+    """A notice to the sender of a queued request that it has a result.
+
+    The sender collects the result by repeating its question.
+    """
+
+    request_id: str
+
+
 class Done(NamedTuple):
     """The acknowledgement of a message that has no other reply.
 
@@ -543,6 +561,7 @@
     32: AskServer,
     33: ServerReply,
     34: FinishRequest,
+    35: ResultReady,
 }
 _TAG_OF = {kind: tag for tag, kind in _TAGS.items()}
 _DECODERS = {tag: msgspec.msgpack.Decoder(kind) for tag, kind in _TAGS.items()}
--- a/cranberryscale/process/pool/server_pool.py
+++ b/cranberryscale/process/pool/server_pool.py
@@ -13,6 +13,7 @@
 the time at which the limits have room for them).
 """
 
+import collections
 from collections.abc import Callable
 import datetime
 import heapq
@@ -32,6 +33,7 @@
 from cranberryscale.process.pool import server_ranking
 from cranberryscale.process.pool import server_statements
 from cranberryscale.process.pool import tracked_servers
+from cranberryscale.process.pool import work_estimates
 from cranberryscale.version import configuration
 
 
@@ -39,11 +41,15 @@
 
 ZERO = datetime.timedelta(0)
 SECOND = datetime.timedelta(seconds=1)
-# An instance polls for its queued request within this time; one that does not
+# An instance asks for its queued request within this time; one that does not
 # is gone.
-POLL_TIMEOUT = datetime.timedelta(milliseconds=600)
+QUEUE_TIMEOUT = datetime.timedelta(milliseconds=900)
+# It is told when there is a result, and collects it within this time.
+COLLECT_TIMEOUT = datetime.timedelta(milliseconds=600)
 QUEUE_LIMIT = 512
 SHARES_INTERVAL = datetime.timedelta(milliseconds=100)
+# How often it is decided anew whether queued requests can still be served.
+REVIEW_INTERVAL = datetime.timedelta(milliseconds=20)
 # Above this utilization of the healthy servers, unhealthy ones are used as
 # well.
 UNHEALTHY_UTILIZATION = 0.95
@@ -103,6 +109,11 @@
         self._work = customer_work.CustomerWork()
         self._shares_at = ZERO
         self._permit_ids = itertools.count(1)
+        self._reviewed_at = ZERO
+        # Queued requests that got a result and whose senders are not told.
+        self._notices: collections.deque[dispatch_requests.ResultNotice] = (
+            collections.deque(maxlen=QUEUE_LIMIT)
+        )
 
     def load_servers(self, published: configuration.Configuration) -> None:
         """Replace the published servers; drop the state of all others.
@@ -186,6 +197,27 @@
         server = self._ranker.tracked.get(name)
         return server.health.classify(now).name.lower() if server else ''
 
+    def describe_work(self, name: str, kind: str) -> dict[str, float]:
+        """Return the usual work of a kind and a server's slowness.
+
+        They are log fields, the work in milliseconds. A kind or server that
+        is not known has none.
+        """
+        fields = {}
+        known = self._ranker.work.estimator.find_kind(kind)
+        if known is not None:
+            fields['work_ms'] = round(known.mean_s * 1e3)
+        server = self._ranker.tracked.get(name)
+        if server is not None:
+            fields['slowness'] = round(server.work.slowness, 2)
+        return fields
+
+    def list_work(
+        self,
+    ) -> tuple[tuple[str, work_estimates.WorkDistribution], ...]:
+        """Return the kinds of requests whose work is known."""
+        return self._ranker.work.estimator.list_known()
+
     def request_permit(
         self,
         request: dispatch_requests.DispatchRequest,
@@ -319,9 +351,15 @@
         wait = self._estimate_wait(queued, now)
         if wait is None or len(self._queue) >= QUEUE_LIMIT:
             return self._make_denial(request, now)
-        return dispatch_requests.QueuePlace(
-            wait, self._ranker.grade_best_server(request, now)
-        )
+        doubt = self._ranker.grade_best_server(request, now)
+        is_queued = not doubt and wait <= request.longest_wait
+        if is_queued:
+            if not self._record_arrival(request, now):
+                return dispatch_requests.DispatchDenial(
+                    'repeats_spent', request.target
+                )
+            self._queue.add(queued)
+        return dispatch_requests.QueuePlace(wait, doubt, is_queued)
 
     def _grant(
         self,
@@ -332,12 +370,18 @@
         permit = dispatch_requests.DispatchPermit(
             next(self._permit_ids),
             server.definition.name,
-            self._latencies.find_first_byte_timeout(request.target),
+            self._ranker.work.find_first_byte_timeout(
+                server,
+                request,
+                self._latencies,
+                self._retry_budget.has_reserve(now),
+            ),
         )
         self._work.record_grant(
             request.customer, self._estimate_latency(request), now
         )
         server.start_request(permit.permit_id, now, request.sender)
+        self._ranker.work.start(server, permit.permit_id, request)
         self._running[permit.permit_id] = _RunningRequest(
             server.definition.name,
             request.sender,
@@ -379,6 +423,10 @@
                 self._statements.record(
                     running.server, statement, granted_at, now
                 )
+            self._ranker.work.record(
+                server, permit_id, outcome, latency, statement, now
+            )
+            self._ranker.work.update_speeds(self._ranker.tracked.values())
             server.finish_request(
                 permit_id, outcome not in ('unused', 'refused')
             )
@@ -433,24 +481,61 @@
         if not self._queue:
             return
         self._update_shares(now)
-        for queued in self._queue:
-            self._drop_or_deny(queued, now)
+        if now - self._reviewed_at >= REVIEW_INTERVAL:
+            self._reviewed_at = now
+            for queued in self._queue:
+                self._drop_or_deny(queued, now)
+        self._grant_queued(now)
+
+    def _grant_queued(self, now: datetime.timedelta) -> None:
+        """Grant free slots to queued requests, in their order.
+
+        Requests for which the same servers may be used are not tried again
+        after one of them found none: with a long queue and free slots at
+        ejected servers only, each report would cost a search by each request.
+        """
+        if not self._has_free_slot:
+            return
+        tried = set()
         for queued in self._queue.list_in_order(now):
-            if not any(s.has_free_slot for s in self._ranker.tracked.values()):
-                return
             request = queued.make_current_request(now)
+            alike = self._describe_choice(request)
+            if alike in tried:
+                continue
             server = self._choose_server(request, now)
-            if server is not None:
-                self._queue.start(queued, now)
-                permit = self._grant(request, server, now)
-                self._granted[request.request_id] = (permit, now)
+            if server is None:
+                tried.add(alike)
+                continue
+            self._queue.start(queued, now)
+            permit = self._grant(request, server, now)
+            self._granted[request.request_id] = (permit, now)
+            self._add_notice(request)
+            if not self._has_free_slot:
+                return
+
+    @property
+    def _has_free_slot(self) -> bool:
+        return any(s.has_free_slot for s in self._ranker.tracked.values())
+
+    def _describe_choice(
+        self, request: dispatch_requests.DispatchRequest
+    ) -> tuple[object, ...]:
+        """Return what decides whether there is a server for a request now."""
+        usual = self._estimate_latency(request)
+        return (
+            request.priority,
+            request.is_idempotent,
+            request.is_repeat,
+            request.excluded,
+            request.waited + usual >= request.target,
+        )
 
     def _drop_or_deny(
         self, queued: request_queue.QueuedRequest, now: datetime.timedelta
     ) -> None:
         """Remove a queued request that can no longer be served here."""
         request = queued.request
-        if now - queued.polled_at > POLL_TIMEOUT:
+        if now - queued.polled_at > QUEUE_TIMEOUT:
             # The instance stopped polling: it is gone, or needs no server.
             self._remove_queued(request)
         elif queued.deadline - now < queued.usual / 2:
@@ -474,6 +559,7 @@
     ) -> None:
         self._remove_queued(request)
         self._denied[request.request_id] = denial
+        self._add_notice(request)
 
     def _remove_queued(
         self, request: dispatch_requests.DispatchRequest
@@ -483,9 +569,16 @@
         if request.is_repeat:
             self._retry_budget.refund()
 
-    def list_results(self) -> tuple[str, ...]:
-        """Return the queued requests whose results wait for a poll."""
-        return (*self._granted, *self._denied)
+    def _add_notice(self, request: dispatch_requests.DispatchRequest) -> None:
+        self._notices.append(
+            dispatch_requests.ResultNotice(request.sender, request.request_id)
+        )
+
+    def collect_results(self) -> tuple[dispatch_requests.ResultNotice, ...]:
+        """Return the queued requests that got a result since the last call."""
+        notices = tuple(self._notices)
+        self._notices.clear()
+        return notices
 
     def _expire(self, now: datetime.timedelta) -> None:
         """Release the permits of requests that are past their deadline.
@@ -501,7 +594,7 @@
         unclaimed = [
             (request_id, permit.permit_id)
             for request_id, (permit, at) in self._granted.items()
-            if now - at > POLL_TIMEOUT
+            if now - at > COLLECT_TIMEOUT
         ]
         for request_id, permit_id in unclaimed:
             del self._granted[request_id]
--- a/cranberryscale/version/deployment.py
+++ b/cranberryscale/version/deployment.py
@@ -14,6 +14,7 @@
 
 
 __all__ = [
+    'LISTENER_LIMITS',
     'Deployment',
     'OperatorBounds',
     'load_deployment',
@@ -22,6 +23,9 @@
 
 Ratio = Annotated[float, msgspec.Meta(ge=0)]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
+LISTENER_LIMITS = settings.ListenerLimits(
+    header_bytes=65536, body_bytes=64 * 1024 * 1024, threads=48
+)
 
 
 class DeploymentListenAddresses(msgspec.Struct, frozen=True):
@@ -75,8 +79,9 @@
     """Settings of one instance; unknown fields are ignored.
 
     `name` is the peer address, as in `seeds`. `label` is the machine's name
-    in logs. `cores` is the number of processors available to the instance
-    and its weight when work is distributed over instances of unequal size.
+    in logs. `cores` is the part of a processor that is available to the
+    instance, and `core_speed` how fast this processor is compared with that
+    of the smallest instances.
     """
 
     name: settings.Address
@@ -86,6 +91,7 @@
     platform: StoreEndpoint
     label: str = ''
     cores: Positive = 1.0
+    core_speed: Positive = 1.0
     memory_mb: Positive = 300
     seeds: tuple[settings.Address, ...] = ()
     terms: OperatorBounds = OperatorBounds()
@@ -93,9 +99,7 @@
     unset_terms: tuple[str, ...] = ()
     # Apply until the route of a request is known; the operators' limits are
     # part of the configuration.
-    limits: settings.ListenerLimits = settings.ListenerLimits(
-        header_bytes=65536, body_bytes=64 * 1024 * 1024, threads=48
-    )
+    limits: settings.ListenerLimits = LISTENER_LIMITS
     # sender_s: callers may reuse a connection that was idle for 12 s.
     # connect_s: servers accept within about 5 ms. A lost SYN packet is
     # retransmitted after 1 s, so a slightly longer timeout would not help.
@@ -103,6 +107,11 @@
         sender_s=20, connect_s=0.12, shutdown_s=0.2
     )
 
+    @property
+    def capacity(self) -> float:
+        """Return the weight in the distribution of work over instances."""
+        return self.cores * self.core_speed
+
 
 def _convert_durations(data: dict[str, Any]) -> dict[str, Any]:
     # msgspec only parses ISO 8601 durations, so values such as "1500ms" are
--- a/cranberryscale_bench/report_mutants.py
+++ b/cranberryscale_bench/report_mutants.py
@@ -13,7 +13,7 @@
     mutants.Mutation(
         'entry-nesting-untyped',
         'cranberryscale/platform/entry_decoding.py',
-        '        # Nested too deeply.\n        RecursionError,\n',
+        '    # Nested too deeply.\n    RecursionError,\n',
         '',
         ('odd_entries',),
         'an entry that is nested too deeply is refused alone',
--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -2,7 +2,6 @@
 
 from concurrent import futures
 import datetime
-import time
 
 import pytest
 import test_core
@@ -11,6 +10,9 @@
 from cranberryscale import core_driver
 from cranberryscale import errors
 from cranberryscale import messages
+from cranberryscale.process import metrics
+from cranberryscale.request import actions
+from cranberryscale.request import core_admission
 from standins import machines
 
 
@@ -62,76 +64,71 @@
     driver.close()
 
 
-class BusyHolder:
-    """A driver whose one server is full; it counts the calls of its core.
+def ask_server(driver, number, **fields):
+    """Ask this instance, which is the holder, for a server."""
+    message = test_core.make_ask_server(
+        request_id=f'r{number}/0', remaining_s=600.0, target_s=1.0, **fields
+    )
+    return driver.call_instance('10.0.0.1:1', message, test_core.SECOND)
 
-    `queue` lets requests arrive that wait for a slot of the server.
-    """
 
-    def __init__(self):
-        self.driver = make_driver()
-        self.name = self.driver.core.instance_settings.name
-        self.handled = 0
-        handle_message = self.driver.core.handle_message
-
-        def count(*values):
-            self.handled += 1
-            return handle_message(*values)
-
-        self.driver.core.handle_message = count
-        self.permits = []
-        while (reply := self.ask(f'p{len(self.permits)}', False)).server:
-            self.permits.append(reply.permit_id)
-        self.handled = 0
-
-    def ask(self, request_id, may_wait=True):
-        message = test_core.make_ask_server(
-            request_id=request_id,
-            may_wait=may_wait,
-            target_s=30.0,
-            remaining_s=60.0,
-        )
-        return self.driver.call_instance(self.name, message, test_core.SECOND)
-
-    def queue(self, callers, count):
-        asked = [callers.submit(self.ask, f'q{n}') for n in range(count)]
-        machines.FleetEnvironment.wait_for(
-            lambda: self.handled >= count, test_core.SECOND.total_seconds()
-        )
-        return asked
-
-    def finish(self):
-        message = messages.FinishRequest(
-            test_core.SHARD, self.permits.pop(), 'ok', 0.1
-        )
-        self.driver.call_instance(self.name, message, test_core.SECOND)
-
-
-def test_freed_slot_wakes_only_the_request_that_gets_it():
-    """Load pattern: a surge with a hundred requests in one pool's queue.
-
-    Each freed slot woke all of them, their senders asked again at once, and
-    the holder had no time left to answer: on one day 2,382 calls to holders
-    got no reply within five seconds of surge.
-    """
-    holder = BusyHolder()
-    with futures.ThreadPoolExecutor(40) as callers:
-        asked = holder.queue(callers, 40)
-        holder.finish()
-        time.sleep(0.05)
-        assert sum(future.done() for future in asked) == 1
-        assert holder.handled == 42
-        replies = [future.result() for future in asked]
-    assert sum(bool(reply.server) for reply in replies) == 1
-    holder.driver.close()
-
-
-def test_holder_of_a_long_queue_still_answers():
-    """Queued requests leave half of the threads for other messages."""
-    holder = BusyHolder()
-    count = core_driver.QUEUE_THREADS + 10
-    with futures.ThreadPoolExecutor(count) as callers:
-        asked = holder.queue(callers, count)
-        time.sleep(0.05)
-        assert sum(future.done() for future in asked) == 10
-    holder.driver.close()
+def finish_request(driver, permit_id):
+    message = messages.FinishRequest(test_core.SHARD, permit_id, 'ok', 0.1)
+    driver.call_instance('10.0.0.1:1', message, test_core.SECOND)
+
+
+def test_queued_request_is_told_once_that_it_has_a_result():
+    """Guards holders against waking all queued requests at each report."""
+    driver = make_driver()
+    permits = [ask_server(driver, n) for n in range(100)]
+    granted = [reply for reply in permits if reply.server]
+    assert len(granted) == 2
+    first, second = len(granted), len(granted) + 1
+    with (
+        driver.follow_result(f'r{first}/0') as first_ready,
+        driver.follow_result(f'r{second}/0') as second_ready,
+    ):
+        finish_request(driver, granted[0].permit_id)
+        assert first_ready.is_set()
+        assert not second_ready.is_set()
+        assert ask_server(driver, first).server
+        finish_request(driver, granted[-1].permit_id)
+        assert second_ready.is_set()
+    driver.close()
+
+
+class MessageCounter:
+    """Counts the questions for a server at a driver."""
+
+    def __init__(self, driver):
+        self.asked = 0
+        self._call = driver.call_instance
+        driver.call_instance = self.call
+
+    def call(self, target, message, timeout):
+        self.asked += isinstance(message, messages.AskServer)
+        return self._call(target, message, timeout)
+
+
+def test_queued_request_asks_again_only_for_its_result():
+    driver = make_driver()
+    context = core_admission.CoreDecisionContext(driver.core, driver._clock)
+    admission = core_admission.CoreAdmission(
+        driver, context, driver._clock, metrics.Metrics()
+    )
+    replies = [ask_server(driver, n) for n in range(60)]
+    granted = [reply.permit_id for reply in replies if reply.server]
+    counter = MessageCounter(driver)
+    action = actions.AskPermit('x', 'c', 600 * test_core.SECOND, (), True)
+    with futures.ThreadPoolExecutor(1) as pool:
+        result = pool.submit(admission.ask_permit, action, 'last')
+        machines.FleetEnvironment.wait_for(lambda: counter.asked == 2, 5)
+        for number in range(len(granted), len(replies)):
+            finish_request(driver, granted.pop(0))
+            granted.append(ask_server(driver, number).permit_id)
+        finish_request(driver, granted.pop(0))
+        assert result.result(5).server == 'i1'
+        # Two for a place in a long queue, those of the others, and one to
+        # collect the result.
+        assert counter.asked == 2 + 58 + 1
+    driver.close()
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -200,12 +200,13 @@
         pool.request_permit(request, START)
     assert pool.queue_length == 512
     pool.advance(START + SECOND / 5)
+    pool.collect_results()
     request = test_dispatch.make_request('new', customer='other', **far)
     result = pool.request_permit(request, START + SECOND / 5)
     assert result == dispatch_requests.QueuePlace()
     assert pool.queue_length == 512
-    (refused,) = pool.list_results()
-    assert int(refused[1:]) % 4
+    (refused,) = pool.collect_results()
+    assert int(refused.request_id[1:]) % 4
 
 
 def test_request_without_time_gets_no_share_that_others_leave():
