Learn speeds from kinds only, and compare them at intervals

Cause: requests of different kinds with one target counted as alike, so the first answers gave wrong speeds.

--- a/cranberryscale/process/pool/health.py
+++ b/cranberryscale/process/pool/health.py
@@ -97,7 +97,11 @@
             return HealthState.OUT
         if self._is_returning:
             return HealthState.RETURNING
-        if self._decay_evidence(now) >= SUSPECT_EVIDENCE:
+        # Evidence only decays, so without enough of it none needs to be aged.
+        if (
+            self._evidence >= SUSPECT_EVIDENCE
+            and self._decay_evidence(now) >= SUSPECT_EVIDENCE
+        ):
             return HealthState.SUSPECT
         if now < self._deprioritized_until:
             return HealthState.SLOW
--- a/cranberryscale/process/pool/server_work.py
+++ b/cranberryscale/process/pool/server_work.py
@@ -74,6 +74,13 @@
         weight = max(MIN_SPEED_WEIGHT, 1 / (self.count + PRIOR_REQUESTS))
         ratio = min(max(ratio, 1 / MAX_RATIO), MAX_RATIO)
         self.log_ratio += weight * (math.log(ratio) - self.log_ratio)
+        self.update_slowness(usual_log_ratio)
+
+    def update_slowness(self, usual_log_ratio: float) -> None:
+        """Compare the speed with the usual one."""
+        if self.count:
+            slowness = math.exp(self.log_ratio - usual_log_ratio)
+            self.slowness = min(max(slowness, 1 / MAX_SLOWNESS), MAX_SLOWNESS)
 
     def record_load(
         self,
@@ -130,11 +137,10 @@
     median server keeps the two estimates from drifting together.
     """
     logs = sorted(server.log_ratio for server in servers if server.count)
-    usual_log_ratio = logs[len(logs) // 2] if logs else 0.0
+    usual_log_ratio = 0.0
+    if logs:
+        middle = logs[(len(logs) - 1) // 2], logs[len(logs) // 2]
+        usual_log_ratio = sum(middle) / 2
     for server in servers:
-        if server.count:
-            slowness = math.exp(server.log_ratio - usual_log_ratio)
-            server.slowness = min(
-                max(slowness, 1 / MAX_SLOWNESS), MAX_SLOWNESS
-            )
+        server.update_slowness(usual_log_ratio)
     return usual_log_ratio
--- a/cranberryscale/process/pool/work_placement.py
+++ b/cranberryscale/process/pool/work_placement.py
@@ -19,6 +19,8 @@
 
 # Outcomes of requests that ended before their server was done.
 CUT_OUTCOMES = frozenset(('cancelled', 'silent'))
+# Answers between two comparisons of the servers' speeds.
+COMPARISON_INTERVAL = 8
 # Wait at a server whose slots are in use, in usual requests.
 FULL_COST = 1.0
 
@@ -34,6 +36,7 @@
         self.estimator = work_estimates.WorkEstimator()
         self.best_slowness = 1.0
         self._usual_log_ratio = 0.0
+        self._answers = 0
         self._has_loads = False
 
     def find_work(
@@ -51,7 +54,10 @@
     def update_speeds(
         self, servers: Iterable[tracked_servers.TrackedServer]
     ) -> None:
-        """Compare the speeds of the servers after answers or changes."""
+        """Compare the speeds of the servers after some answers."""
+        if self._answers < COMPARISON_INTERVAL:
+            return
+        self._answers = 0
         works = [server.work for server in servers]
         self._usual_log_ratio = server_work.normalize_speeds(works)
         self.best_slowness = min((w.slowness for w in works), default=1.0)
@@ -121,7 +127,12 @@
         elif outcome != 'ok':
             return
         self.estimator.record(running.kind, running.target, work_s)
-        if known is not None:
+        self._answers += 1
+        # Requests with the same target are not alike, so they do not show the
+        # speed of a server.
+        if known is not None and known is self.estimator.find_kind(
+            running.kind
+        ):
             server.work.record_latency(
                 work_s * slowness / known.median_s, self._usual_log_ratio
             )
