Follow requests that share an id without a fault

Cause: callers may send two requests with one id at once. The end of the first one removed the event of the other, whose end then failed the request.

Change: a request removes only its own event.

Measured: the new test fails with KeyError before and passes now.

--- a/cranberryscale/core_driver.py
+++ b/cranberryscale/core_driver.py
@@ -256,7 +256,9 @@
         try:
             yield ready
         finally:
-            del self._results_ready[request_id]
+            # A caller may have sent another request with this id meanwhile.
+            if self._results_ready.get(request_id) is ready:
+                del self._results_ready[request_id]
 
     def _set_ready(self, request_id: str) -> None:
         ready = self._results_ready.get(request_id)
--- a/tests/test_conversations.py
+++ b/tests/test_conversations.py
@@ -97,6 +97,15 @@
     driver.close()
 
 
+def test_requests_with_the_same_id_are_followed_side_by_side():
+    driver = make_driver()
+    with driver.follow_result('r/0'):
+        with driver.follow_result('r/0') as later:
+            driver._set_ready('r/0')
+        assert later.is_set()
+    driver.close()
+
+
 class MessageCounter:
     """Counts the questions for a server at a driver."""
 
