--- a/tests/test_crash_bounds.py
+++ b/tests/test_crash_bounds.py
@@ -11,6 +11,7 @@
 
 from msgspec import structs
 import pytest
+import test_coordination
 import test_core
 import test_published
 
@@ -58,6 +59,10 @@
             self._name, message, now
         )
 
+    @contextlib.contextmanager
+    def follow_result(self, request_id):
+        yield test_coordination.ImmediateNotice()
+
     def send(self, target, message):
         self.call_instances({target: message}, LATENCY)
 
