--- a/cranberryscale/process/pool/customer_work.py
+++ b/cranberryscale/process/pool/customer_work.py
@@ -63,7 +63,7 @@
 
 
 class CustomerWork:
-    """The work that customers lately asked for and got.
+    """The recent work that customers requested and were granted.
 
     Requests without a customer count as demand, but never as over a share.
     """
