Count a request that was queued as a first attempt once

Cause: a request that got a place in the nearest queue at once and lost it asked the other shards as a new one. Second attempts are limited by the number of first ones, so each such request allowed more of them.

Change: questions after a lost place are marked as those of a second queue.

Measured: the new test fails on (True, True, True) and passes.

--- a/cranberryscale/request/core_admission.py
+++ b/cranberryscale/request/core_admission.py
@@ -383,7 +383,7 @@
                 started_at,
                 shard,
                 False,
-                False,
+                denied is not None,
                 longest_wait,
             )
             longest_wait = datetime.timedelta(0)
@@ -409,7 +409,12 @@
             self._record_local_decision('pool')
             return self._choose_locally(action, request_id)
         return self._try_queues(
-            action, request_id, started_at, shard_replies, is_answered
+            action,
+            request_id,
+            started_at,
+            shard_replies,
+            denied is not None,
+            is_answered,
         )
 
     def _is_final(
@@ -427,6 +432,7 @@
         request_id: str,
         started_at: datetime.timedelta,
         shard_replies: list[_ShardReply],
+        was_queued: bool,
         is_answered: Callable[[], bool],
     ) -> actions.PermitGranted | actions.AdmissionDenied:
         result = actions.AdmissionDenied(
@@ -440,7 +446,7 @@
                 started_at,
                 shard_reply.shard,
                 True,
-                number > 0,
+                was_queued or number > 0,
             )
             with self._driver.follow_result(query.message_id) as ready:
                 ready.set()
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -514,3 +514,16 @@
     denied = admission.ask_permit(ASK_PERMIT, 'r')
     assert (denied.code, denied.retry_after) == ('pool_resting', 3 * SECOND)
     assert driver.calls == []
+
+
+def test_request_that_was_queued_counts_as_first_attempt_once():
+    """Otherwise each such request would allow more second attempts."""
+    driver, admission = make_domain_admission(
+        a=[
+            messages.ServerReply(wait_s=0.01, is_queued=True),
+            messages.ServerReply(code='pool_busy'),
+        ],
+        b=[messages.ServerReply(3, 'b')],
+    )
+    assert admission.ask_permit(ASK_PERMIT, 'r').server == 'b'
+    assert [call.is_new for call in driver.calls] == [True, True, False]
