--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -328,10 +328,14 @@
     return [sys.executable, *words[1:]]
 
 
+# In random order, each of them used once.
+_PORTS = iter(random.sample(range(15000, 32000), 17000))
+
+
 def find_ports(count: int) -> list[int]:
     """Return free ports below those that the kernel gives to clients."""
     found = []
-    for port in random.sample(range(15000, 32000), 17000):
+    for port in _PORTS:
         try:
             socket.create_server(('127.0.0.1', port)).close()
         except OSError:
@@ -359,6 +363,8 @@
         self.settings = stage.folder / f'{self.label}.toml'
         self.log = stage.folder / f'{self.label}.log'
         self.store_address = stage.store.address
+        # The address by which the others know it; that of a relay, if any.
+        self.name = self.addresses['peers']
         self.process = None
 
     @property
@@ -368,9 +374,9 @@
 
     def start(self) -> None:
         """Write the settings and start the process."""
-        seeds = [i.addresses['peers'] for i in self.stage.instances[:3]]
+        seeds = [i.name for i in self.stage.instances[:3]]
         lines = [
-            f'name = "{self.addresses["peers"]}"',
+            f'name = "{self.name}"',
             f'label = "{self.label}"',
             f'domain = "{self.zone}"',
             'region = "r"',
@@ -604,7 +610,7 @@
         raise RuntimeError(f'{served} of {count} usual requests were served')
 
 
-def run_case(case_file: str, play) -> None:
+def run_case(case_file: str, play, instances: int = 3) -> None:
     """Run `play(stage, is_troubled)`; exit with 0 held, 1 broken, 2 no run.
 
     `play` returns the list of breaks of the rule.
@@ -614,7 +620,7 @@
     stage = None
     code = 2
     try:
-        stage = Stage(case)
+        stage = Stage(case, instances)
         breaks = play(stage, is_troubled)
         for text in breaks:
             stage.record.add('BROKEN', what=text)
