--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -610,17 +610,21 @@
         raise RuntimeError(f'{served} of {count} usual requests were served')
 
 
-def run_case(case_file: str, play, instances: int = 3) -> None:
-    """Run `play(stage, is_troubled)`; exit with 0 held, 1 broken, 2 no run.
+def run_case(
+    case_file: str, play, is_troubled: bool, instances: int = 3
+) -> None:
+    """Run `play(stage, is_troubled)`, with or without the disruption.
+
+    Exits with 0 if the rule held, 1 if it was broken, 2 if it could not run.
 
     `play` returns the list of breaks of the rule.
     """
     case = pathlib.Path(case_file).resolve().parent
-    is_troubled = os.environ.get('TROUBLE', '1') != '0'
     stage = None
     code = 2
     try:
         stage = Stage(case, instances)
+        stage.record.add('disruption', is_on=is_troubled)
         breaks = play(stage, is_troubled)
         for text in breaks:
             stage.record.add('BROKEN', what=text)
