Review: let the relay of case 12 find senders beside the traffic

Cause: the relay looked up the sender of each connection before it passed anything on; with many closed sockets on the machine that was slow enough for instances to take each other for down, and two of some twenty starts ended with exit code 2. Senders are looked up in the background now, and before traffic only during a cut.

--- a/review/lib3/relay.py
+++ b/review/lib3/relay.py
@@ -11,6 +11,7 @@
 import time
 
 CHUNK_BYTES = 65536
+ATTEMPTS, ATTEMPT_GAP_S = 40, 0.05
 # Fields of lines of /proc/net/tcp: local address, remote address and inode.
 LOCAL, REMOTE, INODE = 1, 2, 9
 V4, V6 = '0100007F', '0000000000000000FFFF00000100007F'
@@ -45,7 +46,8 @@
     """Relays of all machines, which share a set of cut off machines."""
 
     def __init__(self):
-        self.cut, self.pids, self.unknown = set(), {}, 0
+        self.cut, self.pids, self.unknown, self.pending = set(), {}, 0, 0
+        self.searching = asyncio.Semaphore(1)
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
 
@@ -57,26 +59,32 @@
     def is_cut(self, one, other):
         return one in self.cut or other in self.cut
 
-    async def _find_sender(self, writer):
+    async def _identify(self, pair, writer):
+        # Looked up one at a time, since a search reads all sockets.
         port = writer.get_extra_info('peername')[1]
         own = writer.get_extra_info('sockname')[1]
-        pids = dict(self.pids)
-        pid = await self.loop.run_in_executor(None, find_owner, list(pids), port, own)
-        if pid is None:
-            self.unknown += 1
-        return pids.get(pid)
+        self.pending += 1
+        try:
+            async with self.searching:
+                pids = dict(self.pids)
+                pid = await self.loop.run_in_executor(None, find_owner, list(pids), port, own)
+            pair[0] = pids.get(pid)
+            self.unknown += pid is None
+        finally:
+            self.pending -= 1
 
     async def _accept(self, machine, reader, writer):
-        sender = await self._find_sender(writer)
+        pair = [None, machine.label]
+        search = self.loop.create_task(self._identify(pair, writer))
         try:
-            while self.is_cut(sender, machine.label):
+            if self.cut:
+                await search
+            while self.is_cut(*pair):
                 await asyncio.sleep(0.05)
-            host, port = machine.addresses['peers'].split(':')
-            to_reader, to_writer = await asyncio.open_connection(host, port)
+            to_reader, to_writer = await self._connect(machine)
         except OSError:
             writer.close()
             return
-        pair = (sender, machine.label)
         try:
             await asyncio.gather(self._copy(pair, reader, to_writer),
                                  self._copy(pair, to_reader, writer))
@@ -86,6 +94,17 @@
             writer.close()
             to_writer.close()
 
+    async def _connect(self, machine):
+        # A machine that has just been started doesn't listen yet; the relay
+        # has taken the connection and can't refuse it any more.
+        host, port = machine.addresses['peers'].split(':')
+        for _ in range(ATTEMPTS):
+            try:
+                return await asyncio.open_connection(host, port)
+            except ConnectionRefusedError:
+                await asyncio.sleep(ATTEMPT_GAP_S)
+        return await asyncio.open_connection(host, port)
+
     async def _copy(self, pair, reader, writer):
         while data := await reader.read(CHUNK_BYTES):
             while self.is_cut(*pair):
@@ -99,6 +118,9 @@
 
 def cut_off(relays, labels, for_s):
     """Cut machines off from all other machines for a time."""
+    until = time.monotonic() + 1
+    while relays.pending and time.monotonic() < until:
+        time.sleep(0.01)
     relays.cut = set(labels)
     time.sleep(for_s)
     relays.cut = set()
