Review: write each request into the records

The records of cases 11 and 12 had the late requests and sums only; what was sent, answered and run is written once the load has ended.

--- a/review/lib3/standin.py
+++ b/review/lib3/standin.py
@@ -409,6 +409,20 @@
                 machine.kill()
         raise TimeoutError('the machines did not find each other')
 
+    def write_requests(self, load):
+        """Write what was sent, answered and run."""
+        arrivals = {}
+        for upstream in self.upstreams.values():
+            for at, request_id, outcome in upstream.arrivals:
+                arrivals.setdefault(request_id, []).append((at, outcome, upstream.name))
+        for request_id, (label, sent, path) in list(load.sent.items()):
+            answered, status = load.answered.get(request_id, (0, None))
+            seen = [f'{outcome} by {name} at {at - self.began:.3f}'
+                    for at, outcome, name in sorted(arrivals.get(request_id, ()))]
+            self.record.write(
+                f'{request_id} {path} sent to {label} at {sent - self.began:.3f}, '
+                f'answered {status} at {answered - self.began:.3f}; {", ".join(seen)}\n')
+
     def close(self):
         for machine in self.machines:
             if machine.process is not None and machine.process.poll() is None:
